--- /dev/null
+++ b/crates/daisynotch/src/commands.rs
@@ -0,0 +1,78 @@
+//! One module a command.
+
+pub(crate) mod apply;
+pub(crate) mod check;
+pub(crate) mod credential;
+pub(crate) mod demo;
+pub(crate) mod get;
+pub(crate) mod status;
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use daisynotch_objects::{Objects, ParseError};
+use daisynotch_platform::{ConfigStore, KeyValueClient, StoreError};
+
+/// How long a call to the key-value service may take.
+const KEY_VALUE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum CommandError {
+    /// A file can't be read.
+    #[error("`{}` can't be read: {error}", path.display())]
+    Unreadable {
+        path: PathBuf,
+        error: std::io::Error,
+    },
+    /// A file holds no objects.
+    #[error("`{}`: {error}", path.display())]
+    Malformed { path: PathBuf, error: ParseError },
+    /// The objects have errors.
+    #[error("nothing was changed, the objects have errors:\n{0}")]
+    BadObjects(String),
+    /// Another operator was first.
+    #[error("conflict: another change was published first, nothing was changed; apply again")]
+    Conflict,
+    /// The stored objects can't be read or changed.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// A router or a fake can't be used.
+    #[error("{0}")]
+    Failed(String),
+}
+
+impl CommandError {
+    /// Gives the exit code that the help text names.
+    pub(crate) fn exit_code(&self) -> u8 {
+        match self {
+            Self::Unreadable { .. } | Self::Malformed { .. } | Self::BadObjects(_) => 2,
+            Self::Conflict => 3,
+            Self::Store(_) | Self::Failed(_) => 1,
+        }
+    }
+}
+
+/// Reads objects from a file and checks them as a whole.
+fn read_objects(path: &Path) -> Result<Objects, CommandError> {
+    let path_buf = || path.to_owned();
+    let text = std::fs::read_to_string(path).map_err(|error| CommandError::Unreadable {
+        path: path_buf(),
+        error,
+    })?;
+    let objects: Objects = text.parse().map_err(|error| CommandError::Malformed {
+        path: path_buf(),
+        error,
+    })?;
+    let errors = daisynotch_objects::check(&objects);
+    if errors.is_empty() {
+        return Ok(objects);
+    }
+    let lines: Vec<String> = errors.iter().map(|error| format!("  {error}")).collect();
+    Err(CommandError::BadObjects(lines.join("\n")))
+}
+
+fn config_store(key_value: SocketAddr) -> ConfigStore {
+    ConfigStore::new(KeyValueClient::new(key_value, KEY_VALUE_TIMEOUT))
+}
--- /dev/null
+++ b/crates/daisynotch/src/commands/credential.rs
@@ -0,0 +1,13 @@
+//! `daisynotch credential`: prints the digest that stands for a token.
+
+use daisynotch_objects::CredentialDigest;
+
+use crate::printer::Printer;
+
+pub(crate) fn run(token: &str, printer: &Printer) {
+    let digest = CredentialDigest::of_token(token.as_bytes());
+    printer.result(
+        &digest.to_string(),
+        &serde_json::json!({ "credential": digest }),
+    );
+}
--- /dev/null
+++ b/crates/daisynotch/src/main.rs
@@ -0,0 +1,50 @@
+//! `daisynotch`: the operators' command.
+
+mod args;
+mod commands;
+mod printer;
+
+use std::process::ExitCode;
+
+use args::{Arguments, Command};
+use printer::Printer;
+
+fn main() -> ExitCode {
+    let arguments = match Arguments::from_env() {
+        Ok(arguments) => arguments,
+        Err(error) => {
+            eprintln!("daisynotch: {error}");
+            return ExitCode::from(args::EXIT_USAGE);
+        }
+    };
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("daisynotch: the runtime can't start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let printer = Printer::new(arguments.json);
+    match runtime.block_on(run(arguments.command, &printer)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("daisynotch: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+async fn run(command: Command, printer: &Printer) -> Result<(), commands::CommandError> {
+    match command {
+        Command::Help => printer.text(args::HELP),
+        Command::Check { file } => commands::check::run(&file, printer)?,
+        Command::Apply { file, key_value } => {
+            commands::apply::run(&file, key_value, printer).await?;
+        }
+        Command::Get { key_value } => commands::get::run(key_value, printer).await?,
+        Command::Status { router } => commands::status::run(router, printer).await?,
+        Command::Credential { token } => commands::credential::run(&token, printer),
+        Command::Demo(options) => commands::demo::run(options, printer).await?,
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daisynotch_core/src/catalogue.rs
@@ -0,0 +1,256 @@
+//! The objects of one revision, indexed for decisions.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use daisynotch_objects::{
+    CredentialDigest, EndpointName, Fencing, Limits, LimitsName, Objects, PoolName, RouteName,
+    TeamName,
+};
+use smallvec::SmallVec;
+
+use crate::message::ShardId;
+use crate::{EndpointId, PoolId, PoolKind, Revision, TeamId, ZoneId};
+
+/// Requests of a team that wait at one router when its objects set no bound.
+const DEFAULT_QUEUED_REQUESTS: u32 = 256;
+/// How long a request waits for a slot when the objects set no bound.
+const DEFAULT_QUEUE_TIMEOUT_MS: u64 = 10_000;
+
+/// Limits with every default filled in.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub struct RequestLimits {
+    /// Requests that run at the same time; no bound when absent.
+    pub concurrent_requests: Option<u32>,
+    /// Requests that wait at one router.
+    pub queued_requests: u32,
+    /// Requests accepted a second; no bound when absent.
+    pub rate_per_s: Option<u32>,
+    /// The longest time that a request waits for a slot.
+    pub queue_timeout: Duration,
+}
+
+/// A team as decisions see it.
+#[daisynotch_macros::value]
+pub struct TeamView {
+    /// The team's name.
+    pub name: TeamName,
+    /// The share's weight.
+    pub share_weight: u32,
+    /// The name of the share, or none for a team that stands alone.
+    pub share: Option<daisynotch_objects::ShareName>,
+    /// The team's weight within its share.
+    pub weight: u32,
+    /// The team's own limits.
+    pub limits: RequestLimits,
+}
+
+/// An endpoint as decisions see it.
+#[daisynotch_macros::value]
+pub struct EndpointView {
+    /// The endpoint's name.
+    pub name: EndpointName,
+    /// Its pool.
+    pub pool: PoolId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether the objects say that it is leaving.
+    pub leaving: bool,
+    /// Whether it checks fencing numbers.
+    pub fencing: Fencing,
+}
+
+/// A pool as decisions see it.
+#[daisynotch_macros::value]
+pub struct PoolView {
+    /// The pool's name.
+    pub name: PoolName,
+    /// What its endpoints speak.
+    pub kind: PoolKind,
+    /// Concurrent requests of an endpoint at the start.
+    pub slots: u32,
+    /// The longest time until the first byte of an answer.
+    pub first_byte_timeout: Duration,
+    /// The longest silence within an answer.
+    pub idle_timeout: Duration,
+    /// Its endpoints by shard, in the order of their identifiers.
+    pub shards: BTreeMap<ZoneId, Vec<EndpointId>>,
+}
+
+/// A route as decisions see it.
+#[daisynotch_macros::value]
+pub struct RouteView {
+    /// The route's name.
+    pub name: RouteName,
+    /// The pool that answers.
+    pub pool: PoolId,
+    /// Whether a request may run twice without harm.
+    pub idempotent: bool,
+}
+
+/// All objects of one revision, indexed.
+#[daisynotch_macros::value]
+#[derive(Default)]
+pub struct Catalogue {
+    /// The revision that this was built from.
+    pub revision: Revision,
+    /// Teams.
+    pub teams: HashMap<TeamId, TeamView>,
+    /// Pools.
+    pub pools: BTreeMap<PoolId, PoolView>,
+    /// Endpoints.
+    pub endpoints: HashMap<EndpointId, EndpointView>,
+    credentials: HashMap<CredentialDigest, TeamId>,
+    models: HashMap<String, RouteView>,
+    prefixes: Vec<(String, RouteView)>,
+}
+
+impl Catalogue {
+    /// Indexes objects that [`daisynotch_objects::check`] found to be without error.
+    pub fn new(revision: Revision, objects: &Objects) -> Self {
+        let mut catalogue = Self {
+            revision,
+            ..Self::default()
+        };
+        catalogue.add_teams(objects);
+        catalogue.add_pools(objects);
+        catalogue.add_endpoints(objects);
+        catalogue.add_routes(objects);
+        catalogue
+    }
+
+    /// Finds the team that a credential belongs to.
+    pub fn team_of(&self, credential: &CredentialDigest) -> Option<TeamId> {
+        self.credentials.get(credential).copied()
+    }
+
+    /// Finds the route that takes a model.
+    pub fn route_of_model(&self, model: &str) -> Option<&RouteView> {
+        self.models.get(model)
+    }
+
+    /// Finds the route with the longest prefix of a path.
+    pub fn route_of_path(&self, path: &str) -> Option<&RouteView> {
+        let matches = |prefix: &str| {
+            path.strip_prefix(prefix).is_some_and(|rest| {
+                rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/')
+            })
+        };
+        self.prefixes
+            .iter()
+            .find(|(prefix, _)| matches(prefix))
+            .map(|(_, route)| route)
+    }
+
+    /// Gives the shards of a pool.
+    pub fn shards_of(&self, pool: PoolId) -> SmallVec<[ShardId; 4]> {
+        let zones = self.pools.get(&pool).map(|view| view.shards.keys());
+        let zones = zones.into_iter().flatten();
+        zones.map(|zone| ShardId { pool, zone: *zone }).collect()
+    }
+
+    /// Gives the shard that an endpoint belongs to.
+    pub fn shard_of(&self, endpoint: EndpointId) -> Option<ShardId> {
+        let view = self.endpoints.get(&endpoint)?;
+        Some(ShardId {
+            pool: view.pool,
+            zone: view.zone,
+        })
+    }
+
+    fn add_teams(&mut self, objects: &Objects) {
+        for (name, team) in &objects.team {
+            let id = TeamId::from(name);
+            let share = team
+                .share
+                .as_ref()
+                .and_then(|share| objects.share.get(share));
+            let view = TeamView {
+                name: name.clone(),
+                share_weight: share.map_or(1, |share| share.weight),
+                share: team.share.clone(),
+                weight: team.weight,
+                limits: request_limits(objects, team.limits.as_ref()),
+            };
+            self.teams.insert(id, view);
+            for credential in &team.credentials {
+                self.credentials.insert(*credential, id);
+            }
+        }
+    }
+
+    fn add_pools(&mut self, objects: &Objects) {
+        for (name, pool) in &objects.pool {
+            let view = PoolView {
+                name: name.clone(),
+                kind: pool.kind,
+                slots: pool.slots,
+                first_byte_timeout: Duration::from_millis(pool.first_byte_timeout_ms),
+                idle_timeout: Duration::from_millis(pool.idle_timeout_ms),
+                shards: BTreeMap::new(),
+            };
+            self.pools.insert(PoolId::from(name), view);
+        }
+    }
+
+    fn add_endpoints(&mut self, objects: &Objects) {
+        for (name, endpoint) in &objects.endpoint {
+            let id = EndpointId::from(name);
+            let pool = PoolId::from(&endpoint.pool);
+            let zone = ZoneId::from(&endpoint.zone);
+            if let Some(view) = self.pools.get_mut(&pool) {
+                view.shards.entry(zone).or_default().push(id);
+            }
+            let view = EndpointView {
+                name: name.clone(),
+                pool,
+                zone,
+                address: endpoint.address,
+                leaving: endpoint.leaving,
+                fencing: endpoint.fencing,
+            };
+            self.endpoints.insert(id, view);
+        }
+        for pool in self.pools.values_mut() {
+            pool.shards
+                .values_mut()
+                .for_each(|shard| shard.sort_unstable());
+        }
+    }
+
+    fn add_routes(&mut self, objects: &Objects) {
+        for (name, route) in &objects.route {
+            let view = RouteView {
+                name: name.clone(),
+                pool: PoolId::from(&route.pool),
+                idempotent: route.idempotent,
+            };
+            if let Some(model) = &route.model {
+                self.models.insert(model.clone(), view.clone());
+            }
+            if let Some(prefix) = &route.path_prefix {
+                self.prefixes.push((prefix.clone(), view));
+            }
+        }
+        let longest_first = |(prefix, _): &(String, RouteView)| std::cmp::Reverse(prefix.len());
+        self.prefixes.sort_by_key(longest_first);
+    }
+}
+
+fn request_limits(objects: &Objects, name: Option<&LimitsName>) -> RequestLimits {
+    let none = Limits::default();
+    let limits = name
+        .and_then(|name| objects.limits.get(name))
+        .unwrap_or(&none);
+    let queue_timeout_ms = limits.queue_timeout_ms.unwrap_or(DEFAULT_QUEUE_TIMEOUT_MS);
+    RequestLimits {
+        concurrent_requests: limits.concurrent_requests,
+        queued_requests: limits.queued_requests.unwrap_or(DEFAULT_QUEUED_REQUESTS),
+        rate_per_s: limits.rate_per_s,
+        queue_timeout: Duration::from_millis(queue_timeout_ms),
+    }
+}
--- /dev/null
+++ b/crates/daisynotch_core/src/entry.rs
@@ -0,0 +1,583 @@
+//! The requests that this router's callers have open.
+//!
+//! The entry is the only part that ever dispatches a request, and it dispatches
+//! each at most once at a time, however many grants arrive. See
+//! `docs/design/tickets.md`.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use crate::catalogue::Catalogue;
+use crate::cost::Cost;
+use crate::message::{
+    Grant, LengthClass, PeerMessage, PrefixFingerprint, Progress, Release, ReleaseReason, Running,
+    ShardId, Ticket, TicketSeq,
+};
+use crate::time::Timestamp;
+use crate::{EndpointId, PoolId, RouterId, TeamId, ZoneId};
+
+/// How long an unanswered ticket waits before it is sent again.
+const TICKET_RESEND_AFTER: Duration = Duration::from_millis(2_000);
+/// How long a ticket that no scheduler took waits before it is sent again.
+const TICKET_REJECTED_RESEND_AFTER: Duration = Duration::from_millis(200);
+/// How often a request that did not run is tried at another endpoint.
+const DISPATCH_ATTEMPTS_MAX: u32 = 3;
+/// The shortest time that a refused caller is told to wait.
+const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
+
+/// Numbers the requests of one router incarnation.
+#[daisynotch_macros::number]
+pub struct RequestId(pub u64);
+
+/// What decisions need to know of a request.
+#[daisynotch_macros::value]
+pub struct RequestSpec {
+    /// The team that it is charged to.
+    pub team: TeamId,
+    /// The pool that answers it.
+    pub pool: PoolId,
+    /// What it will cost, as far as can be guessed.
+    pub hint: Cost,
+    /// How long it is expected to run.
+    pub class: LengthClass,
+    /// The prompt's beginning, when it has one.
+    pub prefix: Option<PrefixFingerprint>,
+    /// Whether it may run twice without harm.
+    pub idempotent: bool,
+}
+
+/// Why a request was refused; the work did not run.
+#[daisynotch_macros::value]
+#[derive(Copy, Hash)]
+pub enum RefusalReason {
+    /// The team has as many requests waiting here as it may.
+    QueueFull,
+    /// No slot came free within the time that the team's limits allow.
+    QueueTimeout,
+    /// The pool has no endpoint that takes new work.
+    NoEndpoint,
+    /// Endpoints were chosen, but none could be reached.
+    Unreachable,
+    /// The objects don't have the team or pool any more.
+    Unknown,
+}
+
+/// A refusal with the time after which a new attempt makes sense.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When the caller may come back.
+    pub retry_after: Duration,
+}
+
+/// Permission to send a request to an endpoint, once.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub struct Dispatch {
+    /// The request.
+    pub request: RequestId,
+    /// The endpoint that has a slot for it.
+    pub endpoint: EndpointId,
+    /// The grant that allows it.
+    pub ticket: TicketSeq,
+}
+
+/// What the entry wants done.
+#[daisynotch_macros::value]
+pub enum EntryEvent {
+    /// Send a message to a router, possibly this one.
+    Send {
+        /// The router.
+        to: RouterId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Send a request to an endpoint.
+    Dispatch(Dispatch),
+    /// Tell the caller that the work did not run.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// Why, and when to come back.
+        refusal: Refusal,
+    },
+}
+
+#[derive(Debug, Clone)]
+enum State {
+    Waiting {
+        /// The scheduler that was asked and when, once one was.
+        asked: Option<(RouterId, Timestamp)>,
+        resend_at: Timestamp,
+    },
+    Running {
+        scheduler: RouterId,
+        endpoint: EndpointId,
+        cost: Cost,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct OpenRequest {
+    spec: RequestSpec,
+    shard: ShardId,
+    ticket: TicketSeq,
+    state: State,
+    attempts: u32,
+    avoid: Option<EndpointId>,
+    queue_deadline: Timestamp,
+}
+
+/// The open requests of one router.
+#[derive(Debug)]
+pub struct Entry {
+    zone: ZoneId,
+    next_request: u64,
+    next_ticket: u64,
+    requests: HashMap<RequestId, OpenRequest>,
+    tickets: HashMap<TicketSeq, RequestId>,
+    deadlines: BTreeSet<(Timestamp, RequestId)>,
+    queued: HashMap<TeamId, u32>,
+}
+
+impl Entry {
+    /// Starts without requests.
+    pub fn new(zone: ZoneId) -> Self {
+        Self {
+            zone,
+            next_request: 0,
+            next_ticket: 0,
+            requests: HashMap::new(),
+            tickets: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            queued: HashMap::new(),
+        }
+    }
+
+    /// Gives the number of open requests.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Says whether a request has not ended yet.
+    pub fn is_open(&self, request: RequestId) -> bool {
+        self.requests.contains_key(&request)
+    }
+
+    /// Accepts a request, or says why not.
+    pub fn admit(
+        &mut self,
+        spec: RequestSpec,
+        catalogue: &Catalogue,
+        now: Timestamp,
+    ) -> Result<RequestId, Refusal> {
+        let team = catalogue.teams.get(&spec.team);
+        let team = team.ok_or(refusal(RefusalReason::Unknown))?;
+        let shard = self.home_shard(spec.pool, catalogue)?;
+        let queued = self.queued.get(&spec.team).copied().unwrap_or(0);
+        if queued >= team.limits.queued_requests {
+            return Err(refusal(RefusalReason::QueueFull));
+        }
+        let request = RequestId(self.next_request);
+        self.next_request += 1;
+        let queue_deadline = now + team.limits.queue_timeout;
+        let ticket = self.mint_ticket(request);
+        *self.queued.entry(spec.team).or_default() += 1;
+        self.deadlines.insert((queue_deadline, request));
+        let open = OpenRequest {
+            spec,
+            shard,
+            ticket,
+            state: State::Waiting {
+                asked: None,
+                resend_at: now,
+            },
+            attempts: 0,
+            avoid: None,
+            queue_deadline,
+        };
+        self.requests.insert(request, open);
+        Ok(request)
+    }
+
+    /// Sends the tickets that are due, to the schedulers that `scheduler_of` names.
+    pub fn send_due(
+        &mut self,
+        request: RequestId,
+        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+        now: Timestamp,
+    ) -> Option<EntryEvent> {
+        let open = self.requests.get_mut(&request)?;
+        let State::Waiting { asked, resend_at } = &mut open.state else {
+            return None;
+        };
+        if *resend_at > now {
+            return None;
+        }
+        let Some(to) = scheduler_of(open.shard) else {
+            *resend_at = now + TICKET_REJECTED_RESEND_AFTER;
+            return None;
+        };
+        if asked.is_none_or(|(router, _)| router != to) {
+            *asked = Some((to, now));
+        }
+        *resend_at = now + TICKET_RESEND_AFTER;
+        let message = PeerMessage::Ticket(ticket_of(open));
+        Some(EntryEvent::Send { to, message })
+    }
+
+    /// Resends everything whose scheduler is no longer the one that was asked.
+    pub fn rehome(
+        &mut self,
+        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+        now: Timestamp,
+    ) -> Vec<EntryEvent> {
+        let mut requests: Vec<RequestId> = self.requests.keys().copied().collect();
+        requests.sort_unstable();
+        let mut events = Vec::new();
+        for request in requests {
+            let open = self.requests.get_mut(&request).expect("it was just listed");
+            let Some(to) = scheduler_of(open.shard) else {
+                continue;
+            };
+            match &mut open.state {
+                State::Waiting { asked, resend_at } => {
+                    if asked.is_some_and(|(router, _)| router != to) {
+                        *resend_at = now;
+                    }
+                    events.extend(self.send_due(request, |_| Some(to), now));
+                }
+                State::Running { scheduler, .. } if *scheduler != to => {
+                    *scheduler = to;
+                    let message = PeerMessage::Running(running_of(open));
+                    events.push(EntryEvent::Send { to, message });
+                }
+                State::Running { .. } => {}
+            }
+        }
+        events
+    }
+
+    /// Takes in a grant: dispatches, or gives the slot back.
+    pub fn on_grant(&mut self, from: RouterId, grant: &Grant, now: Timestamp) -> EntryEvent {
+        let request = self.tickets.get(&grant.seq).copied();
+        if let Some(request) = request
+            && self.may_use(request, from, grant, now)
+        {
+            return EntryEvent::Dispatch(self.start(request, from, grant));
+        }
+        if let Some(request) = request
+            && self.runs_under(request, from, grant)
+        {
+            let message = PeerMessage::Running(running_of(&self.requests[&request]));
+            return EntryEvent::Send { to: from, message };
+        }
+        give_back(from, grant.seq, grant.endpoint)
+    }
+
+    /// Answers a scheduler that asks what became of a grant.
+    pub fn on_query(&self, from: RouterId, seq: TicketSeq, endpoint: EndpointId) -> EntryEvent {
+        let open = self
+            .tickets
+            .get(&seq)
+            .map(|request| &self.requests[request]);
+        match open.map(|open| (open, &open.state)) {
+            Some((
+                open,
+                State::Running {
+                    endpoint: runs_on, ..
+                },
+            )) if *runs_on == endpoint => {
+                let message = PeerMessage::Running(running_of(open));
+                EntryEvent::Send { to: from, message }
+            }
+            _ => give_back(from, seq, endpoint),
+        }
+    }
+
+    /// Takes in that a router doesn't schedule what it was asked to.
+    pub fn on_not_scheduler(&mut self, from: RouterId, seqs: &[TicketSeq], now: Timestamp) {
+        for seq in seqs {
+            let Some(open) = self
+                .tickets
+                .get(seq)
+                .and_then(|id| self.requests.get_mut(id))
+            else {
+                continue;
+            };
+            if let State::Waiting { asked, resend_at } = &mut open.state
+                && asked.is_some_and(|(router, _)| router == from)
+            {
+                *asked = None;
+                *resend_at = now + TICKET_REJECTED_RESEND_AFTER;
+            }
+        }
+    }
+
+    /// Reports running work to its scheduler.
+    pub fn on_progress(
+        &mut self,
+        request: RequestId,
+        cost: Cost,
+        first_token_ms: Option<u32>,
+        token_gap_us: Option<u32>,
+    ) -> Option<EntryEvent> {
+        let open = self.requests.get_mut(&request)?;
+        let State::Running {
+            scheduler,
+            cost: so_far,
+            endpoint,
+        } = &mut open.state
+        else {
+            return None;
+        };
+        *so_far = cost;
+        let message = PeerMessage::Progress(Progress {
+            seq: open.ticket,
+            endpoint: *endpoint,
+            cost,
+            first_token_ms,
+            token_gap_us,
+        });
+        Some(EntryEvent::Send {
+            to: *scheduler,
+            message,
+        })
+    }
+
+    /// Ends a dispatch; a request that did not run is tried again or refused.
+    pub fn on_finished(
+        &mut self,
+        request: RequestId,
+        reason: ReleaseReason,
+        cost: Cost,
+        first_token_ms: Option<u32>,
+        token_gap_us: Option<u32>,
+        now: Timestamp,
+    ) -> Vec<EntryEvent> {
+        let Some(open) = self.requests.get(&request) else {
+            return Vec::new();
+        };
+        let State::Running {
+            scheduler,
+            endpoint,
+            ..
+        } = open.state
+        else {
+            return Vec::new();
+        };
+        let release = Release {
+            seq: open.ticket,
+            endpoint,
+            reason,
+            cost,
+            first_token_ms,
+            token_gap_us,
+        };
+        let message = PeerMessage::Release(release);
+        let mut events = vec![EntryEvent::Send {
+            to: scheduler,
+            message,
+        }];
+        match reason {
+            ReleaseReason::Unreachable => events.extend(self.try_again(request, endpoint, now)),
+            ReleaseReason::Done | ReleaseReason::Failed | ReleaseReason::Unused => {
+                self.forget(request);
+            }
+        }
+        events
+    }
+
+    /// Takes in that a caller left while its request was waiting.
+    pub fn on_caller_left(&mut self, request: RequestId) -> Option<EntryEvent> {
+        let open = self.requests.get(&request)?;
+        let State::Waiting { asked, .. } = open.state else {
+            return None;
+        };
+        let message = PeerMessage::Withdraw {
+            shard: open.shard,
+            seq: open.ticket,
+        };
+        self.forget(request);
+        asked.map(|(to, _)| EntryEvent::Send { to, message })
+    }
+
+    /// Refuses requests that waited too long and sends tickets that are due.
+    pub fn tick(
+        &mut self,
+        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+        now: Timestamp,
+    ) -> Vec<EntryEvent> {
+        let mut events = Vec::new();
+        while let Some((deadline, request)) = self.deadlines.first().copied() {
+            if deadline > now {
+                break;
+            }
+            self.deadlines.pop_first();
+            events.extend(self.expire(request));
+        }
+        let mut waiting: Vec<RequestId> = self.deadlines.iter().map(|(_, id)| *id).collect();
+        waiting.sort_unstable();
+        for request in waiting {
+            events.extend(self.send_due(request, &scheduler_of, now));
+        }
+        events
+    }
+
+    fn expire(&mut self, request: RequestId) -> Vec<EntryEvent> {
+        let withdrawal = self.on_caller_left(request);
+        let refusal = refusal(RefusalReason::QueueTimeout);
+        let refuse = EntryEvent::Refuse { request, refusal };
+        withdrawal.into_iter().chain([refuse]).collect()
+    }
+
+    /// Chooses the shard that a request waits in: this zone's, or else the pool's first.
+    fn home_shard(&self, pool: PoolId, catalogue: &Catalogue) -> Result<ShardId, Refusal> {
+        let shards = catalogue.shards_of(pool);
+        let local = shards.iter().find(|shard| shard.zone == self.zone);
+        let chosen = local.or(shards.first()).copied();
+        chosen.ok_or(refusal(RefusalReason::NoEndpoint))
+    }
+
+    fn mint_ticket(&mut self, request: RequestId) -> TicketSeq {
+        let ticket = TicketSeq(self.next_ticket);
+        self.next_ticket += 1;
+        self.tickets.insert(ticket, request);
+        ticket
+    }
+
+    fn may_use(&self, request: RequestId, from: RouterId, grant: &Grant, now: Timestamp) -> bool {
+        let State::Waiting {
+            asked: Some((asked, sent_at)),
+            ..
+        } = self.requests[&request].state
+        else {
+            return false;
+        };
+        let valid = Duration::from_millis(grant.valid_after_sent_ms);
+        asked == from && now.since(sent_at) < valid
+    }
+
+    fn runs_under(&self, request: RequestId, from: RouterId, grant: &Grant) -> bool {
+        matches!(
+            self.requests[&request].state,
+            State::Running { scheduler, endpoint, .. }
+                if scheduler == from && endpoint == grant.endpoint
+        )
+    }
+
+    fn start(&mut self, request: RequestId, scheduler: RouterId, grant: &Grant) -> Dispatch {
+        self.leave_queue(request);
+        let open = self
+            .requests
+            .get_mut(&request)
+            .expect("the ticket names an open request");
+        open.attempts += 1;
+        open.state = State::Running {
+            scheduler,
+            endpoint: grant.endpoint,
+            cost: Cost::default(),
+        };
+        Dispatch {
+            request,
+            endpoint: grant.endpoint,
+            ticket: grant.seq,
+        }
+    }
+
+    fn try_again(
+        &mut self,
+        request: RequestId,
+        avoid: EndpointId,
+        now: Timestamp,
+    ) -> Option<EntryEvent> {
+        let ticket = self.mint_ticket(request);
+        let open = self.requests.get_mut(&request)?;
+        self.tickets.remove(&open.ticket);
+        open.ticket = ticket;
+        if open.attempts >= DISPATCH_ATTEMPTS_MAX || open.queue_deadline <= now {
+            let refusal = refusal(RefusalReason::Unreachable);
+            self.forget(request);
+            return Some(EntryEvent::Refuse { request, refusal });
+        }
+        open.avoid = Some(avoid);
+        open.state = State::Waiting {
+            asked: None,
+            resend_at: now,
+        };
+        *self.queued.entry(open.spec.team).or_default() += 1;
+        self.deadlines.insert((open.queue_deadline, request));
+        None
+    }
+
+    fn leave_queue(&mut self, request: RequestId) {
+        let Some(open) = self.requests.get(&request) else {
+            return;
+        };
+        if !matches!(open.state, State::Waiting { .. }) {
+            return;
+        }
+        self.deadlines.remove(&(open.queue_deadline, request));
+        if let Some(queued) = self.queued.get_mut(&open.spec.team) {
+            *queued -= 1;
+            if *queued == 0 {
+                self.queued.remove(&open.spec.team);
+            }
+        }
+    }
+
+    fn forget(&mut self, request: RequestId) {
+        self.leave_queue(request);
+        if let Some(open) = self.requests.remove(&request) {
+            self.tickets.remove(&open.ticket);
+        }
+    }
+}
+
+fn refusal(reason: RefusalReason) -> Refusal {
+    Refusal {
+        reason,
+        retry_after: RETRY_AFTER_MIN,
+    }
+}
+
+fn ticket_of(open: &OpenRequest) -> Ticket {
+    Ticket {
+        seq: open.ticket,
+        shard: open.shard,
+        team: open.spec.team,
+        hint: open.spec.hint,
+        class: open.spec.class,
+        prefix: open.spec.prefix,
+        avoid: open.avoid,
+    }
+}
+
+fn running_of(open: &OpenRequest) -> Running {
+    let (endpoint, cost) = match open.state {
+        State::Running { endpoint, cost, .. } => (endpoint, cost),
+        State::Waiting { .. } => unreachable!("only running requests are reported as running"),
+    };
+    Running {
+        seq: open.ticket,
+        endpoint,
+        team: open.spec.team,
+        class: open.spec.class,
+        cost,
+    }
+}
+
+fn give_back(to: RouterId, seq: TicketSeq, endpoint: EndpointId) -> EntryEvent {
+    let release = Release {
+        seq,
+        endpoint,
+        reason: ReleaseReason::Unused,
+        cost: Cost::default(),
+        first_token_ms: None,
+        token_gap_us: None,
+    };
+    let message = PeerMessage::Release(release);
+    EntryEvent::Send { to, message }
+}
--- /dev/null
+++ b/crates/daisynotch_core/src/lib.rs
@@ -0,0 +1,33 @@
+//! The decisions of a router, without input or output.
+//!
+//! A [`Node`] takes an [`Input`] and the time and gives [`Output`]s: messages to
+//! send, requests to dispatch, requests to refuse. Sockets, files and timers are
+//! the business of `daisynotch_router`. Because time is an argument and nothing
+//! here waits, the same code runs in the daemon, in the model checker and under
+//! the policy benchmark. See `docs/ARCHITECTURE.md`.
+
+mod catalogue;
+mod cost;
+mod entry;
+mod membership;
+mod message;
+mod node;
+mod placement;
+mod scheduler;
+mod time;
+
+pub use catalogue::{Catalogue, EndpointView, PoolView, RequestLimits, RouteView, TeamView};
+pub use cost::Cost;
+pub use daisynotch_objects::{
+    EndpointId, PoolId, PoolKind, Revision, RouterId, RouterName, TeamId, ZoneId, ZoneName,
+};
+pub use entry::{Dispatch, Entry, EntryEvent, Refusal, RefusalReason, RequestId, RequestSpec};
+pub use membership::{Introduction, Member, Membership, MembershipSettings};
+pub use message::{
+    Grant, Heartbeat, Incarnation, LengthClass, Peer, PeerMessage, PrefixFingerprint, Progress,
+    Release, ReleaseReason, Running, ShardId, Ticket, TicketSeq,
+};
+pub use node::{Input, Node, NodeSettings, Output};
+pub use placement::rendezvous;
+pub use scheduler::{Scheduler, SchedulerAction, SchedulerSettings, TicketKey};
+pub use time::Timestamp;
--- /dev/null
+++ b/crates/daisynotch_core/src/message.rs
@@ -0,0 +1,200 @@
+//! Messages between routers.
+//!
+//! Every message may be lost, doubled, late or crossed; each is idempotent at its
+//! receiver. A message about a slot names the endpoint, which implies the shard. The life of a ticket is described in `docs/design/tickets.md`, the
+//! bytes that each message takes in `docs/CAPACITY.md`.
+
+use smallvec::SmallVec;
+
+use crate::cost::Cost;
+use crate::{EndpointId, PoolId, Revision, RouterId, TeamId, ZoneId};
+
+/// Tells one start of a router from the next.
+#[daisynotch_macros::number]
+pub struct Incarnation(pub u64);
+
+/// Numbers the tickets of one entry incarnation.
+#[daisynotch_macros::number]
+pub struct TicketSeq(pub u64);
+
+/// A hash of a prompt's beginning; equal prompts may share cached state at an engine.
+#[daisynotch_macros::number]
+pub struct PrefixFingerprint(pub u32);
+
+impl PrefixFingerprint {
+    /// Hashes the beginning of a prompt.
+    pub fn of_bytes(bytes: &[u8]) -> Self {
+        let hash = xxhash_rust::xxh3::xxh3_64(bytes);
+        Self((hash ^ (hash >> 32)) as u32)
+    }
+}
+
+/// The part of a pool that one scheduler orders: its endpoints in one zone.
+#[daisynotch_macros::message]
+#[derive(Copy, PartialOrd, Ord, Hash)]
+pub struct ShardId {
+    /// The pool.
+    pub pool: PoolId,
+    /// The availability zone of the endpoints.
+    pub zone: ZoneId,
+}
+
+/// How long a request is expected to run.
+#[daisynotch_macros::message]
+#[derive(Copy, PartialOrd, Ord, Hash)]
+pub enum LengthClass {
+    /// Most requests.
+    Short,
+    /// The few that run many times longer.
+    Long,
+}
+
+/// Asks for one slot.
+#[daisynotch_macros::message]
+pub struct Ticket {
+    /// The ticket's number at its entry.
+    pub seq: TicketSeq,
+    /// The shard that is asked.
+    pub shard: ShardId,
+    /// The team that the work is charged to.
+    pub team: TeamId,
+    /// What the request will cost, as far as the entry can guess.
+    pub hint: Cost,
+    /// How long the request is expected to run.
+    pub class: LengthClass,
+    /// The prompt's beginning, when it has one.
+    pub prefix: Option<PrefixFingerprint>,
+    /// An endpoint that is not wanted, as it is slow or has just failed.
+    pub avoid: Option<EndpointId>,
+}
+
+/// Gives one slot on one endpoint.
+#[daisynotch_macros::message]
+pub struct Grant {
+    /// The ticket that is answered.
+    pub seq: TicketSeq,
+    /// The endpoint that has the slot.
+    pub endpoint: EndpointId,
+    /// How long after sending the ticket the entry may still use the grant.
+    pub valid_after_sent_ms: u64,
+}
+
+/// Why a slot is given back.
+#[daisynotch_macros::message]
+#[derive(Copy)]
+pub enum ReleaseReason {
+    /// The answer ended as it should.
+    Done,
+    /// The work ran or may have run, and failed.
+    Failed,
+    /// The endpoint could not be reached or refused the work.
+    Unreachable,
+    /// The grant was not used.
+    Unused,
+}
+
+/// Gives a slot back, with what the work cost.
+#[daisynotch_macros::message]
+pub struct Release {
+    /// The ticket whose grant ends.
+    pub seq: TicketSeq,
+    /// The endpoint that had the slot.
+    pub endpoint: EndpointId,
+    /// Why it ends.
+    pub reason: ReleaseReason,
+    /// What the work cost in the end.
+    pub cost: Cost,
+    /// The time from dispatch to the first token, when one came.
+    pub first_token_ms: Option<u32>,
+    /// The mean time between tokens, when there were several.
+    pub token_gap_us: Option<u32>,
+}
+
+/// Reports work that goes on.
+#[daisynotch_macros::message]
+pub struct Progress {
+    /// The ticket that runs.
+    pub seq: TicketSeq,
+    /// The endpoint whose slot is held.
+    pub endpoint: EndpointId,
+    /// What the work has cost so far.
+    pub cost: Cost,
+    /// The time from dispatch to the first token, when one came.
+    pub first_token_ms: Option<u32>,
+    /// The mean time between recent tokens, when there were several.
+    pub token_gap_us: Option<u32>,
+}
+
+/// Tells a scheduler of work that runs under a grant it may not know of.
+#[daisynotch_macros::message]
+pub struct Running {
+    /// The ticket that runs.
+    pub seq: TicketSeq,
+    /// The endpoint whose slot is held.
+    pub endpoint: EndpointId,
+    /// The team that is charged.
+    pub team: TeamId,
+    /// The class under which the work was granted.
+    pub class: LengthClass,
+    /// What the work has cost so far.
+    pub cost: Cost,
+}
+
+/// Says that a router is alive and what it knows.
+#[daisynotch_macros::message]
+pub struct Heartbeat {
+    /// The newest configuration that the sender has.
+    pub revision: Revision,
+    /// Whether the sender is leaving.
+    pub leaving: bool,
+    /// Requests that the sender's callers have open.
+    pub open_requests: u32,
+}
+
+/// Anything that one router says to another about requests and its own state.
+#[daisynotch_macros::message]
+pub enum PeerMessage {
+    /// Entry to scheduler: asks for a slot.
+    Ticket(Ticket),
+    /// Entry to scheduler: a ticket that waits is no longer wanted.
+    Withdraw {
+        /// The shard that was asked.
+        shard: ShardId,
+        /// The ticket's number.
+        seq: TicketSeq,
+    },
+    /// Scheduler to entry: gives a slot.
+    Grant(Grant),
+    /// Scheduler to entry: the sender doesn't schedule the shard.
+    NotScheduler {
+        /// The shard that was asked.
+        shard: ShardId,
+        /// The tickets that were not taken.
+        seqs: SmallVec<[TicketSeq; 2]>,
+    },
+    /// Entry to scheduler: gives a slot back.
+    Release(Release),
+    /// Entry to scheduler: work goes on.
+    Progress(Progress),
+    /// Entry to scheduler: work runs under a grant of an earlier scheduler.
+    Running(Running),
+    /// Scheduler to entry: asks what became of a grant.
+    Query {
+        /// The endpoint whose slot is held.
+        endpoint: EndpointId,
+        /// The ticket's number.
+        seq: TicketSeq,
+    },
+    /// Router to router.
+    Heartbeat(Heartbeat),
+}
+
+/// A router that a message came from.
+#[daisynotch_macros::value]
+#[derive(Copy, Hash, PartialOrd, Ord)]
+pub struct Peer {
+    /// The router.
+    pub router: RouterId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+}
--- /dev/null
+++ b/crates/daisynotch_core/src/node.rs
@@ -0,0 +1,457 @@
+//! One router: entry, schedulers and membership together.
+//!
+//! Messages that a router sends to itself never leave the core; they are handled
+//! before [`Node::handle`] returns.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+
+use crate::catalogue::Catalogue;
+use crate::cost::Cost;
+use crate::entry::{Dispatch, Entry, EntryEvent, Refusal, RequestId, RequestSpec};
+use crate::membership::{Introduction, Membership, MembershipSettings};
+use crate::message::{Heartbeat, Peer, PeerMessage, ReleaseReason, ShardId, TicketSeq};
+use crate::scheduler::{Scheduler, SchedulerAction, SchedulerSettings};
+use crate::time::Timestamp;
+use crate::{EndpointId, RouterId};
+
+/// What a router is, and how it judges.
+#[daisynotch_macros::value]
+pub struct NodeSettings {
+    /// This router, as it introduces itself.
+    pub own: Introduction,
+    /// How membership judges.
+    pub membership: MembershipSettings,
+    /// How schedulers judge.
+    pub scheduler: SchedulerSettings,
+}
+
+/// Something that happened.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// A message came from a router.
+    Message {
+        /// The sender.
+        from: Peer,
+        /// What it says.
+        message: PeerMessage,
+    },
+    /// A connection to a router is up.
+    Connected(Introduction),
+    /// A new revision of the objects was accepted.
+    Configured(Arc<Catalogue>),
+    /// Running work goes on.
+    Progress {
+        /// The request.
+        request: RequestId,
+        /// What it has cost so far.
+        cost: Cost,
+        /// The time from dispatch to the first token, when one came.
+        first_token_ms: Option<u32>,
+        /// The mean time between recent tokens, when there were several.
+        token_gap_us: Option<u32>,
+    },
+    /// A dispatch ended.
+    Finished {
+        /// The request.
+        request: RequestId,
+        /// How it ended.
+        reason: ReleaseReason,
+        /// What it cost.
+        cost: Cost,
+        /// The time from dispatch to the first token, when one came.
+        first_token_ms: Option<u32>,
+        /// The mean time between tokens, when there were several.
+        token_gap_us: Option<u32>,
+    },
+    /// The caller of a waiting request left.
+    CallerLeft(RequestId),
+    /// This router is leaving.
+    Leave,
+    /// Time passed.
+    Tick,
+}
+
+/// Something to do.
+#[daisynotch_macros::value]
+pub enum Output {
+    /// Send a message to another router.
+    Send {
+        /// The router.
+        to: RouterId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Send a request to an endpoint.
+    Dispatch(Dispatch),
+    /// Tell the caller that the work did not run.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// Why, and when to come back.
+        refusal: Refusal,
+    },
+}
+
+/// One router without its sockets.
+#[derive(Debug)]
+pub struct Node {
+    settings: NodeSettings,
+    catalogue: Arc<Catalogue>,
+    membership: Membership,
+    entry: Entry,
+    schedulers: BTreeMap<ShardId, Scheduler>,
+    local: VecDeque<PeerMessage>,
+    outputs: Vec<Output>,
+    heartbeat_due: Timestamp,
+    leaving: bool,
+}
+
+impl Node {
+    /// Starts a router that knows no objects and no peers.
+    pub fn new(settings: NodeSettings, now: Timestamp) -> Self {
+        let membership = Membership::new(&settings.own, settings.membership, now);
+        Self {
+            catalogue: Arc::default(),
+            membership,
+            entry: Entry::new(settings.own.zone),
+            schedulers: BTreeMap::new(),
+            local: VecDeque::new(),
+            outputs: Vec::new(),
+            heartbeat_due: now,
+            leaving: false,
+            settings,
+        }
+    }
+
+    /// Gives the objects in force.
+    pub fn catalogue(&self) -> &Arc<Catalogue> {
+        &self.catalogue
+    }
+
+    /// Gives the routers that are taken for live.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Gives the schedulers that run here.
+    pub fn schedulers(&self) -> &BTreeMap<ShardId, Scheduler> {
+        &self.schedulers
+    }
+
+    /// Gives the number of open requests.
+    pub fn open_requests(&self) -> usize {
+        self.entry.open_requests()
+    }
+
+    /// Says whether a request has not ended yet.
+    pub fn is_open(&self, request: RequestId) -> bool {
+        self.entry.is_open(request)
+    }
+
+    /// Says whether this router is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Accepts a request, or says why not.
+    pub fn admit(
+        &mut self,
+        spec: RequestSpec,
+        now: Timestamp,
+    ) -> (Result<RequestId, Refusal>, Vec<Output>) {
+        let admitted = self.entry.admit(spec, &self.catalogue, now);
+        if let Ok(request) = admitted {
+            self.send_ticket(request, now);
+        }
+        (admitted, self.finish(now))
+    }
+
+    /// Takes in what happened and gives what to do.
+    pub fn handle(&mut self, input: Input, now: Timestamp) -> Vec<Output> {
+        match input {
+            Input::Message { from, message } => self.on_message(from, message, now),
+            Input::Connected(introduction) => self.on_connected(&introduction, now),
+            Input::Configured(catalogue) => self.on_configured(catalogue, now),
+            Input::Progress {
+                request,
+                cost,
+                first_token_ms,
+                token_gap_us,
+            } => {
+                let event = self
+                    .entry
+                    .on_progress(request, cost, first_token_ms, token_gap_us);
+                self.run_entry(event);
+            }
+            Input::Finished {
+                request,
+                reason,
+                cost,
+                first_token_ms,
+                token_gap_us,
+            } => {
+                let events = self.entry.on_finished(
+                    request,
+                    reason,
+                    cost,
+                    first_token_ms,
+                    token_gap_us,
+                    now,
+                );
+                self.run_entry(events);
+                self.send_ticket(request, now);
+            }
+            Input::CallerLeft(request) => {
+                let event = self.entry.on_caller_left(request);
+                self.run_entry(event);
+            }
+            Input::Leave => {
+                self.leaving = true;
+                self.heartbeat_due = now;
+                self.tick(now);
+                self.on_placement_changed(now);
+            }
+            Input::Tick => self.tick(now),
+        }
+        self.finish(now)
+    }
+
+    fn finish(&mut self, now: Timestamp) -> Vec<Output> {
+        while let Some(message) = self.local.pop_front() {
+            self.on_message(self.settings.own.peer, message, now);
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn on_message(&mut self, from: Peer, message: PeerMessage, now: Timestamp) {
+        match message {
+            PeerMessage::Ticket(ticket) => {
+                let seqs = SmallVec::from_slice(&[ticket.seq]);
+                let shard = ticket.shard;
+                self.with_scheduler(from, shard, seqs, now, |scheduler| {
+                    scheduler.on_ticket(from, ticket, now)
+                });
+            }
+            PeerMessage::Running(running) => {
+                let Some(shard) = self.catalogue.shard_of(running.endpoint) else {
+                    return;
+                };
+                self.with_scheduler(from, shard, SmallVec::new(), now, |scheduler| {
+                    scheduler.on_running(from, &running, now);
+                    scheduler.tick(now)
+                });
+            }
+            PeerMessage::Withdraw { shard, seq } => {
+                if let Some(scheduler) = self.schedulers.get_mut(&shard) {
+                    scheduler.on_withdraw(from, seq);
+                }
+            }
+            PeerMessage::Release(release) => {
+                if let Some(scheduler) = self.scheduler_of_endpoint(release.endpoint) {
+                    let actions = scheduler.on_release(from, &release, now);
+                    self.run_scheduler(actions);
+                }
+            }
+            PeerMessage::Progress(progress) => {
+                if let Some(scheduler) = self.scheduler_of_endpoint(progress.endpoint) {
+                    scheduler.on_progress(from, &progress, now);
+                }
+            }
+            PeerMessage::Grant(grant) => {
+                let event = self.entry.on_grant(from.router, &grant, now);
+                self.run_entry([event]);
+            }
+            PeerMessage::NotScheduler { seqs, .. } => {
+                self.entry.on_not_scheduler(from.router, &seqs, now);
+            }
+            PeerMessage::Query { endpoint, seq } => {
+                let event = self.entry.on_query(from.router, seq, endpoint);
+                self.run_entry([event]);
+            }
+            PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(from, &heartbeat, now),
+        }
+    }
+
+    /// Runs a step of a shard's scheduler, if this router schedules the shard.
+    fn with_scheduler(
+        &mut self,
+        from: Peer,
+        shard: ShardId,
+        seqs: SmallVec<[TicketSeq; 2]>,
+        now: Timestamp,
+        step: impl FnOnce(&mut Scheduler) -> SmallVec<[SchedulerAction; 2]>,
+    ) {
+        if self.membership.scheduler_of(shard) != Some(self.settings.own.peer.router) {
+            self.send(from.router, PeerMessage::NotScheduler { shard, seqs });
+            return;
+        }
+        let scheduler = self.schedulers.entry(shard).or_insert_with(|| {
+            Scheduler::new(shard, self.settings.scheduler, &self.catalogue, now)
+        });
+        let actions = step(scheduler);
+        self.run_scheduler(actions);
+    }
+
+    /// Finds the scheduler here that has an endpoint, also one that left the objects.
+    fn scheduler_of_endpoint(&mut self, endpoint: EndpointId) -> Option<&mut Scheduler> {
+        let shard = self.catalogue.shard_of(endpoint);
+        let shard = shard.filter(|shard| self.schedulers.contains_key(shard));
+        match shard {
+            Some(shard) => self.schedulers.get_mut(&shard),
+            None => self
+                .schedulers
+                .values_mut()
+                .find(|scheduler| scheduler.knows(endpoint)),
+        }
+    }
+
+    fn on_connected(&mut self, introduction: &Introduction, now: Timestamp) {
+        let peer = introduction.peer;
+        let known = self.membership.members().get(&peer.router).cloned();
+        if !self.membership.on_connected(introduction, now) {
+            return;
+        }
+        if let Some(member) = known {
+            let earlier = Peer {
+                router: peer.router,
+                incarnation: member.incarnation,
+            };
+            self.on_entry_lost(earlier, now);
+        }
+        self.on_placement_changed(now);
+    }
+
+    fn on_heartbeat(&mut self, from: Peer, heartbeat: &Heartbeat, now: Timestamp) {
+        if self.membership.on_heartbeat(from, heartbeat, now) {
+            self.on_placement_changed(now);
+        }
+    }
+
+    fn on_configured(&mut self, catalogue: Arc<Catalogue>, now: Timestamp) {
+        if catalogue.revision <= self.catalogue.revision {
+            return;
+        }
+        self.catalogue = catalogue;
+        for scheduler in self.schedulers.values_mut() {
+            scheduler.configure(&self.catalogue);
+        }
+        self.heartbeat_due = now;
+        self.tick(now);
+    }
+
+    fn on_entry_lost(&mut self, entry: Peer, now: Timestamp) {
+        for scheduler in self.schedulers.values_mut() {
+            scheduler.on_entry_lost(entry, now);
+        }
+    }
+
+    /// Resends what has a new scheduler and ends schedulers that moved away.
+    fn on_placement_changed(&mut self, now: Timestamp) {
+        let own = self.settings.own.peer.router;
+        let membership = &self.membership;
+        self.schedulers
+            .retain(|shard, _| membership.scheduler_of(*shard) == Some(own));
+        let events = self
+            .entry
+            .rehome(|shard| membership.scheduler_of(shard), now);
+        self.run_entry(events);
+    }
+
+    fn tick(&mut self, now: Timestamp) {
+        self.drop_silent(now);
+        self.send_heartbeats(now);
+        let membership = &self.membership;
+        let events = self.entry.tick(|shard| membership.scheduler_of(shard), now);
+        self.run_entry(events);
+        let shards: Vec<ShardId> = self.schedulers.keys().copied().collect();
+        for shard in shards {
+            let scheduler = self.schedulers.get_mut(&shard).expect("it was just listed");
+            let actions = scheduler.tick(now);
+            self.run_scheduler(actions);
+        }
+    }
+
+    fn drop_silent(&mut self, now: Timestamp) {
+        let before = self.membership.members().clone();
+        let lost = self.membership.drop_silent(now);
+        if lost.is_empty() {
+            return;
+        }
+        for router in lost {
+            let incarnation = before[&router].incarnation;
+            self.on_entry_lost(
+                Peer {
+                    router,
+                    incarnation,
+                },
+                now,
+            );
+        }
+        self.on_placement_changed(now);
+    }
+
+    fn send_heartbeats(&mut self, now: Timestamp) {
+        if now < self.heartbeat_due {
+            return;
+        }
+        self.heartbeat_due = now + self.settings.membership.heartbeat_interval;
+        let heartbeat = Heartbeat {
+            revision: self.catalogue.revision,
+            leaving: self.leaving,
+            open_requests: u32::try_from(self.entry.open_requests()).unwrap_or(u32::MAX),
+        };
+        self.membership.set_own(&heartbeat);
+        let own = self.settings.own.peer.router;
+        let peers: Vec<RouterId> = self.membership.members().keys().copied().collect();
+        for router in peers.into_iter().filter(|router| *router != own) {
+            self.send(router, PeerMessage::Heartbeat(heartbeat.clone()));
+        }
+    }
+
+    fn send_ticket(&mut self, request: RequestId, now: Timestamp) {
+        let membership = &self.membership;
+        let event = self
+            .entry
+            .send_due(request, |shard| membership.scheduler_of(shard), now);
+        self.run_entry(event);
+    }
+
+    fn run_entry(&mut self, events: impl IntoIterator<Item = EntryEvent>) {
+        for event in events {
+            match event {
+                EntryEvent::Send { to, message } => self.send(to, message),
+                EntryEvent::Dispatch(dispatch) => self.outputs.push(Output::Dispatch(dispatch)),
+                EntryEvent::Refuse { request, refusal } => {
+                    self.outputs.push(Output::Refuse { request, refusal });
+                }
+            }
+        }
+    }
+
+    fn run_scheduler(&mut self, actions: impl IntoIterator<Item = SchedulerAction>) {
+        for action in actions {
+            match action {
+                SchedulerAction::Grant { to, grant } => {
+                    self.send(to.router, PeerMessage::Grant(grant));
+                }
+                SchedulerAction::Query { to, seq, endpoint } => {
+                    self.send(to.router, PeerMessage::Query { endpoint, seq });
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, to: RouterId, message: PeerMessage) {
+        if to == self.settings.own.peer.router {
+            self.local.push_back(message);
+        } else {
+            self.outputs.push(Output::Send { to, message });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daisynotch_core/src/node/tests.rs
@@ -0,0 +1,116 @@
+use std::time::Duration;
+
+use super::*;
+use crate::message::{Incarnation, LengthClass};
+use crate::{Catalogue, PoolId, Revision, TeamId, ZoneId};
+
+const OBJECTS: &str = r#"
+    [team.kaolack-1]
+
+    [pool.conseil-lm]
+    kind = "inference"
+    slots = 1
+
+    [endpoint.conseil-1]
+    pool = "conseil-lm"
+    zone = "fatick"
+    address = "127.0.0.1:9"
+"#;
+
+fn catalogue() -> Arc<Catalogue> {
+    let objects = OBJECTS.parse().expect("the objects can be read");
+    Arc::new(Catalogue::new(Revision(1), &objects))
+}
+
+fn settings(router: u64) -> NodeSettings {
+    NodeSettings {
+        own: Introduction {
+            peer: Peer {
+                router: RouterId(router),
+                incarnation: Incarnation(1),
+            },
+            zone: ZoneId(1),
+            caller_address: "127.0.0.1:9".parse().expect("it is an address"),
+        },
+        membership: MembershipSettings::default(),
+        scheduler: SchedulerSettings {
+            takeover_grace: Duration::ZERO,
+            ..SchedulerSettings::default()
+        },
+    }
+}
+
+fn spec(catalogue: &Catalogue) -> RequestSpec {
+    RequestSpec {
+        team: *catalogue.teams.keys().next().expect("there is a team"),
+        pool: *catalogue.pools.keys().next().expect("there is a pool"),
+        hint: Cost(10),
+        class: LengthClass::Short,
+        prefix: None,
+        idempotent: true,
+    }
+}
+
+fn configured(router: u64) -> Node {
+    let mut node = Node::new(settings(router), Timestamp(0));
+    node.handle(Input::Configured(catalogue()), Timestamp(0));
+    node
+}
+
+fn dispatches(outputs: &[Output]) -> Vec<Dispatch> {
+    let dispatch = |output: &Output| match output {
+        Output::Dispatch(dispatch) => Some(*dispatch),
+        Output::Send { .. } | Output::Refuse { .. } => None,
+    };
+    outputs.iter().filter_map(dispatch).collect()
+}
+
+fn finished(request: RequestId, reason: ReleaseReason) -> Input {
+    Input::Finished {
+        request,
+        reason,
+        cost: Cost(10),
+        first_token_ms: None,
+        token_gap_us: None,
+    }
+}
+
+#[test]
+fn one_router_alone_serves_in_turn() {
+    let mut node = configured(1);
+    let (first, outputs) = node.admit(spec(&catalogue()), Timestamp(0));
+    assert_eq!(dispatches(&outputs).len(), 1);
+    let (_, outputs) = node.admit(spec(&catalogue()), Timestamp(0));
+    assert!(dispatches(&outputs).is_empty());
+    let request = first.expect("the request is admitted");
+    let outputs = node.handle(finished(request, ReleaseReason::Done), Timestamp(1));
+    assert_eq!(dispatches(&outputs).len(), 1);
+}
+
+#[test]
+fn a_request_that_did_not_run_is_tried_again_and_then_refused() {
+    let mut node = configured(1);
+    let (request, mut outputs) = node.admit(spec(&catalogue()), Timestamp(0));
+    let request = request.expect("the request is admitted");
+    for _ in 0..3 {
+        assert_eq!(dispatches(&outputs).len(), 1);
+        outputs = node.handle(finished(request, ReleaseReason::Unreachable), Timestamp(1));
+    }
+    assert!(
+        matches!(outputs[..], [Output::Refuse { .. }]),
+        "{outputs:?}"
+    );
+    assert_eq!(node.open_requests(), 0);
+}
+
+#[test]
+fn an_unknown_team_or_pool_is_refused() {
+    let mut node = configured(1);
+    let mut unknown_team = spec(&catalogue());
+    unknown_team.team = TeamId(0);
+    let mut unknown_pool = spec(&catalogue());
+    unknown_pool.pool = PoolId(0);
+    for spec in [unknown_team, unknown_pool] {
+        assert!(node.admit(spec, Timestamp(0)).0.is_err());
+    }
+}
--- /dev/null
+++ b/crates/daisynotch_core/src/scheduler.rs
@@ -0,0 +1,371 @@
+//! Orders the tickets of one shard and gives permission to dispatch.
+//!
+//! A scheduler is soft state: a successor rebuilds it from what entries resend.
+//! `docs/design/tickets.md` describes its messages, `docs/design/fairness.md` the
+//! order, `docs/design/slots.md` how many requests an endpoint gets at once.
+
+mod queue;
+mod slots;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::catalogue::Catalogue;
+use crate::cost::Cost;
+use crate::message::{
+    Grant, LengthClass, Peer, Progress, Release, ReleaseReason, Running, ShardId, Ticket, TicketSeq,
+};
+use crate::time::Timestamp;
+use crate::{EndpointId, TeamId};
+
+use queue::FairQueue;
+use slots::EndpointSlots;
+
+/// How a scheduler judges.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub struct SchedulerSettings {
+    /// How long a new scheduler listens for running work before it grants.
+    pub takeover_grace: Duration,
+    /// How long after a grant the entry may still use it.
+    pub grant_validity: Duration,
+    /// How long a grant goes without news before its entry is asked.
+    pub query_after: Duration,
+    /// How long the slots of a lost entry stay taken.
+    pub lost_entry_hold: Duration,
+}
+
+impl Default for SchedulerSettings {
+    fn default() -> Self {
+        Self {
+            takeover_grace: Duration::from_millis(500),
+            grant_validity: Duration::from_millis(1_000),
+            query_after: Duration::from_millis(5_000),
+            lost_entry_hold: Duration::from_millis(3_000),
+        }
+    }
+}
+
+/// Names a ticket in the whole fleet.
+#[daisynotch_macros::value]
+#[derive(Copy, Hash, PartialOrd, Ord)]
+pub struct TicketKey {
+    /// The entry that sent it.
+    pub entry: Peer,
+    /// Its number there.
+    pub seq: TicketSeq,
+}
+
+/// What a scheduler wants done.
+#[daisynotch_macros::value]
+pub enum SchedulerAction {
+    /// Send a grant to an entry.
+    Grant {
+        /// The entry.
+        to: Peer,
+        /// The grant.
+        grant: Grant,
+    },
+    /// Ask an entry what became of a grant.
+    Query {
+        /// The entry.
+        to: Peer,
+        /// The ticket's number.
+        seq: TicketSeq,
+        /// The endpoint whose slot is held.
+        endpoint: EndpointId,
+    },
+}
+
+/// Actions of one step; most steps have one or none.
+pub(crate) type Actions = SmallVec<[SchedulerAction; 2]>;
+
+#[derive(Debug, Clone)]
+struct Waiting {
+    ticket: Ticket,
+    received_at: Timestamp,
+}
+
+#[derive(Debug, Clone)]
+struct Granted {
+    endpoint: EndpointId,
+    team: TeamId,
+    class: LengthClass,
+    charged: Cost,
+    /// The grant as it was sent, so that a doubled ticket gets the same answer.
+    grant: Option<Grant>,
+    heard_at: Timestamp,
+    /// When the slot is free though nobody gave it back.
+    reclaim_at: Option<Timestamp>,
+}
+
+/// The scheduler of one shard.
+#[derive(Debug)]
+pub struct Scheduler {
+    shard: ShardId,
+    settings: SchedulerSettings,
+    grants_from: Timestamp,
+    queue: FairQueue,
+    slots: EndpointSlots,
+    waiting: HashMap<TicketKey, Waiting>,
+    granted: HashMap<TicketKey, Granted>,
+}
+
+impl Scheduler {
+    /// Starts a scheduler that knows nothing yet.
+    pub fn new(
+        shard: ShardId,
+        settings: SchedulerSettings,
+        catalogue: &Catalogue,
+        now: Timestamp,
+    ) -> Self {
+        let mut scheduler = Self {
+            shard,
+            settings,
+            grants_from: now + settings.takeover_grace,
+            queue: FairQueue::default(),
+            slots: EndpointSlots::default(),
+            waiting: HashMap::new(),
+            granted: HashMap::new(),
+        };
+        scheduler.configure(catalogue);
+        scheduler
+    }
+
+    /// Takes in a new revision of the objects.
+    pub fn configure(&mut self, catalogue: &Catalogue) {
+        self.slots.configure(self.shard, catalogue);
+        self.queue.configure(catalogue);
+    }
+
+    /// Says whether an endpoint is, or lately was, one of the shard's.
+    pub fn knows(&self, endpoint: EndpointId) -> bool {
+        self.slots.knows(endpoint)
+    }
+
+    /// Gives the tickets that wait.
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Gives the slots that are taken.
+    pub fn granted_count(&self) -> usize {
+        self.granted.len()
+    }
+
+    /// Takes in a ticket; one that is known already changes nothing.
+    pub fn on_ticket(&mut self, entry: Peer, ticket: Ticket, now: Timestamp) -> Actions {
+        let key = TicketKey {
+            entry,
+            seq: ticket.seq,
+        };
+        if let Some(granted) = self.granted.get(&key) {
+            let grant = granted.grant.clone();
+            let repeat = grant.map(|grant| SchedulerAction::Grant { to: entry, grant });
+            return repeat.into_iter().collect();
+        }
+        if !self.waiting.contains_key(&key) {
+            self.queue.push(ticket.team, key);
+            let received_at = now;
+            self.waiting.insert(
+                key,
+                Waiting {
+                    ticket,
+                    received_at,
+                },
+            );
+        }
+        self.fill(now)
+    }
+
+    /// Forgets a ticket that is no longer wanted.
+    pub fn on_withdraw(&mut self, entry: Peer, seq: TicketSeq) {
+        let key = TicketKey { entry, seq };
+        if let Some(waiting) = self.waiting.remove(&key) {
+            self.queue.remove(waiting.ticket.team, key);
+        }
+    }
+
+    /// Frees a slot and settles what the work cost.
+    pub fn on_release(&mut self, entry: Peer, release: &Release, now: Timestamp) -> Actions {
+        let key = TicketKey {
+            entry,
+            seq: release.seq,
+        };
+        let held = self.granted.get(&key);
+        if held.is_none_or(|granted| granted.endpoint != release.endpoint) {
+            return Actions::new();
+        }
+        let granted = self.granted.remove(&key).expect("it was found above");
+        let cost = match release.reason {
+            ReleaseReason::Done | ReleaseReason::Failed => release.cost,
+            ReleaseReason::Unreachable | ReleaseReason::Unused => Cost::default(),
+        };
+        self.queue
+            .correct(granted.team, cost.difference(granted.charged));
+        self.slots.release(granted.endpoint, granted.class);
+        self.fill(now)
+    }
+
+    /// Takes in how running work goes on, and charges what it cost beyond the hint.
+    pub fn on_progress(&mut self, entry: Peer, progress: &Progress, now: Timestamp) {
+        let key = TicketKey {
+            entry,
+            seq: progress.seq,
+        };
+        let Some(granted) = self.granted.get_mut(&key) else {
+            return;
+        };
+        granted.heard_at = now;
+        granted.grant = None;
+        if progress.cost > granted.charged {
+            let more = progress.cost.difference(granted.charged);
+            self.queue.correct(granted.team, more);
+            granted.charged = progress.cost;
+        }
+    }
+
+    /// Takes in work that runs under a grant which this scheduler may not know.
+    pub fn on_running(&mut self, entry: Peer, running: &Running, now: Timestamp) {
+        let key = TicketKey {
+            entry,
+            seq: running.seq,
+        };
+        self.on_withdraw(entry, running.seq);
+        if let Some(granted) = self.granted.get_mut(&key) {
+            granted.heard_at = now;
+            granted.grant = None;
+            return;
+        }
+        self.slots.take(running.endpoint, running.class);
+        self.queue
+            .correct(running.team, running.cost.difference(Cost::default()));
+        let granted = Granted {
+            endpoint: running.endpoint,
+            team: running.team,
+            class: running.class,
+            charged: running.cost,
+            grant: None,
+            heard_at: now,
+            reclaim_at: None,
+        };
+        self.granted.insert(key, granted);
+    }
+
+    /// Forgets the tickets of an entry that is lost and marks its slots.
+    ///
+    /// The slots stay taken until the endpoint has had time to notice that the
+    /// connection is gone.
+    pub fn on_entry_lost(&mut self, entry: Peer, now: Timestamp) {
+        let tickets: Vec<TicketSeq> = keys_of(&self.waiting, entry).collect();
+        for seq in tickets {
+            self.on_withdraw(entry, seq);
+        }
+        let reclaim_at = now + self.settings.lost_entry_hold;
+        for (key, granted) in &mut self.granted {
+            if key.entry == entry {
+                granted.reclaim_at.get_or_insert(reclaim_at);
+            }
+        }
+    }
+
+    /// Grants what can be granted, reclaims lost slots and asks after silent ones.
+    pub fn tick(&mut self, now: Timestamp) -> Actions {
+        self.reclaim(now);
+        let mut actions = self.query_silent(now);
+        actions.extend(self.fill(now));
+        actions
+    }
+
+    fn reclaim(&mut self, now: Timestamp) {
+        let is_due = |granted: &Granted| granted.reclaim_at.is_some_and(|at| at <= now);
+        let due: Vec<TicketKey> = self
+            .granted
+            .iter()
+            .filter(|(_, granted)| is_due(granted))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in due {
+            if let Some(granted) = self.granted.remove(&key) {
+                self.slots.release(granted.endpoint, granted.class);
+            }
+        }
+    }
+
+    fn query_silent(&mut self, now: Timestamp) -> Actions {
+        let query_after = self.settings.query_after;
+        let mut silent: Vec<(TicketKey, EndpointId)> = Vec::new();
+        for (key, granted) in &mut self.granted {
+            if granted.reclaim_at.is_none() && now.since(granted.heard_at) > query_after {
+                granted.heard_at = now;
+                silent.push((*key, granted.endpoint));
+            }
+        }
+        silent.sort_unstable();
+        let query = |(key, endpoint): (TicketKey, EndpointId)| SchedulerAction::Query {
+            to: key.entry,
+            seq: key.seq,
+            endpoint,
+        };
+        silent.into_iter().map(query).collect()
+    }
+
+    /// Grants slots as long as one is free and a ticket waits.
+    fn fill(&mut self, now: Timestamp) -> Actions {
+        let mut actions = Actions::new();
+        if now < self.grants_from {
+            return actions;
+        }
+        while let Some(key) = self.queue.peek() {
+            let ticket = &self.waiting[&key].ticket;
+            let Some(endpoint) = self.slots.choose(ticket) else {
+                break;
+            };
+            actions.push(self.grant(key, endpoint, now));
+        }
+        actions
+    }
+
+    fn grant(&mut self, key: TicketKey, endpoint: EndpointId, now: Timestamp) -> SchedulerAction {
+        let waiting = self
+            .waiting
+            .remove(&key)
+            .expect("the queue holds waiting tickets");
+        let ticket = waiting.ticket;
+        self.queue.pop(ticket.team, ticket.hint);
+        self.slots.take(endpoint, ticket.class);
+        let valid = now.since(waiting.received_at) + self.settings.grant_validity;
+        let grant = Grant {
+            seq: key.seq,
+            endpoint,
+            valid_after_sent_ms: u64::try_from(valid.as_millis()).unwrap_or(u64::MAX),
+        };
+        let granted = Granted {
+            endpoint,
+            team: ticket.team,
+            class: ticket.class,
+            charged: ticket.hint,
+            grant: Some(grant.clone()),
+            heard_at: now,
+            reclaim_at: None,
+        };
+        self.granted.insert(key, granted);
+        let to = key.entry;
+        SchedulerAction::Grant { to, grant }
+    }
+}
+
+fn keys_of<V>(
+    table: &HashMap<TicketKey, V>,
+    entry: Peer,
+) -> impl Iterator<Item = TicketSeq> + use<'_, V> {
+    table
+        .keys()
+        .filter(move |key| key.entry == entry)
+        .map(|key| key.seq)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daisynotch_core/src/time.rs
@@ -0,0 +1,35 @@
+//! Time as the core sees it.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// Microseconds on one router's own monotonic clock.
+///
+/// Timestamps of two routers can't be compared; messages carry durations instead.
+#[daisynotch_macros::number]
+pub struct Timestamp(pub u64);
+
+impl Timestamp {
+    /// The time since an earlier timestamp, or zero when that one is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        let duration_us = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(duration_us))
+    }
+}
+
+impl Sub<Duration> for Timestamp {
+    type Output = Self;
+
+    fn sub(self, duration: Duration) -> Self {
+        let duration_us = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(duration_us))
+    }
+}
--- /dev/null
+++ b/crates/daisynotch_objects/src/lib.rs
@@ -0,0 +1,24 @@
+//! The operators' named objects: their shape, their references and their checks.
+//!
+//! Operators write objects in TOML; `docs/operations/objects.md` describes each
+//! field. This crate does no input or output: it turns text into [`Objects`] and
+//! checks them as a whole, references included, before anything is published.
+
+mod check;
+mod credential;
+mod document;
+mod error;
+mod ids;
+mod names;
+
+pub use check::check;
+pub use credential::CredentialDigest;
+pub use document::{
+    Endpoint, Fencing, Limits, Objects, Pool, PoolKind, Route, ServiceLevel, Share, Team,
+};
+pub use error::{CheckError, ObjectKind, ObjectRef, ParseError};
+pub use ids::{EndpointId, PoolId, Revision, RouterId, TeamId, ZoneId};
+pub use names::{
+    EndpointName, LimitsName, NameError, PoolName, RouteName, RouterName, ServiceLevelName,
+    ShareName, TeamName, ZoneName,
+};
--- /dev/null
+++ b/crates/daisynotch_platform/src/lib.rs
@@ -0,0 +1,13 @@
+//! The edges towards the platform: key-value service, host list and endpoints.
+//!
+//! Each edge speaks a published protocol through a known library: the key-value
+//! service the JSON form of the etcd v3 interface, endpoints plain HTTP/1.1.
+//! `docs/design/platform.md` says what each edge relies on.
+
+mod config_store;
+mod endpoint;
+mod key_value;
+
+pub use config_store::{ChangeId, ConfigStore, Published, StoreError, StoredObjects};
+pub use endpoint::{EndpointClient, EndpointError, EndpointSettings};
+pub use key_value::{KeyValueClient, KeyValueError, ModRevision, StoredValue};
--- /dev/null
+++ b/crates/daisynotch_router/src/api.rs
@@ -0,0 +1,72 @@
+//! The HTTP interface towards callers and operators.
+//!
+//! `docs/operations/http.md` describes every path, status and header.
+
+mod answer;
+mod chat;
+mod entry_addresses;
+mod inbound;
+mod inference;
+mod plain;
+mod status;
+
+use std::future::Future;
+use std::sync::Arc;
+
+use daisynotch_core::RouterId;
+use daisynotch_objects::RouterName;
+use daisynotch_platform::EndpointClient;
+use viz::{Request, Response, Result, Router};
+
+use crate::core_task::CoreHandle;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+
+/// The header that says whether work behind an error ran: `not-run` or `unknown`.
+pub const OUTCOME_HEADER: &str = "daisynotch-outcome";
+
+/// What every handler needs.
+#[derive(Debug)]
+pub(crate) struct App {
+    pub(crate) settings: Settings,
+    pub(crate) core: CoreHandle,
+    pub(crate) client: EndpointClient,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+impl App {
+    /// Gives this router's identifier.
+    pub(crate) fn own(&self) -> RouterId {
+        RouterId::from(self.own_name())
+    }
+
+    /// Gives this router's name.
+    pub(crate) fn own_name(&self) -> &RouterName {
+        &self.settings.router
+    }
+}
+
+/// Makes the routes of the caller address.
+pub(crate) fn routes(app: &Arc<App>) -> Router {
+    Router::new()
+        .post("/v1/chat/completions", handler(app, inference::complete))
+        .get("/v1/entry", handler(app, entry_addresses::get))
+        .get("/v1/status", handler(app, status::status))
+        .get("/metrics", handler(app, status::metrics))
+        .get("/healthz", handler(app, status::healthz))
+        .get("/readyz", handler(app, status::readyz))
+        .any("/*", handler(app, plain::forward))
+}
+
+/// Gives a handler its share of the application.
+fn handler<F, Fut>(
+    app: &Arc<App>,
+    run: F,
+) -> impl Fn(Request) -> Fut + Clone + Send + Sync + use<F, Fut>
+where
+    F: Fn(Arc<App>, Request) -> Fut + Clone + Send + Sync,
+    Fut: Future<Output = Result<Response>> + Send,
+{
+    let app = Arc::clone(app);
+    move |request| run(Arc::clone(&app), request)
+}
--- /dev/null
+++ b/crates/daisynotch_router/src/daemon.rs
@@ -0,0 +1,219 @@
+//! Starts a router and ends it gracefully.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use daisynotch_core::{
+    Incarnation, Input, MembershipSettings, Node, NodeSettings, Revision, SchedulerSettings,
+};
+use daisynotch_platform::{ConfigStore, EndpointClient, EndpointSettings, KeyValueClient};
+use daisynotch_wire::{Hello, PROTOCOL_VERSION};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+
+use crate::api::{self, App};
+use crate::clock::Clock;
+use crate::configuration;
+use crate::core_task::CoreHandle;
+use crate::links::{self, LinkContext};
+use crate::metrics::Metrics;
+use crate::server;
+use crate::settings::Settings;
+use crate::timer::{Tick, TimerService};
+
+/// How often the core learns that time passed.
+const CORE_TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// How often a leaving router looks whether its last request has ended.
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Why a router could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum DaemonError {
+    /// An address can't be listened on.
+    #[error("`{key}` {address} can't be listened on: {error}")]
+    Listen {
+        /// The setting that has the address.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// The metrics could not be set up.
+    #[error("the metrics can't be set up: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// A running router.
+#[derive(Debug)]
+pub struct Daemon {
+    core: CoreHandle,
+    caller_address: SocketAddr,
+    peer_address: SocketAddr,
+    entry_keep: Duration,
+    stop: oneshot::Sender<()>,
+    server: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Daemon {
+    /// Binds the addresses of the settings and starts all tasks.
+    pub async fn start(settings: Settings) -> Result<Self, DaemonError> {
+        let callers = listen("caller_address", settings.caller_address).await?;
+        let peers = listen("peer_address", settings.peer_address).await?;
+        Self::start_on(settings, callers, peers)
+    }
+
+    /// Starts all tasks on sockets that are bound already.
+    ///
+    /// Tests and the demo bind port 0 first, so that each router's settings can
+    /// name the others' ports.
+    pub fn start_on(
+        settings: Settings,
+        callers: TcpListener,
+        peers: TcpListener,
+    ) -> Result<Self, DaemonError> {
+        let caller_address = local_address("caller_address", &callers, settings.caller_address)?;
+        let peer_address = local_address("peer_address", &peers, settings.peer_address)?;
+        let hello = Hello {
+            version: PROTOCOL_VERSION,
+            router: settings.router.clone(),
+            incarnation: Incarnation(rand::random()),
+            zone: settings.zone.clone(),
+            caller_address,
+        };
+        let clock = Clock::start();
+        let timers = TimerService::start();
+        let metrics = Arc::new(Metrics::new()?);
+        let node_settings = NodeSettings {
+            own: hello.introduction(),
+            membership: MembershipSettings::default(),
+            scheduler: SchedulerSettings::default(),
+        };
+        let node = Node::new(node_settings, clock.now());
+        let (outgoing, outgoing_receiver) = mpsc::unbounded_channel();
+        let core = CoreHandle::start(node, clock, outgoing, Arc::clone(&metrics));
+        let context = LinkContext {
+            own: hello,
+            core: core.clone(),
+            metrics: Arc::clone(&metrics),
+        };
+        let dial_ticks = timers.subscribe(links::DIAL_INTERVAL);
+        let known_peers = settings.peers.clone();
+        let store = config_store(&settings);
+        let poll_ticks = timers.subscribe(configuration::POLL_INTERVAL);
+        let tasks = vec![
+            tokio::spawn(links::run(
+                context,
+                peers,
+                known_peers,
+                outgoing_receiver,
+                dial_ticks,
+            )),
+            tokio::spawn(configuration::follow(
+                store,
+                core.clone(),
+                Arc::clone(&metrics),
+                poll_ticks,
+            )),
+            tokio::spawn(tick_core(
+                core.clone(),
+                timers.subscribe(CORE_TICK_INTERVAL),
+            )),
+        ];
+        let (stop, stopped) = oneshot::channel();
+        let entry_keep = settings.entry_keep();
+        let limits = settings.http;
+        let app = Arc::new(App {
+            settings,
+            core: core.clone(),
+            client: EndpointClient::new(EndpointSettings::default()),
+            metrics,
+        });
+        let server = tokio::spawn(server::run(callers, api::routes(&app), limits, stopped));
+        Ok(Self {
+            core,
+            caller_address,
+            peer_address,
+            entry_keep,
+            stop,
+            server,
+            tasks,
+        })
+    }
+
+    /// Gives where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Gives where other routers connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Says whether it has objects and sees a number of live routers, itself included.
+    pub async fn is_ready(&self, routers: usize) -> bool {
+        let has_objects = self.core.catalogue().revision > Revision::default();
+        has_objects && self.core.status().await.members.len() >= routers
+    }
+
+    /// Leaves the fleet: cuts no request in progress, then ends.
+    ///
+    /// The address is no longer given out at once; it is still served for as long
+    /// as callers may keep it.
+    pub async fn drain(self) {
+        log::info!("leaving: no longer given out, serving until the last request has ended");
+        self.core.input(Input::Leave);
+        tokio::time::sleep(self.entry_keep).await;
+        let _ = self.stop.send(());
+        if let Err(error) = self.server.await {
+            log::error!("the caller side ended badly: {error}");
+        }
+        while self.core.status().await.open_requests > 0 {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+        self.tasks.iter().for_each(JoinHandle::abort);
+        log::info!("left: every request has ended");
+    }
+
+    /// Ends at once, as a crash would: connections break.
+    pub fn kill(self) {
+        self.server.abort();
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|error| DaemonError::Listen {
+        key,
+        address,
+        error,
+    })
+}
+
+fn local_address(
+    key: &'static str,
+    listener: &TcpListener,
+    address: SocketAddr,
+) -> Result<SocketAddr, DaemonError> {
+    listener.local_addr().map_err(|error| DaemonError::Listen {
+        key,
+        address,
+        error,
+    })
+}
+
+fn config_store(settings: &Settings) -> ConfigStore {
+    let timeout = Duration::from_millis(settings.key_value_timeout_ms);
+    ConfigStore::new(KeyValueClient::new(settings.key_value_address, timeout))
+}
+
+async fn tick_core(core: CoreHandle, mut ticks: mpsc::Receiver<Tick>) {
+    while ticks.recv().await.is_some() {
+        core.input(Input::Tick);
+    }
+}
--- /dev/null
+++ b/crates/daisynotch_router/src/lib.rs
@@ -0,0 +1,25 @@
+//! The router daemon: sockets, timers, settings, logs and metrics round the core.
+//!
+//! One task owns the core (`core_task`); connections, peers and timers talk to it
+//! through channels, and closing a channel ends its task. `docs/ARCHITECTURE.md`
+//! follows one request through these modules.
+
+mod api;
+mod clock;
+mod configuration;
+mod core_task;
+mod daemon;
+mod dispatch;
+mod event_stream;
+mod links;
+mod logging;
+mod metrics;
+mod relay;
+mod server;
+mod settings;
+mod timer;
+
+pub use api::OUTCOME_HEADER;
+pub use daemon::{Daemon, DaemonError};
+pub use logging::{LogFormat, start_logging};
+pub use settings::{HttpLimits, PeerSettings, Settings, SettingsError};
--- /dev/null
+++ b/crates/daisynotch_router/tests/support.rs
@@ -0,0 +1,214 @@
+//! A small fleet of routers and fakes that the tests share.
+#![allow(
+    dead_code,
+    unreachable_pub,
+    missing_docs,
+    reason = "each test file uses a part of this module"
+)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use daisynotch_objects::{CredentialDigest, Objects};
+use daisynotch_platform::{ChangeId, ConfigStore, KeyValueClient, Published};
+use daisynotch_router::{Daemon, HttpLimits, LogFormat, PeerSettings, Settings};
+use daisynotch_standins::{Engine, EngineSettings, KeyValueStandin, PlainService};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use tokio::net::TcpListener;
+
+/// The bearer token of the only team.
+pub const TOKEN: &str = "token-of-kaolack-1";
+/// The zones of the fleet; each has one router.
+pub const ZONES: [&str; 3] = ["kaolack-nord", "fatick", "kaffrine"];
+
+pub struct Fleet {
+    pub key_value: KeyValueStandin,
+    pub engines: Vec<Engine>,
+    pub bookings: PlainService,
+    pub routers: Vec<Daemon>,
+    pub client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// Starts routers with one engine each and waits until all are ready.
+pub async fn start(routers: usize) -> Fleet {
+    start_with(routers, EngineSettings::default(), "").await
+}
+
+/// Starts routers whose objects have some text more.
+pub async fn start_with(routers: usize, engine: EngineSettings, more_objects: &str) -> Fleet {
+    let key_value = KeyValueStandin::start().await.expect("the fake starts");
+    let mut engines = Vec::new();
+    for _ in 0..routers {
+        engines.push(Engine::start(engine).await.expect("the fake starts"));
+    }
+    let duration = Duration::from_millis(5);
+    let bookings = PlainService::start("/bookings", duration)
+        .await
+        .expect("the fake starts");
+    let objects = objects(&engines, bookings.address()) + more_objects;
+    publish(key_value.address(), &objects).await;
+    let routers = start_routers(key_value.address(), routers).await;
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let fleet = Fleet {
+        key_value,
+        engines,
+        bookings,
+        routers,
+        client,
+    };
+    fleet.wait_until_ready().await;
+    fleet
+}
+
+impl Fleet {
+    pub async fn wait_until_ready(&self) {
+        for router in &self.routers {
+            wait_for(|| router.is_ready(self.routers.len())).await;
+        }
+    }
+
+    pub async fn ask(&self, router: usize, stream: bool, tokens: u32) -> Response<Incoming> {
+        let body = chat_body("conseil-lm", stream, tokens);
+        self.post(router, "/v1/chat/completions", TOKEN, body).await
+    }
+
+    pub async fn post(
+        &self,
+        router: usize,
+        path: &str,
+        token: &str,
+        body: impl Into<Bytes>,
+    ) -> Response<Incoming> {
+        let address = self.routers[router].caller_address();
+        let request = Request::post(format!("http://{address}{path}"))
+            .header("authorization", format!("Bearer {token}"))
+            .header("content-type", "application/json")
+            .body(Full::new(body.into()))
+            .expect("the request is valid");
+        self.client
+            .request(request)
+            .await
+            .expect("the router answers")
+    }
+
+    pub async fn get(&self, router: usize, path: &str) -> Response<Incoming> {
+        let address = self.routers[router].caller_address();
+        let request = Request::get(format!("http://{address}{path}"))
+            .header("authorization", format!("Bearer {TOKEN}"))
+            .body(Full::default())
+            .expect("the request is valid");
+        self.client
+            .request(request)
+            .await
+            .expect("the router answers")
+    }
+}
+
+/// Waits until a condition holds; the test's own time-out is the runner's.
+pub async fn wait_for<F: Future<Output = bool>>(condition: impl Fn() -> F) {
+    while !condition().await {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+pub fn chat_body(model: &str, stream: bool, tokens: u32) -> String {
+    format!(
+        "{{\"model\":\"{model}\",\"stream\":{stream},\"max_tokens\":{tokens},\
+         \"messages\":[{{\"role\":\"user\",\"content\":\"how much water?\"}}]}}"
+    )
+}
+
+pub async fn text_of(response: Response<Incoming>) -> Result<String, hyper::Error> {
+    let bytes = response.into_body().collect().await?.to_bytes();
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+pub fn outcome_of(response: &Response<Incoming>) -> Option<&str> {
+    let header = response.headers().get(daisynotch_router::OUTCOME_HEADER)?;
+    header.to_str().ok()
+}
+
+pub async fn publish(key_value: SocketAddr, text: &str) {
+    let objects: Objects = text.parse().expect("the objects can be read");
+    assert_eq!(daisynotch_objects::check(&objects), []);
+    let store = ConfigStore::new(KeyValueClient::new(key_value, Duration::from_secs(5)));
+    let base = store.read().await.expect("the store can be read");
+    let published = store
+        .publish(&base, &objects, ChangeId(base.revision.0 + 1))
+        .await;
+    assert!(
+        matches!(published, Ok(Published::Accepted(_))),
+        "{published:?}"
+    );
+}
+
+pub fn objects(engines: &[Engine], bookings: SocketAddr) -> String {
+    let digest = CredentialDigest::of_token(TOKEN.as_bytes());
+    let mut text = format!(
+        "[team.kaolack-1]\ncredentials = [\"{digest}\"]\n\
+         [pool.conseil-lm]\nkind = \"inference\"\nslots = 4\n\
+         [pool.atelier-app]\nkind = \"plain\"\n\
+         [endpoint.atelier-1]\npool = \"atelier-app\"\nzone = \"fatick\"\n\
+         address = \"{bookings}\"\n\
+         [route.conseil]\npool = \"conseil-lm\"\nmodel = \"conseil-lm\"\n\
+         [route.bookings]\npool = \"atelier-app\"\npath_prefix = \"/bookings\"\n"
+    );
+    for (index, engine) in engines.iter().enumerate() {
+        let zone = ZONES[index % ZONES.len()];
+        text += &format!(
+            "[endpoint.conseil-{index}]\npool = \"conseil-lm\"\nzone = \"{zone}\"\n\
+             address = \"{}\"\n",
+            engine.address()
+        );
+    }
+    text
+}
+
+async fn start_routers(key_value: SocketAddr, count: usize) -> Vec<Daemon> {
+    let mut sockets = Vec::new();
+    for index in 0..count {
+        let callers = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let peers = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        sockets.push((index, callers, peers));
+    }
+    let known: Vec<PeerSettings> = sockets
+        .iter()
+        .map(|(index, _, peers)| PeerSettings {
+            router: format!("router-{index}").parse().expect("it is a name"),
+            address: peers.local_addr().expect("the socket is bound"),
+        })
+        .collect();
+    let start = |(index, callers, peers): (usize, TcpListener, TcpListener)| {
+        let settings = Settings {
+            router: known[index].router.clone(),
+            zone: ZONES[index % ZONES.len()].parse().expect("it is a name"),
+            caller_address: callers.local_addr().expect("the socket is bound"),
+            peer_address: known[index].address,
+            key_value_address: key_value,
+            peers: known
+                .iter()
+                .filter(|peer| peer.router != known[index].router)
+                .cloned()
+                .collect(),
+            entry_keep_ms: 200,
+            key_value_timeout_ms: 1_000,
+            http: HttpLimits {
+                body_max_bytes: 64 * 1024,
+                ..HttpLimits::default()
+            },
+            log_format: LogFormat::Text,
+        };
+        Daemon::start_on(settings, callers, peers).expect("the router starts")
+    };
+    sockets.into_iter().map(start).collect()
+}
--- /dev/null
+++ b/crates/daisynotch_router/tests/whole_path.rs
@@ -0,0 +1,121 @@
+//! A request from a caller's connection to an endpoint's answer and back.
+
+mod support;
+
+use daisynotch_standins::EngineFault;
+use support::{TOKEN, outcome_of, start, text_of, wait_for};
+
+#[tokio::test]
+async fn a_streamed_answer_arrives_whole_wherever_it_enters() {
+    let fleet = start(3).await;
+    for router in 0..3 {
+        let response = fleet.ask(router, true, 5).await;
+        assert_eq!(response.status(), 200);
+        let text = text_of(response).await.expect("the answer is whole");
+        assert_eq!(text.matches("\"delta\"").count(), 5, "{text}");
+        assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    }
+}
+
+#[tokio::test]
+async fn a_whole_answer_arrives() {
+    let fleet = start(1).await;
+    let response = fleet.ask(0, false, 5).await;
+    assert_eq!(response.status(), 200);
+    let text = text_of(response).await.expect("the answer is whole");
+    assert!(text.contains("\"completion_tokens\":5"), "{text}");
+}
+
+#[tokio::test]
+async fn a_booking_runs_once_from_a_router_of_another_zone() {
+    let fleet = start(3).await;
+    let response = fleet.post(2, "/bookings/new", TOKEN, "farm-7").await;
+    assert_eq!(response.status(), 201);
+    assert_eq!(fleet.bookings.runs_of("farm-7"), 1);
+}
+
+#[tokio::test]
+async fn a_stream_without_its_end_mark_is_never_a_success() {
+    let fleet = start(1).await;
+    fleet.engines[0].set_fault(EngineFault::CutStream { after_tokens: 2 });
+    let response = fleet.ask(0, true, 5).await;
+    assert!(
+        text_of(response).await.is_err(),
+        "the body must end with an error"
+    );
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_cancels_its_work() {
+    let fleet = start(1).await;
+    let response = fleet.ask(0, true, 10_000).await;
+    wait_for(|| async { fleet.engines[0].running() == 1 }).await;
+    drop(response);
+    wait_for(|| async { fleet.engines[0].running() == 0 }).await;
+    assert_eq!(fleet.engines[0].finished(), 0);
+}
+
+#[tokio::test]
+async fn errors_say_that_the_work_did_not_run() {
+    let fleet = start(1).await;
+    let chat = "/v1/chat/completions";
+    let cases = [
+        (
+            chat,
+            "nobody's",
+            support::chat_body("conseil-lm", true, 1),
+            401,
+        ),
+        (
+            chat,
+            TOKEN,
+            support::chat_body("no-such-model", true, 1),
+            404,
+        ),
+        (chat, TOKEN, "{\"model\":".to_owned(), 400),
+        (chat, TOKEN, "x".repeat(65 * 1024), 413),
+        ("/no/such/path", TOKEN, String::new(), 404),
+    ];
+    for (path, token, body, status) in cases {
+        let response = fleet.post(0, path, token, body).await;
+        assert_eq!(response.status(), status, "{path}");
+        assert_eq!(outcome_of(&response), Some("not-run"), "{path}");
+    }
+    assert_eq!(fleet.engines[0].started(), 0);
+}
+
+#[tokio::test]
+async fn an_engine_that_refuses_is_not_the_callers_problem_while_another_serves() {
+    let fleet = start(2).await;
+    fleet.engines[0].set_fault(EngineFault::Refuse);
+    fleet.engines[1].set_fault(EngineFault::Refuse);
+    let response = fleet.ask(0, true, 1).await;
+    assert_eq!(response.status(), 502);
+    assert_eq!(outcome_of(&response), Some("not-run"));
+}
+
+#[tokio::test]
+async fn garbage_from_an_engine_is_an_error_that_says_unknown() {
+    let fleet = start(1).await;
+    fleet.engines[0].set_fault(EngineFault::Garbage);
+    for stream in [true, false] {
+        let response = fleet.ask(0, stream, 1).await;
+        assert_eq!(response.status(), 502);
+        assert_eq!(outcome_of(&response), Some("unknown"));
+    }
+}
+
+#[tokio::test]
+async fn health_and_metrics_answer() {
+    let fleet = start(1).await;
+    for path in ["/healthz", "/readyz", "/v1/status", "/v1/entry"] {
+        assert_eq!(fleet.get(0, path).await.status(), 200, "{path}");
+    }
+    text_of(fleet.ask(0, false, 1).await)
+        .await
+        .expect("the answer is whole");
+    let metrics = text_of(fleet.get(0, "/metrics").await)
+        .await
+        .expect("metrics are whole");
+    assert!(metrics.contains("daisynotch_requests_total"), "{metrics}");
+}
