Keep one connection when two routers dial each other at once

Cause: both sides kept the connection that they saw last, each closed the one that the other kept, and both dialled again in step; a booking that crossed zones then waited out its queue time (seen once in two runs of the whole-path tests). Ruled out: the readiness check, which saw three live routers. The drain test hung for another reason: its requests had no content type, so no engine took them. Change: both sides keep the connection that the smaller identifier dialled. Conclusion: the rule is the same on both sides, so they can't disagree.

--- a/crates/daisynotch_router/src/links.rs
+++ b/crates/daisynotch_router/src/links.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use daisynotch_core::{Input, Peer, PeerMessage, RouterId};
+use daisynotch_core::{Incarnation, Input, Peer, PeerMessage, RouterId};
 use daisynotch_wire::{Frame, FrameCodec, FrameError, Hello, PROTOCOL_VERSION};
 use futures::StreamExt;
 use tokio::io::AsyncWriteExt;
@@ -42,6 +42,8 @@
 /// A connection that finished its introductions.
 struct Established {
     peer: Hello,
+    /// Whether this side dialled.
+    is_dialled: bool,
     reader: FramedRead<OwnedReadHalf, FrameCodec>,
     writer: OwnedWriteHalf,
 }
@@ -61,7 +63,7 @@
             .iter()
             .map(|peer| (RouterId::from(&peer.router), peer.address))
             .collect(),
-        writers: HashMap::new(),
+        links: HashMap::new(),
         established: established_sender,
     };
     links.dial_missing();
@@ -86,27 +88,35 @@
     }
 }
 
+/// A connection in use.
+struct Link {
+    incarnation: Incarnation,
+    /// Whether it is the one to keep when both sides dialled at the same time.
+    is_preferred: bool,
+    writer: mpsc::UnboundedSender<PeerMessage>,
+}
+
 struct Links {
     context: LinkContext,
     addresses: HashMap<RouterId, SocketAddr>,
-    writers: HashMap<RouterId, mpsc::UnboundedSender<PeerMessage>>,
+    links: HashMap<RouterId, Link>,
     established: mpsc::UnboundedSender<Established>,
 }
 
 impl Links {
     fn send(&mut self, outgoing: Outgoing) {
         // A message without a connection is lost, which every receiver can bear.
-        if let Some(writer) = self.writers.get(&outgoing.to)
-            && writer.send(outgoing.message).is_err()
+        if let Some(link) = self.links.get(&outgoing.to)
+            && link.writer.send(outgoing.message).is_err()
         {
-            self.writers.remove(&outgoing.to);
+            self.links.remove(&outgoing.to);
         }
     }
 
     fn dial_missing(&mut self) {
-        self.writers.retain(|_, writer| !writer.is_closed());
+        self.links.retain(|_, link| !link.writer.is_closed());
         for (router, address) in &self.addresses {
-            if self.writers.contains_key(router) {
+            if self.links.contains_key(router) {
                 continue;
             }
             let own = self.context.own.clone();
@@ -129,7 +139,7 @@
         let own = self.context.own.clone();
         let established = self.established.clone();
         tokio::spawn(async move {
-            match tokio::time::timeout(CONNECT_TIMEOUT, shake_hands(stream, own)).await {
+            match tokio::time::timeout(CONNECT_TIMEOUT, shake_hands(stream, own, false)).await {
                 Ok(Ok(link)) => {
                     let _ = established.send(link);
                 }
@@ -139,12 +149,33 @@
         });
     }
 
+    /// Says whether a connection that is in use should be kept rather than a new one.
+    ///
+    /// When both sides dial at the same time, both must keep the same connection:
+    /// the one that the router with the smaller identifier dialled.
+    fn has_better(&self, peer: Peer, is_preferred: bool) -> bool {
+        self.links.get(&peer.router).is_some_and(|link| {
+            let is_same_start = link.incarnation == peer.incarnation;
+            is_same_start && link.is_preferred && !is_preferred && !link.writer.is_closed()
+        })
+    }
+
     fn start(&mut self, link: Established) {
         let introduction = link.peer.introduction();
         let peer = introduction.peer;
+        let own = RouterId::from(&self.context.own.router);
+        let is_preferred = link.is_dialled == (own < peer.router);
+        if self.has_better(peer, is_preferred) {
+            return;
+        }
         log::info!(router = link.peer.router.as_str(); "connected to router");
         let (writer, messages) = mpsc::unbounded_channel();
-        self.writers.insert(peer.router, writer);
+        let kept = Link {
+            incarnation: peer.incarnation,
+            is_preferred,
+            writer,
+        };
+        self.links.insert(peer.router, kept);
         self.context.core.input(Input::Connected(introduction));
         let metrics = Arc::clone(&self.context.metrics);
         let write = tokio::spawn(write_messages(link.writer, messages, metrics));
@@ -159,10 +190,14 @@
 
 async fn dial(address: SocketAddr, own: Hello) -> Result<Established, FrameError> {
     let stream = TcpStream::connect(address).await?;
-    shake_hands(stream, own).await
+    shake_hands(stream, own, true).await
 }
 
-async fn shake_hands(stream: TcpStream, own: Hello) -> Result<Established, FrameError> {
+async fn shake_hands(
+    stream: TcpStream,
+    own: Hello,
+    is_dialled: bool,
+) -> Result<Established, FrameError> {
     stream.set_nodelay(true)?;
     let (read, mut writer) = stream.into_split();
     let mut reader = FramedRead::new(read, FrameCodec::default());
@@ -172,6 +207,7 @@
     match reader.next().await {
         Some(Ok(Frame::Hello(peer))) if peer.version == PROTOCOL_VERSION => Ok(Established {
             peer,
+            is_dialled,
             reader,
             writer,
         }),
--- a/crates/daisynotch_router/tests/drain.rs
+++ b/crates/daisynotch_router/tests/drain.rs
@@ -14,6 +14,7 @@
     for _ in 0..8 {
         let request = hyper::Request::post(&uri)
             .header("authorization", format!("Bearer {}", support::TOKEN))
+            .header("content-type", "application/json")
             .body(support::chat_body("conseil-lm", true, 100).into())
             .expect("the request is valid");
         answers.push(tokio::spawn(fleet.client.request(request)));
--- a/crates/daisynotch_router/tests/support.rs
+++ b/crates/daisynotch_router/tests/support.rs
@@ -110,9 +110,17 @@
     }
 }
 
-/// Waits until a condition holds; the test's own time-out is the runner's.
+/// How long a condition may take before the test is taken for stuck.
+const STUCK_AFTER: Duration = Duration::from_secs(30);
+
+/// Waits until a condition holds.
 pub async fn wait_for<F: Future<Output = bool>>(condition: impl Fn() -> F) {
+    let started_at = tokio::time::Instant::now();
     while !condition().await {
+        assert!(
+            started_at.elapsed() < STUCK_AFTER,
+            "the condition never held"
+        );
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
