Run keyed calls at most once, wherever they are retried

Cause: a call that may not repeat was sent once by its entry, but a caller's retry at another router was a new call. Ruled out: leases (a paused holder wakes believing in them) and hashing a key to a live router (two routers may disagree on who lives).

Change: a key belongs to one router incarnation. GET /v1/entry mints prefixes that name it; the callers' own keys are claimed by compare-and-swap. Bounded records in the core decide; other entries forward; a lost owner means unknown.

--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -9,6 +9,7 @@
 mod catalogue;
 mod cost;
 mod entry;
+mod idempotency;
 mod membership;
 mod message;
 mod node;
@@ -22,6 +23,10 @@
     EndpointId, PoolId, PoolKind, Revision, RouterId, RouterName, TeamId, ZoneId, ZoneName,
 };
 pub use entry::{Dispatch, Entry, EntryEvent, Refusal, RefusalReason, RequestId, RequestSpec};
+pub use idempotency::{
+    ClaimSeq, IdempotencyKey, IdempotencyRecords, IdempotencySettings, KEY_MAX_BYTES, KeyDecision,
+    KeyError, KeyOutcome, KeyPrefix, MintWindow, RequestFingerprint,
+};
 pub use membership::{Introduction, Member, Membership, MembershipSettings};
 pub use message::{
     Grant, Heartbeat, Incarnation, LengthClass, Peer, PeerMessage, PrefixFingerprint, Progress,
--- a/crates/daisynotch_platform/src/lib.rs
+++ b/crates/daisynotch_platform/src/lib.rs
@@ -4,10 +4,12 @@
 //! service the JSON form of the etcd v3 interface, endpoints plain HTTP/1.1.
 //! `docs/design/platform.md` says what each edge relies on.
 
+mod claim_store;
 mod config_store;
 mod endpoint;
 mod key_value;
 
+pub use claim_store::{ClaimError, ClaimStore, Claimed};
 pub use config_store::{ChangeId, ConfigStore, Published, StoreError, StoredObjects};
 pub use endpoint::{EndpointClient, EndpointError, EndpointSettings};
 pub use key_value::{KeyValueClient, KeyValueError, ModRevision, StoredValue};
--- a/crates/daisynotch_router/src/api.rs
+++ b/crates/daisynotch_router/src/api.rs
@@ -7,6 +7,7 @@
 mod entry_addresses;
 mod inbound;
 mod inference;
+mod keyed;
 mod plain;
 mod status;
 
@@ -18,6 +19,8 @@
 use daisynotch_platform::EndpointClient;
 use viz::{Request, Response, Result, Router};
 
+pub(crate) use keyed::Keys;
+
 use crate::core_task::CoreHandle;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -32,6 +35,7 @@
     pub(crate) core: CoreHandle,
     pub(crate) client: EndpointClient,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) keys: Keys,
 }
 
 impl App {
--- a/crates/daisynotch_router/src/api/answer.rs
+++ b/crates/daisynotch_router/src/api/answer.rs
@@ -78,6 +78,14 @@
         }
     }
 
+    /// The same error for a call with a key, of which an earlier one may have run.
+    pub(super) fn with_key(self) -> Self {
+        Self {
+            outcome: Outcome::Unknown,
+            ..self
+        }
+    }
+
     /// The label under which the error is counted.
     pub(super) fn label(&self) -> &'static str {
         match self.outcome {
--- a/crates/daisynotch_router/src/api/entry_addresses.rs
+++ b/crates/daisynotch_router/src/api/entry_addresses.rs
@@ -1,4 +1,4 @@
-//! `GET /v1/entry`: which addresses a caller should connect to.
+//! `GET /v1/entry`: which addresses a caller should connect to, and its key prefix.
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
@@ -19,6 +19,8 @@
 struct EntryAnswer {
     addresses: Vec<SocketAddr>,
     keep_ms: u64,
+    /// Begins the idempotency keys that this router runs: append `.` and a number.
+    key_prefix: String,
 }
 
 /// Answers with near routers first, the least loaded of them first; none is leaving.
@@ -27,6 +29,7 @@
     let answer = EntryAnswer {
         addresses: addresses(&status, app.own()),
         keep_ms: app.settings.entry_keep_ms,
+        key_prefix: app.keys.prefix().to_string(),
     };
     Ok(json(StatusCode::OK, &answer))
 }
--- a/crates/daisynotch_router/src/api/inference.rs
+++ b/crates/daisynotch_router/src/api/inference.rs
@@ -1,6 +1,7 @@
 //! Chat completions, streamed or whole.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use daisynotch_core::{Catalogue, Cost, PoolView, ReleaseReason, RequestSpec, RouteView};
@@ -125,7 +126,7 @@
         open,
         response,
         kind,
-        pool,
+        pool.idle_timeout,
         dispatched_at,
         labels,
     ))
@@ -137,7 +138,7 @@
     open: OpenRequest,
     response: hyper::Response<Incoming>,
     kind: AnswerKind,
-    pool: &PoolView,
+    idle_timeout: Duration,
     dispatched_at: Instant,
     labels: RequestLabels,
 ) -> Response {
@@ -153,8 +154,8 @@
         incoming,
         open,
         kind,
-        idle_timeout: pool.idle_timeout,
-        idle: Box::pin(tokio::time::sleep(pool.idle_timeout)),
+        idle_timeout,
+        idle: Box::pin(tokio::time::sleep(idle_timeout)),
         dispatched_at,
         first_byte_at: None,
         reported_at: dispatched_at,
--- a/crates/daisynotch_router/src/api/plain.rs
+++ b/crates/daisynotch_router/src/api/plain.rs
@@ -1,8 +1,11 @@
 //! Requests to plain services, by path prefix.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use daisynotch_core::{Cost, LengthClass, RequestSpec};
+use daisynotch_core::{Cost, IdempotencyKey, KeyError, LengthClass, RequestSpec};
+use hyper::HeaderMap;
+use hyper::header::{AUTHORIZATION, HeaderName, HeaderValue};
 use tokio::time::Instant;
 use viz::{Method, Request, Response, Result, StatusCode};
 
@@ -10,24 +13,57 @@
 use super::answer::ApiError;
 use super::inbound::{read_body, strip_own_headers, team_of};
 use super::inference::relay;
+use super::keyed::{self, FORWARDED_HEADER, KEY_HEADER};
 use crate::dispatch::{self, Outbound};
 use crate::relay::{AnswerKind, RequestLabels};
 
 /// What a plain request is expected to cost: a millisecond is a unit.
 const PLAIN_HINT: Cost = Cost(50);
 
+/// A checked call to a plain service.
+pub(super) struct PlainCall {
+    pub(super) spec: RequestSpec,
+    pub(super) outbound: Outbound,
+    pub(super) idle_timeout: Duration,
+    /// How long the router that owns the call's key may take to answer.
+    pub(super) forward_timeout: Duration,
+    /// Whether another router passed the call on.
+    pub(super) is_forwarded: bool,
+    /// The caller's credential, for the router that owns the call's key.
+    pub(super) authorization: Option<(HeaderName, HeaderValue)>,
+    labels: RequestLabels,
+}
+
+impl PlainCall {
+    /// Counts the call under an outcome.
+    pub(super) fn count(&self, app: &App, outcome: &str) {
+        count(app, &self.labels, outcome);
+    }
+}
+
 /// Answers every path that is not the router's own.
 pub(super) async fn forward(app: Arc<App>, request: Request) -> Result<Response> {
     let arrived_at = Instant::now();
-    let answer = try_forward(&app, request, arrived_at).await;
+    let has_key = request.headers().contains_key(KEY_HEADER) && !is_safe(request.method());
+    let answer = match prepare(&app, request, arrived_at).await {
+        Ok((call, Some(key))) => keyed::answer(&app, call, key).await,
+        Ok((call, None)) => run(&app, call).await,
+        Err(error) if has_key => Err(error.with_key()),
+        Err(error) => Err(error),
+    };
     Ok(answer.unwrap_or_else(|error| error.to_response()))
 }
 
-async fn try_forward(
+fn is_safe(method: &Method) -> bool {
+    matches!(*method, Method::GET | Method::HEAD)
+}
+
+/// Checks a call; gives its key when it is one that may not run twice.
+async fn prepare(
     app: &Arc<App>,
     request: Request,
     arrived_at: Instant,
-) -> Result<Response, ApiError> {
+) -> Result<(PlainCall, Option<IdempotencyKey>), ApiError> {
     let catalogue = app.core.catalogue();
     let team = team_of(&catalogue, request.headers())?;
     let path = request.uri().path();
@@ -37,13 +73,18 @@
         let message = format!("no route takes the path `{path}`");
         ApiError::not_run(StatusCode::NOT_FOUND, "unknown_path", message)
     })?;
+    let team_view = &catalogue.teams[&team];
     let labels = RequestLabels {
         route: route.name.to_string(),
-        team: catalogue.teams[&team].name.to_string(),
+        team: team_view.name.to_string(),
         arrived_at,
     };
-    let is_safe = matches!(*request.method(), Method::GET | Method::HEAD);
-    let idempotent = route.idempotent || is_safe;
+    let idempotent = route.idempotent || is_safe(request.method());
+    let key = if idempotent {
+        None
+    } else {
+        key_of(request.headers())?
+    };
     let (mut head, body) = request.into_parts();
     let body = read_body(body, &app.settings.http).await?;
     let spec = RequestSpec {
@@ -54,6 +95,8 @@
         prefix: None,
         idempotent,
     };
+    let authorization = head.headers.get(AUTHORIZATION).cloned();
+    let is_forwarded = head.headers.remove(FORWARDED_HEADER).is_some();
     strip_own_headers(&mut head.headers);
     let outbound = Outbound {
         head,
@@ -62,22 +105,52 @@
         refusal_statuses: false,
         first_byte_timeout: pool.first_byte_timeout,
     };
+    let queue_timeout = team_view.limits.queue_timeout;
+    let call = PlainCall {
+        spec,
+        outbound,
+        idle_timeout: pool.idle_timeout,
+        forward_timeout: queue_timeout + pool.first_byte_timeout + pool.idle_timeout,
+        is_forwarded,
+        authorization: authorization.map(|value| (AUTHORIZATION, value)),
+        labels,
+    };
+    Ok((call, key))
+}
+
+fn key_of(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, ApiError> {
+    let Some(value) = headers.get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    let key = value.to_str().map_err(|_| KeyError::Malformed);
+    let key = key.and_then(str::parse);
+    key.map(Some).map_err(|error| {
+        let status = StatusCode::BAD_REQUEST;
+        ApiError::not_run(status, "malformed_key", error.to_string())
+    })
+}
+
+fn count(app: &App, labels: &RequestLabels, outcome: &str) {
+    let labels = [labels.route.as_str(), labels.team.as_str(), outcome];
+    app.metrics.requests.with_label_values(&labels).inc();
+}
+
+async fn run(app: &Arc<App>, call: PlainCall) -> Result<Response, ApiError> {
     let answer = async {
-        let admitted = app.core.admit(spec).await?;
-        Ok(dispatch::run(&app.core, &app.client, admitted, &outbound).await?)
+        let admitted = app.core.admit(call.spec.clone()).await?;
+        Ok(dispatch::run(&app.core, &app.client, admitted, &call.outbound).await?)
     };
-    let (open, response) = answer.await.inspect_err(|error: &ApiError| {
-        let labels = [labels.route.as_str(), labels.team.as_str(), error.label()];
-        app.metrics.requests.with_label_values(&labels).inc();
-    })?;
+    let (open, response) = answer
+        .await
+        .inspect_err(|error: &ApiError| call.count(app, error.label()))?;
     let dispatched_at = Instant::now();
     Ok(relay(
         app,
         open,
         response,
         AnswerKind::Plain,
-        pool,
+        call.idle_timeout,
         dispatched_at,
-        labels,
+        call.labels,
     ))
 }
--- a/crates/daisynotch_router/src/daemon.rs
+++ b/crates/daisynotch_router/src/daemon.rs
@@ -7,13 +7,15 @@
 use daisynotch_core::{
     Incarnation, Input, MembershipSettings, Node, NodeSettings, Revision, SchedulerSettings,
 };
-use daisynotch_platform::{ConfigStore, EndpointClient, EndpointSettings, KeyValueClient};
+use daisynotch_platform::{
+    ClaimStore, ConfigStore, EndpointClient, EndpointSettings, KeyValueClient,
+};
 use daisynotch_wire::{Hello, PROTOCOL_VERSION};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 
-use crate::api::{self, App};
+use crate::api::{self, App, Keys};
 use crate::clock::Clock;
 use crate::configuration;
 use crate::core_task::CoreHandle;
@@ -92,6 +94,7 @@
             membership: MembershipSettings::default(),
             scheduler: SchedulerSettings::default(),
         };
+        let own = node_settings.own.peer;
         let node = Node::new(node_settings, clock.now());
         let (outgoing, outgoing_receiver) = mpsc::unbounded_channel();
         let core = CoreHandle::start(node, clock, outgoing, Arc::clone(&metrics));
@@ -102,7 +105,8 @@
         };
         let dial_ticks = timers.subscribe(links::DIAL_INTERVAL);
         let known_peers = settings.peers.clone();
-        let store = config_store(&settings);
+        let store = ConfigStore::new(key_value_client(&settings));
+        let claims = ClaimStore::new(key_value_client(&settings), own);
         let poll_ticks = timers.subscribe(configuration::POLL_INTERVAL);
         let tasks = vec![
             tokio::spawn(links::run(
@@ -131,6 +135,7 @@
             core: core.clone(),
             client: EndpointClient::new(EndpointSettings::default()),
             metrics,
+            keys: Keys::new(own, clock, claims),
         });
         let server = tokio::spawn(server::run(callers, api::routes(&app), limits, stopped));
         Ok(Self {
@@ -207,9 +212,9 @@
     })
 }
 
-fn config_store(settings: &Settings) -> ConfigStore {
+fn key_value_client(settings: &Settings) -> KeyValueClient {
     let timeout = Duration::from_millis(settings.key_value_timeout_ms);
-    ConfigStore::new(KeyValueClient::new(settings.key_value_address, timeout))
+    KeyValueClient::new(settings.key_value_address, timeout)
 }
 
 async fn tick_core(core: CoreHandle, mut ticks: mpsc::Receiver<Tick>) {
--- a/crates/daisynotch_router/tests/support.rs
+++ b/crates/daisynotch_router/tests/support.rs
@@ -21,6 +21,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 
 /// The bearer token of the only team.
 pub const TOKEN: &str = "token-of-kaolack-1";
@@ -33,6 +34,26 @@
     pub bookings: PlainService,
     pub routers: Vec<Daemon>,
     pub client: Client<HttpConnector, Full<Bytes>>,
+    runtimes: Vec<RouterRuntime>,
+}
+
+/// The threads of one router, so that it can end in the middle of anything.
+struct RouterRuntime(Option<Runtime>);
+
+impl RouterRuntime {
+    fn start() -> Self {
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        let runtime = builder.worker_threads(1).enable_all().build();
+        Self(Some(runtime.expect("threads can be had")))
+    }
+}
+
+impl Drop for RouterRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 /// Starts routers with one engine each and waits until all are ready.
@@ -53,7 +74,8 @@
         .expect("the fake starts");
     let objects = objects(&engines, bookings.address()) + more_objects;
     publish(key_value.address(), &objects).await;
-    let routers = start_routers(key_value.address(), routers).await;
+    let runtimes: Vec<_> = (0..routers).map(|_| RouterRuntime::start()).collect();
+    let routers = start_routers(key_value.address(), &runtimes).await;
     let client = Client::builder(TokioExecutor::new()).build_http();
     let fleet = Fleet {
         key_value,
@@ -61,6 +83,7 @@
         bookings,
         routers,
         client,
+        runtimes,
     };
     fleet.wait_until_ready().await;
     fleet
@@ -97,6 +120,43 @@
             .expect("the router answers")
     }
 
+    /// Sends a booking with an idempotency key.
+    pub async fn book(
+        &self,
+        router: usize,
+        path: &str,
+        key: &str,
+        body: &str,
+    ) -> Response<Incoming> {
+        let address = self.routers[router].caller_address();
+        let request = Request::post(format!("http://{address}{path}"))
+            .header("authorization", format!("Bearer {TOKEN}"))
+            .header("idempotency-key", key)
+            .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
+            .expect("the request is valid");
+        self.client
+            .request(request)
+            .await
+            .expect("the router answers")
+    }
+
+    /// Gives a key that a router minted.
+    pub async fn minted_key(&self, router: usize, number: u32) -> String {
+        let text = text_of(self.get(router, "/v1/entry").await).await;
+        let text = text.expect("the answer is whole");
+        let (_, rest) = text
+            .split_once("\"key_prefix\":\"")
+            .expect("it has a prefix");
+        let (prefix, _) = rest.split_once('"').expect("the prefix ends");
+        format!("{prefix}.{number}")
+    }
+
+    /// Ends a router in the middle of whatever it does.
+    pub fn crash(&mut self, router: usize) {
+        drop(self.runtimes.remove(router));
+        self.routers.remove(router).kill();
+    }
+
     pub async fn get(&self, router: usize, path: &str) -> Response<Incoming> {
         let address = self.routers[router].caller_address();
         let request = Request::get(format!("http://{address}{path}"))
@@ -178,9 +238,9 @@
     text
 }
 
-async fn start_routers(key_value: SocketAddr, count: usize) -> Vec<Daemon> {
+async fn start_routers(key_value: SocketAddr, runtimes: &[RouterRuntime]) -> Vec<Daemon> {
     let mut sockets = Vec::new();
-    for index in 0..count {
+    for index in 0..runtimes.len() {
         let callers = TcpListener::bind("127.0.0.1:0")
             .await
             .expect("a port is free");
@@ -216,6 +276,8 @@
             },
             log_format: LogFormat::Text,
         };
+        let runtime = runtimes[index].0.as_ref().expect("it was just started");
+        let _guard = runtime.enter();
         Daemon::start_on(settings, callers, peers).expect("the router starts")
     };
     sockets.into_iter().map(start).collect()
