Read the platform's host list

Cause: routers knew one another only from the `peers` setting; the platform's list of live and leaving hosts was not read.

Change: a client of the list in the JSON form of Prometheus HTTP service discovery, a small fake of it, the optional setting `host_list_address`, polled once a second through the timer service. Its result reaches the core as `Input::HostList`, which has no effect there yet. A list that can't be read is an error and not an empty list; a wrong entry hides no other.

Conclusion: membership can be built on the input.

--- a/crates/daisynotch/src/commands/demo/fleet.rs
+++ b/crates/daisynotch/src/commands/demo/fleet.rs
@@ -186,6 +186,7 @@
             caller_address: callers.local_addr().map_err(|error| failed(&error))?,
             peer_address,
             key_value_address: key_value,
+            host_list_address: None,
             entry_keep_ms: 500,
             key_value_timeout_ms: 2_000,
             http: HttpLimits::default(),
--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -9,6 +9,7 @@
 mod catalogue;
 mod cost;
 mod entry;
+mod host_list;
 mod membership;
 mod message;
 mod node;
@@ -22,6 +23,7 @@
     EndpointId, PoolId, PoolKind, Revision, RouterId, RouterName, TeamId, ZoneId, ZoneName,
 };
 pub use entry::{Dispatch, Entry, EntryEvent, Refusal, RefusalReason, RequestId, RequestSpec};
+pub use host_list::ListedHost;
 pub use membership::{Introduction, Member, Membership, MembershipSettings};
 pub use message::{
     Grant, Heartbeat, Incarnation, LengthClass, Peer, PeerMessage, PrefixFingerprint, Progress,
--- a/crates/daisynotch_core/src/node.rs
+++ b/crates/daisynotch_core/src/node.rs
@@ -11,6 +11,7 @@
 use crate::catalogue::Catalogue;
 use crate::cost::Cost;
 use crate::entry::{Dispatch, Entry, EntryEvent, Refusal, RequestId, RequestSpec};
+use crate::host_list::ListedHost;
 use crate::membership::{Introduction, Membership, MembershipSettings};
 use crate::message::{Heartbeat, Peer, PeerMessage, ReleaseReason, ShardId, TicketSeq};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerSettings};
@@ -42,6 +43,8 @@
     Connected(Introduction),
     /// A new revision of the objects was accepted.
     Configured(Arc<Catalogue>),
+    /// The platform's host list was read.
+    HostList(Vec<ListedHost>),
     /// Running work goes on.
     Progress {
         /// The request.
@@ -175,6 +178,7 @@
             Input::Message { from, message } => self.on_message(from, message, now),
             Input::Connected(introduction) => self.on_connected(&introduction, now),
             Input::Configured(catalogue) => self.on_configured(catalogue, now),
+            Input::HostList(_) => {}
             Input::Progress {
                 request,
                 cost,
--- a/crates/daisynotch_platform/src/lib.rs
+++ b/crates/daisynotch_platform/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod config_store;
 mod endpoint;
+mod host_list;
 mod key_value;
 
 pub use config_store::{ChangeId, ConfigStore, Published, StoreError, StoredObjects};
 pub use endpoint::{EndpointClient, EndpointError, EndpointSettings};
+pub use host_list::{HostListClient, HostListError};
 pub use key_value::{KeyValueClient, KeyValueError, ModRevision, StoredValue};
--- a/crates/daisynotch_router/src/daemon.rs
+++ b/crates/daisynotch_router/src/daemon.rs
@@ -7,7 +7,9 @@
 use daisynotch_core::{
     Incarnation, Input, MembershipSettings, Node, NodeSettings, Revision, SchedulerSettings,
 };
-use daisynotch_platform::{ConfigStore, EndpointClient, EndpointSettings, KeyValueClient};
+use daisynotch_platform::{
+    ConfigStore, EndpointClient, EndpointSettings, HostListClient, KeyValueClient,
+};
 use daisynotch_wire::{Hello, PROTOCOL_VERSION};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -17,6 +19,7 @@
 use crate::clock::Clock;
 use crate::configuration;
 use crate::core_task::CoreHandle;
+use crate::host_list;
 use crate::links::{self, LinkContext};
 use crate::metrics::Metrics;
 use crate::server;
@@ -104,7 +107,7 @@
         let known_peers = settings.peers.clone();
         let store = config_store(&settings);
         let poll_ticks = timers.subscribe(configuration::POLL_INTERVAL);
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::spawn(links::run(
                 context,
                 peers,
@@ -123,6 +126,11 @@
                 timers.subscribe(CORE_TICK_INTERVAL),
             )),
         ];
+        if let Some(address) = settings.host_list_address {
+            let client = HostListClient::new(address, host_list::TIMEOUT);
+            let ticks = timers.subscribe(host_list::POLL_INTERVAL);
+            tasks.push(tokio::spawn(host_list::follow(client, core.clone(), ticks)));
+        }
         let (stop, stopped) = oneshot::channel();
         let entry_keep = settings.entry_keep();
         let limits = settings.http;
--- a/crates/daisynotch_router/src/lib.rs
+++ b/crates/daisynotch_router/src/lib.rs
@@ -11,6 +11,7 @@
 mod daemon;
 mod dispatch;
 mod event_stream;
+mod host_list;
 mod links;
 mod logging;
 mod metrics;
--- a/crates/daisynotch_router/src/settings.rs
+++ b/crates/daisynotch_router/src/settings.rs
@@ -88,6 +88,9 @@
     pub peer_address: SocketAddr,
     /// Where the platform's key-value service listens.
     pub key_value_address: SocketAddr,
+    /// Where the platform's host list is served; without it only `peers` are known.
+    #[serde(default)]
+    pub host_list_address: Option<SocketAddr>,
     /// Routers that are known from the start.
     #[serde(default)]
     pub peers: Vec<PeerSettings>,
--- a/crates/daisynotch_router/tests/support.rs
+++ b/crates/daisynotch_router/tests/support.rs
@@ -203,6 +203,7 @@
             caller_address: callers.local_addr().expect("the socket is bound"),
             peer_address: known[index].address,
             key_value_address: key_value,
+            host_list_address: None,
             peers: known
                 .iter()
                 .filter(|peer| peer.router != known[index].router)
