--- a/crates/daisynotch_platform/src/lib.rs
+++ b/crates/daisynotch_platform/src/lib.rs
@@ -7,9 +7,11 @@
 mod claim_store;
 mod config_store;
 mod endpoint;
+mod host_list;
 mod key_value;
 
 pub use claim_store::{ClaimError, ClaimStore, Claimed};
 pub use config_store::{ChangeId, ConfigStore, Published, StoreError, StoredObjects};
 pub use endpoint::{EndpointClient, EndpointError, EndpointSettings};
+pub use host_list::{HostListClient, HostListError};
 pub use key_value::{KeyValueClient, KeyValueError, ModRevision, StoredValue};
--- a/crates/daisynotch_router/src/daemon.rs
+++ b/crates/daisynotch_router/src/daemon.rs
@@ -8,7 +8,7 @@
     Incarnation, Input, MembershipSettings, Node, NodeSettings, Revision, SchedulerSettings,
 };
 use daisynotch_platform::{
-    ClaimStore, ConfigStore, EndpointClient, EndpointSettings, KeyValueClient,
+    ClaimStore, ConfigStore, EndpointClient, EndpointSettings, HostListClient, KeyValueClient,
 };
 use daisynotch_wire::{Hello, PROTOCOL_VERSION};
 use tokio::net::TcpListener;
@@ -19,6 +19,7 @@
 use crate::clock::Clock;
 use crate::configuration;
 use crate::core_task::CoreHandle;
+use crate::host_list;
 use crate::links::{self, LinkContext};
 use crate::metrics::Metrics;
 use crate::server;
@@ -108,7 +109,7 @@
         let store = ConfigStore::new(key_value_client(&settings));
         let claims = ClaimStore::new(key_value_client(&settings), own);
         let poll_ticks = timers.subscribe(configuration::POLL_INTERVAL);
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::spawn(links::run(
                 context,
                 peers,
@@ -127,6 +128,11 @@
                 timers.subscribe(CORE_TICK_INTERVAL),
             )),
         ];
+        if let Some(address) = settings.host_list_address {
+            let client = HostListClient::new(address, host_list::TIMEOUT);
+            let ticks = timers.subscribe(host_list::POLL_INTERVAL);
+            tasks.push(tokio::spawn(host_list::follow(client, core.clone(), ticks)));
+        }
         let (stop, stopped) = oneshot::channel();
         let entry_keep = settings.entry_keep();
         let limits = settings.http;
