Count a resent ticket's age into its grant's expiry

A ticket whose first sending was lost was never granted: the entry counts the expiry of a grant from the first sending, the scheduler counted the waiting time from the sending that arrived, so every grant after a resend was two seconds late and was handed back until the queue timeout refused the request. Counting from the latest sending at the entry was ruled out: a paused entry that resends before it reads an old grant would take that grant for a fresh one.

A ticket now says how long ago its entry asked first. The field also lets one scheduler hand a ticket to another without moving the start of the expiry.

Before: the new node test gets no dispatch. After: one dispatch at the resend.

--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -224,7 +224,8 @@
             *asked = Some((to, now));
         }
         *resend_at = now + TICKET_RESEND_AFTER;
-        let message = PeerMessage::Ticket(ticket_of(open));
+        let asked_at = asked.map_or(now, |(_, at)| at);
+        let message = PeerMessage::Ticket(ticket_of(open, now.since(asked_at)));
         Some(EntryEvent::Send { to, message })
     }
 
@@ -543,7 +544,7 @@
     }
 }
 
-fn ticket_of(open: &OpenRequest) -> Ticket {
+fn ticket_of(open: &OpenRequest, waited: Duration) -> Ticket {
     Ticket {
         seq: open.ticket,
         shard: open.shard,
@@ -552,6 +553,7 @@
         class: open.spec.class,
         prefix: open.spec.prefix,
         avoid: open.avoid,
+        waited_ms: u32::try_from(waited.as_millis()).unwrap_or(u32::MAX),
     }
 }
 
--- a/crates/daisynotch_core/src/message.rs
+++ b/crates/daisynotch_core/src/message.rs
@@ -66,6 +66,8 @@
     pub prefix: Option<PrefixFingerprint>,
     /// An endpoint that is not wanted, as it is slow or has just failed.
     pub avoid: Option<EndpointId>,
+    /// How long ago the entry asked first, so that a grant's expiry counts from then.
+    pub waited_ms: u32,
 }
 
 /// Gives one slot on one endpoint.
--- a/crates/daisynotch_core/src/node/tests.rs
+++ b/crates/daisynotch_core/src/node/tests.rs
@@ -114,3 +114,40 @@
         assert!(node.admit(spec, Timestamp(0)).0.is_err());
     }
 }
+
+/// A ticket whose first sending was lost is granted when it is sent again, and the
+/// grant is still good although the entry counts its expiry from the first sending.
+#[test]
+fn a_lost_ticket_is_granted_when_it_is_sent_again() {
+    let mut entry = configured(1);
+    let mut scheduler = configured(2);
+    let introduction = |node: &Node| node.settings.own;
+    let (first, second) = (introduction(&entry), introduction(&scheduler));
+    entry.handle(Input::Connected(second), Timestamp(0));
+    scheduler.handle(Input::Connected(first), Timestamp(0));
+    let shard = entry.catalogue.shards_of(spec(&entry.catalogue).pool)[0];
+    let placed = entry.membership.scheduler_of(shard);
+    if placed == Some(first.peer.router) {
+        std::mem::swap(&mut entry, &mut scheduler);
+    }
+    let (_, lost) = entry.admit(spec(&catalogue()), Timestamp(0));
+    assert!(matches!(lost[..], [Output::Send { .. }]), "{lost:?}");
+    let resend_at = Timestamp(0) + Duration::from_millis(2_000);
+    let resent = entry.handle(Input::Tick, resend_at);
+    let answers = deliver(&resent, &entry, &mut scheduler, resend_at);
+    let outputs = deliver(&answers, &scheduler, &mut entry, resend_at);
+    assert_eq!(dispatches(&outputs).len(), 1, "{outputs:?}");
+}
+
+/// Hands one node's messages to another and gives what that one does.
+fn deliver(outputs: &[Output], sender: &Node, to: &mut Node, now: Timestamp) -> Vec<Output> {
+    let from = sender.settings.own.peer;
+    let mut answers = Vec::new();
+    for output in outputs {
+        if let Output::Send { message, .. } = output {
+            let message = message.clone();
+            answers.extend(to.handle(Input::Message { from, message }, now));
+        }
+    }
+    answers
+}
--- a/crates/daisynotch_core/src/scheduler.rs
+++ b/crates/daisynotch_core/src/scheduler.rs
@@ -336,7 +336,9 @@
         let ticket = waiting.ticket;
         self.queue.pop(ticket.team, ticket.hint);
         self.slots.take(endpoint, ticket.class);
-        let valid = now.since(waiting.received_at) + self.settings.grant_validity;
+        let waited_before = Duration::from_millis(u64::from(ticket.waited_ms));
+        let waited = waited_before + now.since(waiting.received_at);
+        let valid = waited + self.settings.grant_validity;
         let grant = Grant {
             seq: key.seq,
             endpoint,
--- a/crates/daisynotch_core/src/scheduler/tests.rs
+++ b/crates/daisynotch_core/src/scheduler/tests.rs
@@ -46,6 +46,7 @@
         class: LengthClass::Short,
         prefix: None,
         avoid: None,
+        waited_ms: 0,
     }
 }
 
--- a/crates/daisynotch_wire/src/codec/tests.rs
+++ b/crates/daisynotch_wire/src/codec/tests.rs
@@ -33,6 +33,7 @@
         class: LengthClass::Short,
         prefix: None,
         avoid: None,
+        waited_ms: 0,
     });
     let grant = PeerMessage::Grant(Grant {
         seq,
