--- a/crates/daisynotch_core/benches/policy/fleet.rs
+++ b/crates/daisynotch_core/benches/policy/fleet.rs
@@ -126,6 +126,7 @@
         },
         zone: ZoneId::from(&zone),
         caller_address: "127.0.0.1:9".parse().expect("an address"),
+        peer_address: "127.0.0.1:10".parse().expect("an address"),
     }
 }
 
--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -261,6 +261,41 @@
         events
     }
 
+    /// Resends everything that one router schedules, which may have lost it.
+    pub fn resend_to(&mut self, router: RouterId, now: Timestamp) -> Vec<EntryEvent> {
+        self.resend(|to| to == router, now)
+    }
+
+    /// Resends everything, since all schedulers may have dropped it.
+    pub fn resend_all(&mut self, now: Timestamp) -> Vec<EntryEvent> {
+        self.resend(|_| true, now)
+    }
+
+    fn resend(&mut self, is_due: impl Fn(RouterId) -> bool, now: Timestamp) -> Vec<EntryEvent> {
+        let mut requests: Vec<RequestId> = self.requests.keys().copied().collect();
+        requests.sort_unstable();
+        let mut events = Vec::new();
+        for request in requests {
+            let open = self.requests.get_mut(&request).expect("it was just listed");
+            match &mut open.state {
+                State::Waiting { asked, resend_at } => {
+                    let Some((to, _)) = asked.filter(|(to, _)| is_due(*to)) else {
+                        continue;
+                    };
+                    *resend_at = now;
+                    events.extend(self.send_due(request, |_| Some(to), now));
+                }
+                State::Running { scheduler, .. } if is_due(*scheduler) => {
+                    let to = *scheduler;
+                    let message = PeerMessage::Running(running_of(open));
+                    events.push(EntryEvent::Send { to, message });
+                }
+                State::Running { .. } => {}
+            }
+        }
+        events
+    }
+
     /// Takes in a grant: dispatches, or gives the slot back.
     pub fn on_grant(&mut self, from: RouterId, grant: &Grant, now: Timestamp) -> EntryEvent {
         let request = self.tickets.get(&grant.seq).copied();
--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -29,10 +29,13 @@
     ClaimSeq, IdempotencyKey, IdempotencyRecords, IdempotencySettings, KEY_MAX_BYTES, KeyDecision,
     KeyError, KeyOutcome, KeyPrefix, MintWindow, RequestFingerprint,
 };
-pub use membership::{Introduction, Member, Membership, MembershipSettings};
+pub use membership::{
+    Changes, Introduction, Member, Membership, MembershipChange, MembershipSettings, OwnState,
+};
 pub use message::{
-    Grant, Heartbeat, Incarnation, LengthClass, Peer, PeerMessage, PrefixFingerprint, Progress,
-    Release, ReleaseReason, Running, ShardId, Ticket, TicketSeq,
+    Grant, Heartbeat, Incarnation, LengthClass, MemberState, MemberVersion, Peer, PeerMessage,
+    PrefixFingerprint, Progress, Release, ReleaseReason, Rumor, Running, ShardId, Ticket,
+    TicketSeq, ViewDigest,
 };
 pub use node::{Input, Node, NodeSettings, Output};
 pub use placement::rendezvous;
--- a/crates/daisynotch_core/src/membership.rs
+++ b/crates/daisynotch_core/src/membership.rs
@@ -1,38 +1,67 @@
-//! Which routers are live, from the host list and from heartbeats.
+//! Which routers are live, from heartbeats among a bounded number of peers.
 //!
-//! The host list lags, so it only seeds; heartbeats decide.
-//! See `docs/design/membership.md`.
+//! A router exchanges heartbeats with its neighbours only; what it learns of the
+//! others arrives as rumors in those heartbeats. A silent neighbour is suspected
+//! first, and lost when it does not refute that in time. The host list lags, so it
+//! only gives early word of routers that leave. See `docs/design/membership.md`.
 
-use std::collections::BTreeMap;
+mod neighbours;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::message::{Heartbeat, Incarnation, Peer, ShardId};
+use smallvec::SmallVec;
+
+use crate::host_list::ListedHost;
+use crate::message::{
+    Heartbeat, Incarnation, MemberState, MemberVersion, Peer, Rumor, ShardId, ViewDigest,
+};
 use crate::placement::rendezvous;
 use crate::time::Timestamp;
 use crate::{Revision, RouterId, ZoneId};
 
+/// The most rumors in one heartbeat, so that a frame has room for several.
+const RUMORS_MAX: usize = 64;
+/// The most lost routers that are remembered and probed.
+const LOST_MAX: usize = 4_096;
+
 /// How membership judges.
 #[daisynotch_macros::value]
 #[derive(Copy)]
 pub struct MembershipSettings {
-    /// The time between two heartbeats to one peer.
+    /// The time between two heartbeats to one neighbour.
     pub heartbeat_interval: Duration,
-    /// The silence after which a router is taken for lost.
-    pub lost_after: Duration,
+    /// The least time between two heartbeats when there is news.
+    pub news_interval: Duration,
+    /// The silence after which a neighbour is suspected.
+    pub suspect_after: Duration,
+    /// How long a suspected router has to refute that.
+    pub refute_within: Duration,
+    /// How long a neighbour's view differs before it is fetched whole.
+    pub sync_after: Duration,
+    /// The time between two attempts to reach a lost router.
+    pub probe_interval: Duration,
+    /// The gap between two inputs that is taken for a pause of this router.
+    pub pause_after: Duration,
 }
 
 impl Default for MembershipSettings {
     fn default() -> Self {
         Self {
             heartbeat_interval: Duration::from_millis(500),
-            lost_after: Duration::from_millis(2_000),
+            news_interval: Duration::from_millis(40),
+            suspect_after: Duration::from_millis(1_600),
+            refute_within: Duration::from_millis(1_000),
+            sync_after: Duration::from_millis(2_000),
+            probe_interval: Duration::from_millis(2_000),
+            pause_after: Duration::from_millis(1_000),
         }
     }
 }
 
 /// How a router introduces itself.
-#[daisynotch_macros::value]
+#[daisynotch_macros::message]
 #[derive(Copy)]
 pub struct Introduction {
     /// The router and its incarnation.
@@ -41,6 +70,8 @@
     pub zone: ZoneId,
     /// Where callers reach it.
     pub caller_address: SocketAddr,
+    /// Where other routers reach it.
+    pub peer_address: SocketAddr,
 }
 
 /// A router as another one sees it.
@@ -50,35 +81,115 @@
     pub zone: ZoneId,
     /// Where callers reach it.
     pub caller_address: SocketAddr,
+    /// Where other routers reach it.
+    pub peer_address: SocketAddr,
     /// Its newest known start.
     pub incarnation: Incarnation,
-    /// The newest configuration that it said it has.
+    /// The newest known version of what it says of itself.
+    pub version: MemberVersion,
+    /// The newest configuration that it said it has; neighbours only.
     pub revision: Revision,
-    /// Whether it said that it is leaving.
+    /// Whether it or the host list says that it is leaving.
     pub leaving: bool,
-    /// Requests that its callers have open.
+    /// Requests that its callers have open; neighbours only.
     pub open_requests: u32,
-    /// When it was last heard.
+    /// When it last showed that it hears this router.
     pub heard_at: Timestamp,
+    /// When its last heartbeat came.
+    received_at: Option<Timestamp>,
+    suspected_at: Option<Timestamp>,
+    says_leaving: bool,
 }
 
-/// The live routers, this one included.
+/// A router that was live.
+#[derive(Debug, Clone)]
+struct Lost {
+    introduction: Introduction,
+    version: MemberVersion,
+    lost_at: Timestamp,
+}
+
+/// What is kept for a router that heartbeats are exchanged with.
+#[derive(Debug, Clone, Default)]
+struct Neighbour {
+    news: Vec<Rumor>,
+    differs_since: Option<Timestamp>,
+}
+
+/// A change that others must act on.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub enum MembershipChange {
+    /// Shards may have another scheduler now.
+    Placement,
+    /// An incarnation is gone.
+    Lost(Peer),
+    /// This router was taken for lost by others, who dropped its tickets.
+    OwnLost,
+}
+
+/// Changes of one step; most steps have none.
+pub type Changes = SmallVec<[MembershipChange; 2]>;
+
+/// What a router says of itself in each heartbeat.
 #[daisynotch_macros::value]
+#[derive(Copy)]
+pub struct OwnState {
+    /// The newest configuration that it has.
+    pub revision: Revision,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Requests that its callers have open.
+    pub open_requests: u32,
+}
+
+/// The live routers, this one included.
+#[derive(Debug, Clone)]
 pub struct Membership {
-    own: RouterId,
+    own: Introduction,
     settings: MembershipSettings,
     members: BTreeMap<RouterId, Member>,
+    lost: BTreeMap<RouterId, Lost>,
+    neighbours: BTreeMap<RouterId, Neighbour>,
+    /// Routers that get one heartbeat though they are no neighbours; the value says
+    /// whether they are asked to answer.
+    contacts: BTreeMap<RouterId, (Neighbour, bool)>,
+    listed_leaving: BTreeSet<RouterId>,
+    /// Members that are suspected.
+    suspects: BTreeSet<RouterId>,
+    /// Whether members came or went since the neighbours were chosen.
+    neighbours_stale: bool,
+    /// The digest of the view, until the view changes.
+    digest: Option<ViewDigest>,
+    has_asked_for_view: bool,
+    wants_view_of: Option<RouterId>,
+    regular_at: Timestamp,
+    news_at: Timestamp,
+    probe_at: Timestamp,
+    probed: Option<RouterId>,
 }
 
 impl Membership {
     /// Starts with this router alone.
     pub fn new(own: &Introduction, settings: MembershipSettings, now: Timestamp) -> Self {
-        let member = Member::new(own, now);
-        let own = own.peer.router;
+        let member = Member::new(own, MemberVersion(0), now);
         Self {
-            own,
+            own: *own,
             settings,
-            members: BTreeMap::from([(own, member)]),
+            members: BTreeMap::from([(own.peer.router, member)]),
+            lost: BTreeMap::new(),
+            neighbours: BTreeMap::new(),
+            contacts: BTreeMap::new(),
+            listed_leaving: BTreeSet::new(),
+            suspects: BTreeSet::new(),
+            neighbours_stale: false,
+            digest: None,
+            has_asked_for_view: false,
+            wants_view_of: None,
+            regular_at: now,
+            news_at: now,
+            probe_at: now,
+            probed: None,
         }
     }
 
@@ -87,100 +198,621 @@
         &self.members
     }
 
-    /// Gives what this router says of itself.
-    pub fn own_heartbeat(&self) -> Heartbeat {
-        let own = &self.members[&self.own];
+    /// Gives the routers that this one exchanges heartbeats with.
+    pub fn neighbours(&self) -> impl Iterator<Item = RouterId> {
+        self.neighbours.keys().copied()
+    }
+
+    /// Gives where a router, live or lost, listens for others.
+    pub fn address_of(&self, router: RouterId) -> Option<SocketAddr> {
+        let live = self.members.get(&router).map(|member| member.peer_address);
+        live.or_else(|| Some(self.lost.get(&router)?.introduction.peer_address))
+    }
+
+    /// Gives the router that schedules a shard.
+    ///
+    /// Routers of the shard's zone come first; a zone without routers is served
+    /// by the others. Leaving routers are chosen only when no other is left.
+    pub fn scheduler_of(&self, shard: ShardId) -> Option<RouterId> {
+        let staying = || self.members.iter().filter(|(_, member)| !member.leaving);
+        let local = staying().filter(|(_, member)| member.zone == shard.zone);
+        rendezvous(shard, local.map(|(router, _)| *router))
+            .or_else(|| rendezvous(shard, staying().map(|(router, _)| *router)))
+            .or_else(|| rendezvous(shard, self.members.keys().copied()))
+    }
+
+    /// Takes in that a peer is connected.
+    pub fn on_connected(&mut self, introduction: &Introduction, now: Timestamp) -> Changes {
+        let peer = introduction.peer;
+        let mut changes = Changes::new();
+        if peer.router == self.own.peer.router {
+            return changes;
+        }
+        let is_stale = |incarnation: Incarnation, heard_at: Timestamp| {
+            // A clock that was set back gives a later start a smaller number.
+            let is_quiet = now.since(heard_at) > self.settings.suspect_after;
+            peer.incarnation == incarnation || (peer.incarnation < incarnation && !is_quiet)
+        };
+        let known = self.members.get(&peer.router);
+        if known.is_some_and(|member| is_stale(member.incarnation, member.heard_at)) {
+            return changes;
+        }
+        let lost = self.lost.get(&peer.router);
+        if lost.is_some_and(|lost| is_stale(lost.incarnation(), lost.lost_at)) {
+            self.contact(peer.router, true);
+            return changes;
+        }
+        let state = MemberState {
+            introduction: *introduction,
+            version: MemberVersion(0),
+            leaving: false,
+        };
+        self.adopt(&state, None, now, &mut changes);
+        self.choose_neighbours(now);
+        if !self.has_asked_for_view {
+            self.has_asked_for_view = true;
+            self.wants_view_of = Some(peer.router);
+        }
+        self.contact(peer.router, true);
+        changes
+    }
+
+    /// Takes in a heartbeat and its rumors.
+    pub fn on_heartbeat(&mut self, from: Peer, heartbeat: &Heartbeat, now: Timestamp) -> Changes {
+        let mut changes = Changes::new();
+        if from.router == self.own.peer.router {
+            return changes;
+        }
+        for rumor in &heartbeat.rumors {
+            self.on_rumor(from.router, rumor, now, &mut changes);
+        }
+        self.take_in_sender(from, heartbeat, now, &mut changes);
+        self.choose_neighbours(now);
+        if heartbeat.wants_view {
+            self.send_view(from.router);
+        }
+        let digest = self.digest();
+        match self.neighbours.get_mut(&from.router) {
+            Some(neighbour) if heartbeat.digest == digest => neighbour.differs_since = None,
+            Some(neighbour) => {
+                neighbour.differs_since.get_or_insert(now);
+            }
+            None if heartbeat.wants_answer => self.contact(from.router, false),
+            None => {}
+        }
+        changes
+    }
+
+    /// Takes in the host list; it only says who is leaving.
+    pub fn on_host_list(&mut self, hosts: &[ListedHost]) -> Changes {
+        let leaving = hosts.iter().filter(|host| host.leaving);
+        self.listed_leaving = leaving.map(|host| RouterId::from(&host.router)).collect();
+        let mut changes = Changes::new();
+        for (router, member) in &mut self.members {
+            let leaving = member.says_leaving || self.listed_leaving.contains(router);
+            if member.leaving != leaving {
+                member.leaving = leaving;
+                changes = SmallVec::from_slice(&[MembershipChange::Placement]);
+            }
+        }
+        changes
+    }
+
+    /// Says whether the host list has this router as leaving.
+    pub fn is_listed_leaving(&self) -> bool {
+        self.listed_leaving.contains(&self.own.peer.router)
+    }
+
+    /// Sends the next heartbeats at once.
+    pub fn hurry(&mut self, now: Timestamp) {
+        self.regular_at = now;
+    }
+
+    /// Takes in that this router did nothing for a while.
+    ///
+    /// What it knew is as old as the pause, so nobody's silence counts.
+    pub fn on_resumed(&mut self, now: Timestamp) {
+        for member in self.members.values_mut() {
+            member.heard_at = now;
+            member.suspected_at = member.suspected_at.map(|_| now);
+        }
+        self.regular_at = now;
+    }
+
+    /// Suspects silent neighbours and drops routers that did not refute in time.
+    pub fn tick(&mut self, now: Timestamp) -> Changes {
+        let suspect_after = self.settings.suspect_after;
+        let members = &self.members;
+        let is_silent = |router: &RouterId| {
+            let member = members.get(router);
+            member.is_some_and(|member| {
+                member.suspected_at.is_none() && now.since(member.heard_at) > suspect_after
+            })
+        };
+        let silent: Vec<RouterId> = self.neighbours().filter(is_silent).collect();
+        for router in silent {
+            self.suspect(router, None, now);
+        }
+        let refute_within = self.settings.refute_within;
+        let is_lost = |member: &Member| {
+            let suspected_at = member.suspected_at;
+            suspected_at.is_some_and(|at| now.since(at) > refute_within)
+        };
+        let suspects = self.suspects.iter().copied();
+        let lost = suspects.filter(|router| self.members.get(router).is_some_and(is_lost));
+        let lost: Vec<RouterId> = lost.collect();
+        let mut changes = Changes::new();
+        for router in lost {
+            self.lose(router, now, &mut changes);
+        }
+        self.choose_neighbours(now);
+        self.probe(now);
+        changes
+    }
+
+    /// Gives the heartbeats that are due.
+    pub fn heartbeats(&mut self, own: OwnState, now: Timestamp) -> Vec<(RouterId, Heartbeat)> {
+        self.set_own(own, now);
+        let is_regular = now >= self.regular_at;
+        if is_regular {
+            self.regular_at = now + self.settings.heartbeat_interval;
+            self.ask_for_view(now);
+        }
+        let may_send_news = now >= self.news_at;
+        let has_news = |neighbour: &Neighbour| may_send_news && !neighbour.news.is_empty();
+        let neighbours = self.neighbours.iter();
+        let due = neighbours.filter(|(_, neighbour)| is_regular || has_news(neighbour));
+        let mut due: Vec<(RouterId, bool)> = due.map(|(router, _)| (*router, true)).collect();
+        let contacts = self.contacts.iter();
+        due.extend(contacts.map(|(router, (_, wants_answer))| (*router, *wants_answer)));
+        if !due.is_empty() {
+            self.news_at = now + self.settings.news_interval;
+        }
+        let heartbeat = |(router, wants_answer)| {
+            let heartbeat = self.heartbeat_to(router, wants_answer, own, now);
+            (router, heartbeat)
+        };
+        due.into_iter().map(heartbeat).collect()
+    }
+
+    fn heartbeat_to(
+        &mut self,
+        router: RouterId,
+        wants_answer: bool,
+        own: OwnState,
+        now: Timestamp,
+    ) -> Heartbeat {
+        let is_recent = |at: Timestamp| now.since(at) <= self.settings.suspect_after;
+        let member = self.members.get(&router);
+        let received_at = member.and_then(|member| member.received_at);
+        let wants_view = self.wants_view_of == Some(router);
+        if wants_view {
+            self.wants_view_of = None;
+        }
+        let mut news = match self.contacts.remove(&router) {
+            Some((contact, _)) => contact.news,
+            None => Vec::new(),
+        };
+        if let Some(neighbour) = self.neighbours.get_mut(&router) {
+            let count = neighbour.news.len().min(RUMORS_MAX);
+            news.extend(neighbour.news.drain(..count));
+        } else if news.len() > RUMORS_MAX {
+            let later = news.split_off(RUMORS_MAX);
+            let later = Neighbour {
+                news: later,
+                ..Neighbour::default()
+            };
+            self.contacts.insert(router, (later, false));
+        }
         Heartbeat {
             revision: own.revision,
             leaving: own.leaving,
             open_requests: own.open_requests,
+            version: self.members[&self.own.peer.router].version,
+            hears_you: received_at.is_some_and(is_recent),
+            wants_answer,
+            wants_view,
+            digest: self.digest(),
+            rumors: news,
+        }
+    }
+
+    fn set_own(&mut self, own: OwnState, now: Timestamp) {
+        let router = self.own.peer.router;
+        let is_listed = self.is_listed_leaving();
+        let member = self.own_member();
+        member.revision = own.revision;
+        member.open_requests = own.open_requests;
+        member.heard_at = now;
+        if member.says_leaving == own.leaving {
+            return;
         }
+        member.says_leaving = own.leaving;
+        member.leaving = own.leaving || is_listed;
+        member.version.0 += 1;
+        self.digest = None;
+        self.spread(&self.alive(router), None);
     }
 
-    /// Sets what this router says of itself.
-    pub fn set_own(&mut self, heartbeat: &Heartbeat) {
-        let own = self.members.get_mut(&self.own);
+    fn own_member(&mut self) -> &mut Member {
+        let own = self.members.get_mut(&self.own.peer.router);
         own.expect("a router is a member of its own view")
-            .update(heartbeat);
     }
 
-    /// Takes in that a peer is connected; says whether the set of live routers changed.
-    pub fn on_connected(&mut self, introduction: &Introduction, now: Timestamp) -> bool {
-        let peer = introduction.peer;
-        if peer.router == self.own {
-            return false;
+    fn take_in_sender(
+        &mut self,
+        from: Peer,
+        heartbeat: &Heartbeat,
+        now: Timestamp,
+        changes: &mut Changes,
+    ) {
+        let is_listed = self.listed_leaving.contains(&from.router);
+        let known = self.members.get_mut(&from.router);
+        let Some(member) = known.filter(|member| member.incarnation == from.incarnation) else {
+            self.on_stranger(from, heartbeat, now, changes);
+            return;
+        };
+        member.received_at = Some(now);
+        if heartbeat.hears_you {
+            member.heard_at = now;
+        }
+        member.revision = member.revision.max(heartbeat.revision);
+        member.open_requests = heartbeat.open_requests;
+        if heartbeat.version <= member.version {
+            return;
+        }
+        member.version = heartbeat.version;
+        member.suspected_at = None;
+        member.says_leaving = heartbeat.leaving;
+        self.digest = None;
+        self.suspects.remove(&from.router);
+        let leaving = heartbeat.leaving || is_listed;
+        if member.leaving != leaving {
+            member.leaving = leaving;
+            changes.push(MembershipChange::Placement);
+        }
+        self.spread(&self.alive(from.router), Some(from.router));
+    }
+
+    /// Takes back a lost router that has refuted its loss, or lets it do so.
+    fn on_stranger(
+        &mut self,
+        from: Peer,
+        heartbeat: &Heartbeat,
+        now: Timestamp,
+        changes: &mut Changes,
+    ) {
+        let lost = self.lost.get(&from.router);
+        let Some(lost) = lost.filter(|lost| lost.introduction.peer == from) else {
+            return;
+        };
+        if heartbeat.version <= lost.version {
+            self.tell(from.router, lost.rumor());
+            return;
+        }
+        let state = MemberState {
+            introduction: lost.introduction,
+            version: heartbeat.version,
+            leaving: heartbeat.leaving,
+        };
+        self.adopt(&state, None, now, changes);
+    }
+
+    fn on_rumor(&mut self, from: RouterId, rumor: &Rumor, now: Timestamp, changes: &mut Changes) {
+        let peer = rumor.peer();
+        if peer.router == self.own.peer.router {
+            self.on_own_rumor(from, rumor, changes);
+            return;
+        }
+        match rumor {
+            Rumor::Alive(state) => self.on_alive(from, state, now, changes),
+            // Each router waits for a refutation itself: the one that says `Lost` may
+            // have been on the other side of a partition.
+            Rumor::Suspected { version, .. } | Rumor::Lost { version, .. } => {
+                if self.concerns(peer, *version) {
+                    self.set_version(peer.router, *version);
+                    self.suspect(peer.router, Some(from), now);
+                }
+            }
+        }
+    }
+
+    /// Refutes what others say of this router.
+    ///
+    /// The word of a router that this one has lost itself says nothing of the
+    /// tickets here: it is the other side of a partition.
+    fn on_own_rumor(&mut self, from: RouterId, rumor: &Rumor, changes: &mut Changes) {
+        let router = self.own.peer.router;
+        let (peer, version) = match rumor {
+            Rumor::Alive(_) => return,
+            Rumor::Suspected { peer, version } | Rumor::Lost { peer, version } => (*peer, *version),
+        };
+        let member = self.own_member();
+        if peer.incarnation != member.incarnation || version < member.version {
+            return;
+        }
+        member.version.0 = version.0 + 1;
+        let refutation = self.alive(router);
+        self.spread(&refutation, None);
+        self.tell(from, refutation);
+        if matches!(rumor, Rumor::Lost { .. }) && self.members.contains_key(&from) {
+            changes.push(MembershipChange::OwnLost);
+        }
+    }
+
+    fn on_alive(
+        &mut self,
+        from: RouterId,
+        state: &MemberState,
+        now: Timestamp,
+        changes: &mut Changes,
+    ) {
+        let peer = state.introduction.peer;
+        let told = (peer.incarnation, state.version);
+        if let Some(lost) = self.lost.get(&peer.router)
+            && told <= (lost.incarnation(), lost.version)
+        {
+            self.tell(from, lost.rumor());
+            return;
         }
         let known = self.members.get(&peer.router);
-        let is_new = known.is_none_or(|member| member.incarnation != peer.incarnation);
-        if is_new {
-            self.members
-                .insert(peer.router, Member::new(introduction, now));
+        if known.is_none_or(|member| told > (member.incarnation, member.version)) {
+            self.adopt(state, Some(from), now, changes);
         }
-        is_new
     }
 
-    /// Takes in a heartbeat; says whether placement may have changed.
-    pub fn on_heartbeat(&mut self, from: Peer, heartbeat: &Heartbeat, now: Timestamp) -> bool {
-        let Some(member) = self.members.get_mut(&from.router) else {
-            return false;
+    /// Takes a router's word of itself into the view and passes it on.
+    fn adopt(
+        &mut self,
+        state: &MemberState,
+        from: Option<RouterId>,
+        now: Timestamp,
+        changes: &mut Changes,
+    ) {
+        let peer = state.introduction.peer;
+        self.lost.remove(&peer.router);
+        let mut member = Member::new(&state.introduction, state.version, now);
+        member.says_leaving = state.leaving;
+        member.leaving = state.leaving || self.listed_leaving.contains(&peer.router);
+        let known = self.members.get(&peer.router);
+        let is_same_start = known.is_some_and(|known| known.incarnation == peer.incarnation);
+        if let Some(known) = known {
+            if is_same_start {
+                member.revision = known.revision;
+                member.open_requests = known.open_requests;
+                member.received_at = known.received_at;
+            } else {
+                changes.push(MembershipChange::Lost(Peer {
+                    router: peer.router,
+                    incarnation: known.incarnation,
+                }));
+            }
+        }
+        let is_placed_alike =
+            is_same_start && known.is_some_and(|known| known.leaving == member.leaving);
+        self.members.insert(peer.router, member);
+        self.suspects.remove(&peer.router);
+        self.digest = None;
+        if !is_placed_alike {
+            changes.push(MembershipChange::Placement);
+        }
+        self.neighbours_stale |= !is_same_start;
+        self.spread(&Rumor::Alive(state.clone()), from);
+    }
+
+    /// Says whether word of a router is about the start that is known, and no older.
+    fn concerns(&self, peer: Peer, version: MemberVersion) -> bool {
+        let member = self.members.get(&peer.router);
+        member.is_some_and(|member| {
+            member.incarnation == peer.incarnation && version >= member.version
+        })
+    }
+
+    fn set_version(&mut self, router: RouterId, version: MemberVersion) {
+        if let Some(member) = self.members.get_mut(&router)
+            && member.version != version
+        {
+            member.version = version;
+            member.suspected_at = None;
+            self.suspects.remove(&router);
+        }
+    }
+
+    fn suspect(&mut self, router: RouterId, from: Option<RouterId>, now: Timestamp) {
+        let Some(member) = self.members.get_mut(&router) else {
+            return;
         };
-        if member.incarnation != from.incarnation {
-            return false;
+        if member.suspected_at.is_some() {
+            return;
         }
-        let leaving_before = member.leaving;
-        member.heard_at = now;
-        member.update(heartbeat);
-        member.leaving != leaving_before
+        member.suspected_at = Some(now);
+        self.suspects.insert(router);
+        let rumor = Rumor::Suspected {
+            peer: Peer {
+                router,
+                incarnation: member.incarnation,
+            },
+            version: member.version,
+        };
+        self.spread(&rumor, from);
     }
 
-    /// Drops routers that have been silent too long, and gives them.
-    pub fn drop_silent(&mut self, now: Timestamp) -> Vec<RouterId> {
-        let lost_after = self.settings.lost_after;
-        let own = self.own;
-        let is_lost = |router: RouterId, member: &Member| {
-            router != own && now.since(member.heard_at) > lost_after
+    fn lose(&mut self, router: RouterId, now: Timestamp, changes: &mut Changes) {
+        let Some(member) = self.members.remove(&router) else {
+            return;
+        };
+        let peer = Peer {
+            router,
+            incarnation: member.incarnation,
         };
-        let lost: Vec<RouterId> = self
-            .members
-            .iter()
-            .filter(|(router, member)| is_lost(**router, member))
-            .map(|(router, _)| *router)
-            .collect();
-        for router in &lost {
-            self.members.remove(router);
+        let lost = Lost {
+            introduction: member.introduction(router),
+            version: member.version,
+            lost_at: now,
+        };
+        if self.lost.len() >= LOST_MAX {
+            self.lost.pop_first();
         }
-        lost
+        self.lost.insert(router, lost);
+        self.suspects.remove(&router);
+        self.digest = None;
+        self.neighbours_stale = true;
+        changes.push(MembershipChange::Lost(peer));
+        changes.push(MembershipChange::Placement);
     }
 
-    /// Gives the router that schedules a shard.
-    ///
-    /// Routers of the shard's zone come first; a zone without routers is served
-    /// by the others. Leaving routers are chosen only when no other is left.
-    pub fn scheduler_of(&self, shard: ShardId) -> Option<RouterId> {
-        let staying = || self.members.iter().filter(|(_, member)| !member.leaving);
-        let local = staying().filter(|(_, member)| member.zone == shard.zone);
-        rendezvous(shard, local.map(|(router, _)| *router))
-            .or_else(|| rendezvous(shard, staying().map(|(router, _)| *router)))
-            .or_else(|| rendezvous(shard, self.members.keys().copied()))
+    /// Tries to reach one lost router after the other, so that the sides of a
+    /// partition find each other again.
+    fn probe(&mut self, now: Timestamp) {
+        if now < self.probe_at {
+            return;
+        }
+        self.probe_at = now + self.settings.probe_interval;
+        let after = self.lost.keys().find(|router| Some(**router) > self.probed);
+        let next = after.or(self.lost.keys().next()).copied();
+        self.probed = next;
+        if let Some(router) = next {
+            self.contact(router, true);
+        }
+    }
+
+    fn contact(&mut self, router: RouterId, wants_answer: bool) {
+        let contact = self.contacts.entry(router).or_default();
+        contact.1 |= wants_answer;
+        if let Some(lost) = self.lost.get(&router) {
+            self.tell(router, lost.rumor());
+        }
+    }
+
+    /// Tells one router something, though it may be no neighbour.
+    fn tell(&mut self, router: RouterId, rumor: Rumor) {
+        match self.neighbours.get_mut(&router) {
+            Some(neighbour) => neighbour.add(rumor),
+            None => self.contacts.entry(router).or_default().0.add(rumor),
+        }
+    }
+
+    fn send_view(&mut self, to: RouterId) {
+        let others = self.members.keys().copied().filter(|router| *router != to);
+        let others: Vec<RouterId> = others.collect();
+        for router in others {
+            self.tell(to, self.alive(router));
+        }
+    }
+
+    fn ask_for_view(&mut self, now: Timestamp) {
+        let sync_after = self.settings.sync_after;
+        let differs = |neighbour: &Neighbour| {
+            let since = neighbour.differs_since;
+            since.is_some_and(|since| now.since(since) >= sync_after)
+        };
+        let mut neighbours = self.neighbours.iter_mut();
+        if let Some((router, neighbour)) = neighbours.find(|(_, neighbour)| differs(neighbour)) {
+            self.wants_view_of = Some(*router);
+            neighbour.differs_since = None;
+        }
+    }
+
+    fn spread(&mut self, rumor: &Rumor, except: Option<RouterId>) {
+        for (router, neighbour) in &mut self.neighbours {
+            if Some(*router) != except {
+                neighbour.add(rumor.clone());
+            }
+        }
+    }
+
+    fn alive(&self, router: RouterId) -> Rumor {
+        let member = &self.members[&router];
+        Rumor::Alive(MemberState {
+            introduction: member.introduction(router),
+            version: member.version,
+            leaving: member.says_leaving,
+        })
+    }
+
+    fn choose_neighbours(&mut self, now: Timestamp) {
+        if !std::mem::take(&mut self.neighbours_stale) {
+            return;
+        }
+        let chosen = neighbours::choose(self.own.peer.router, &self.members);
+        self.neighbours.retain(|router, _| chosen.contains(router));
+        for router in chosen {
+            if self.neighbours.contains_key(&router) {
+                continue;
+            }
+            self.neighbours.insert(router, Neighbour::default());
+            if let Some(member) = self.members.get_mut(&router) {
+                member.heard_at = now;
+            }
+        }
+    }
+
+    /// Folds the view to a number that equal views share.
+    fn digest(&mut self) -> ViewDigest {
+        if let Some(digest) = self.digest {
+            return digest;
+        }
+        let hash = |(router, member): (&RouterId, &Member)| {
+            let seed = member.incarnation.0 ^ u64::from(member.says_leaving);
+            xxhash_rust::xxh3::xxh3_64_with_seed(&router.0.to_le_bytes(), seed)
+        };
+        let all = self.members.iter().map(hash);
+        let folded = all.fold(0, |folded, hash| folded ^ hash);
+        let digest = ViewDigest((folded ^ (folded >> 16) ^ (folded >> 32) ^ (folded >> 48)) as u16);
+        self.digest = Some(digest);
+        digest
+    }
+}
+
+impl Neighbour {
+    /// Adds news; older news of the same router is no longer needed.
+    fn add(&mut self, rumor: Rumor) {
+        let router = rumor.peer().router;
+        self.news.retain(|older| older.peer().router != router);
+        self.news.push(rumor);
+    }
+}
+
+impl Lost {
+    fn incarnation(&self) -> Incarnation {
+        self.introduction.peer.incarnation
+    }
+
+    fn rumor(&self) -> Rumor {
+        Rumor::Lost {
+            peer: self.introduction.peer,
+            version: self.version,
+        }
     }
 }
 
 impl Member {
-    fn new(introduction: &Introduction, now: Timestamp) -> Self {
+    fn introduction(&self, router: RouterId) -> Introduction {
+        Introduction {
+            peer: Peer {
+                router,
+                incarnation: self.incarnation,
+            },
+            zone: self.zone,
+            caller_address: self.caller_address,
+            peer_address: self.peer_address,
+        }
+    }
+
+    fn new(introduction: &Introduction, version: MemberVersion, now: Timestamp) -> Self {
         Self {
             zone: introduction.zone,
             caller_address: introduction.caller_address,
+            peer_address: introduction.peer_address,
             incarnation: introduction.peer.incarnation,
+            version,
             revision: Revision::default(),
             leaving: false,
             open_requests: 0,
             heard_at: now,
+            received_at: None,
+            suspected_at: None,
+            says_leaving: false,
         }
     }
-
-    fn update(&mut self, heartbeat: &Heartbeat) {
-        self.revision = self.revision.max(heartbeat.revision);
-        self.leaving |= heartbeat.leaving;
-        self.open_requests = heartbeat.open_requests;
-    }
 }
--- a/crates/daisynotch_core/src/message.rs
+++ b/crates/daisynotch_core/src/message.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::cost::Cost;
+use crate::membership::Introduction;
 use crate::{EndpointId, PoolId, Revision, RouterId, TeamId, ZoneId};
 
 /// Tells one start of a router from the next.
@@ -142,6 +143,56 @@
     pub cost: Cost,
 }
 
+/// Numbers what one router incarnation says of itself.
+#[daisynotch_macros::number]
+pub struct MemberVersion(pub u32);
+
+/// A number that equal views of the fleet share.
+#[daisynotch_macros::number]
+pub struct ViewDigest(pub u16);
+
+/// What a router says of itself, as others pass it on.
+#[daisynotch_macros::message]
+pub struct MemberState {
+    /// Who it is and where it is reached.
+    pub introduction: Introduction,
+    /// Which of its own words this is.
+    pub version: MemberVersion,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// Word of a router that is passed on.
+#[daisynotch_macros::message]
+pub enum Rumor {
+    /// It is live.
+    Alive(MemberState),
+    /// It is silent; it may refute that with a higher version.
+    Suspected {
+        /// The router.
+        peer: Peer,
+        /// The newest version that was known.
+        version: MemberVersion,
+    },
+    /// It did not refute in time.
+    Lost {
+        /// The router.
+        peer: Peer,
+        /// The newest version that was known.
+        version: MemberVersion,
+    },
+}
+
+impl Rumor {
+    /// Gives the router that this is about.
+    pub fn peer(&self) -> Peer {
+        match self {
+            Self::Alive(state) => state.introduction.peer,
+            Self::Suspected { peer, .. } | Self::Lost { peer, .. } => *peer,
+        }
+    }
+}
+
 /// Says that a router is alive and what it knows.
 #[daisynotch_macros::message]
 pub struct Heartbeat {
@@ -151,6 +202,18 @@
     pub leaving: bool,
     /// Requests that the sender's callers have open.
     pub open_requests: u32,
+    /// The version of what the sender says of itself.
+    pub version: MemberVersion,
+    /// Whether a heartbeat of the receiver's came lately.
+    pub hears_you: bool,
+    /// Whether the receiver should answer though it is no neighbour.
+    pub wants_answer: bool,
+    /// Whether the receiver should tell its whole view.
+    pub wants_view: bool,
+    /// The sender's view, to find differences.
+    pub digest: ViewDigest,
+    /// News of routers.
+    pub rumors: Vec<Rumor>,
 }
 
 /// Anything that one router says to another about requests and its own state.
@@ -192,7 +255,7 @@
 }
 
 /// A router that a message came from.
-#[daisynotch_macros::value]
+#[daisynotch_macros::message]
 #[derive(Copy, Hash, PartialOrd, Ord)]
 pub struct Peer {
     /// The router.
--- a/crates/daisynotch_core/src/node.rs
+++ b/crates/daisynotch_core/src/node.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 use smallvec::SmallVec;
 
@@ -12,7 +13,9 @@
 use crate::cost::Cost;
 use crate::entry::{Dispatch, Entry, EntryEvent, Refusal, RequestId, RequestSpec};
 use crate::host_list::ListedHost;
-use crate::membership::{Introduction, Membership, MembershipSettings};
+use crate::membership::{
+    Changes, Introduction, Membership, MembershipChange, MembershipSettings, OwnState,
+};
 use crate::message::{Heartbeat, Peer, PeerMessage, ReleaseReason, ShardId, TicketSeq};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerSettings};
 use crate::time::Timestamp;
@@ -108,7 +111,7 @@
     schedulers: BTreeMap<ShardId, Scheduler>,
     local: VecDeque<PeerMessage>,
     outputs: Vec<Output>,
-    heartbeat_due: Timestamp,
+    handled_at: Timestamp,
     leaving: bool,
 }
 
@@ -123,7 +126,7 @@
             schedulers: BTreeMap::new(),
             local: VecDeque::new(),
             outputs: Vec::new(),
-            heartbeat_due: now,
+            handled_at: now,
             leaving: false,
             settings,
         }
@@ -156,7 +159,7 @@
 
     /// Says whether this router is leaving.
     pub fn is_leaving(&self) -> bool {
-        self.leaving
+        self.leaving || self.membership.is_listed_leaving()
     }
 
     /// Accepts a request, or says why not.
@@ -165,6 +168,7 @@
         spec: RequestSpec,
         now: Timestamp,
     ) -> (Result<RequestId, Refusal>, Vec<Output>) {
+        self.notice_pause(now);
         let admitted = self.entry.admit(spec, &self.catalogue, now);
         if let Ok(request) = admitted {
             self.send_ticket(request, now);
@@ -174,11 +178,15 @@
 
     /// Takes in what happened and gives what to do.
     pub fn handle(&mut self, input: Input, now: Timestamp) -> Vec<Output> {
+        self.notice_pause(now);
         match input {
             Input::Message { from, message } => self.on_message(from, message, now),
             Input::Connected(introduction) => self.on_connected(&introduction, now),
             Input::Configured(catalogue) => self.on_configured(catalogue, now),
-            Input::HostList(_) => {}
+            Input::HostList(hosts) => {
+                let changes = self.membership.on_host_list(&hosts);
+                self.run_changes(&changes, now);
+            }
             Input::Progress {
                 request,
                 cost,
@@ -214,7 +222,7 @@
             }
             Input::Leave => {
                 self.leaving = true;
-                self.heartbeat_due = now;
+                self.membership.hurry(now);
                 self.tick(now);
                 self.on_placement_changed(now);
             }
@@ -313,25 +321,62 @@
     }
 
     fn on_connected(&mut self, introduction: &Introduction, now: Timestamp) {
-        let peer = introduction.peer;
-        let known = self.membership.members().get(&peer.router).cloned();
-        if !self.membership.on_connected(introduction, now) {
-            return;
-        }
-        if let Some(member) = known {
-            let earlier = Peer {
-                router: peer.router,
-                incarnation: member.incarnation,
-            };
-            self.on_entry_lost(earlier, now);
-        }
-        self.on_placement_changed(now);
+        let changes = self.membership.on_connected(introduction, now);
+        self.run_changes(&changes, now);
+        // What was on its way over an earlier connection may be lost.
+        let events = self.entry.resend_to(introduction.peer.router, now);
+        self.run_entry(events);
     }
 
     fn on_heartbeat(&mut self, from: Peer, heartbeat: &Heartbeat, now: Timestamp) {
-        if self.membership.on_heartbeat(from, heartbeat, now) {
+        let changes = self.membership.on_heartbeat(from, heartbeat, now);
+        self.run_changes(&changes, now);
+    }
+
+    fn run_changes(&mut self, changes: &Changes, now: Timestamp) {
+        for change in changes {
+            match change {
+                MembershipChange::Placement => {}
+                MembershipChange::Lost(peer) => self.on_entry_lost(*peer, now),
+                MembershipChange::OwnLost => {
+                    self.hold_grants(self.settings.scheduler.takeover_grace, now);
+                    let events = self.entry.resend_all(now);
+                    self.run_entry(events);
+                }
+            }
+        }
+        if changes.contains(&MembershipChange::Placement) {
             self.on_placement_changed(now);
         }
+        for change in changes {
+            // A router that started anew knows nothing of what it was sent before.
+            if let MembershipChange::Lost(peer) = change {
+                let events = self.entry.resend_to(peer.router, now);
+                self.run_entry(events);
+            }
+        }
+    }
+
+    /// Stops granting when this router was paused for long.
+    ///
+    /// Others may have taken over its shards meanwhile; the heartbeats that go out
+    /// now bring word of that before grants go on.
+    fn notice_pause(&mut self, now: Timestamp) {
+        let paused = now.since(self.handled_at);
+        self.handled_at = now;
+        let is_alone = self.membership.members().len() == 1;
+        if paused <= self.settings.membership.pause_after || is_alone {
+            return;
+        }
+        self.membership.on_resumed(now);
+        let hear_from_others = self.settings.membership.heartbeat_interval * 2;
+        self.hold_grants(hear_from_others, now);
+    }
+
+    fn hold_grants(&mut self, hold: Duration, now: Timestamp) {
+        for scheduler in self.schedulers.values_mut() {
+            scheduler.hold_until(now + hold);
+        }
     }
 
     fn on_configured(&mut self, catalogue: Arc<Catalogue>, now: Timestamp) {
@@ -342,7 +387,7 @@
         for scheduler in self.schedulers.values_mut() {
             scheduler.configure(&self.catalogue);
         }
-        self.heartbeat_due = now;
+        self.membership.hurry(now);
         self.tick(now);
     }
 
@@ -365,7 +410,8 @@
     }
 
     fn tick(&mut self, now: Timestamp) {
-        self.drop_silent(now);
+        let changes = self.membership.tick(now);
+        self.run_changes(&changes, now);
         self.send_heartbeats(now);
         let membership = &self.membership;
         let events = self.entry.tick(|shard| membership.scheduler_of(shard), now);
@@ -378,40 +424,14 @@
         }
     }
 
-    fn drop_silent(&mut self, now: Timestamp) {
-        let before = self.membership.members().clone();
-        let lost = self.membership.drop_silent(now);
-        if lost.is_empty() {
-            return;
-        }
-        for router in lost {
-            let incarnation = before[&router].incarnation;
-            self.on_entry_lost(
-                Peer {
-                    router,
-                    incarnation,
-                },
-                now,
-            );
-        }
-        self.on_placement_changed(now);
-    }
-
     fn send_heartbeats(&mut self, now: Timestamp) {
-        if now < self.heartbeat_due {
-            return;
-        }
-        self.heartbeat_due = now + self.settings.membership.heartbeat_interval;
-        let heartbeat = Heartbeat {
+        let own = OwnState {
             revision: self.catalogue.revision,
             leaving: self.leaving,
             open_requests: u32::try_from(self.entry.open_requests()).unwrap_or(u32::MAX),
         };
-        self.membership.set_own(&heartbeat);
-        let own = self.settings.own.peer.router;
-        let peers: Vec<RouterId> = self.membership.members().keys().copied().collect();
-        for router in peers.into_iter().filter(|router| *router != own) {
-            self.send(router, PeerMessage::Heartbeat(heartbeat.clone()));
+        for (router, heartbeat) in self.membership.heartbeats(own, now) {
+            self.send(router, PeerMessage::Heartbeat(heartbeat));
         }
     }
 
--- a/crates/daisynotch_core/src/node/tests.rs
+++ b/crates/daisynotch_core/src/node/tests.rs
@@ -31,6 +31,7 @@
             },
             zone: ZoneId(1),
             caller_address: "127.0.0.1:9".parse().expect("it is an address"),
+            peer_address: "127.0.0.1:10".parse().expect("it is an address"),
         },
         membership: MembershipSettings::default(),
         scheduler: SchedulerSettings {
--- a/crates/daisynotch_core/src/scheduler.rs
+++ b/crates/daisynotch_core/src/scheduler.rs
@@ -140,6 +140,11 @@
         self.queue.configure(catalogue);
     }
 
+    /// Grants nothing until a time.
+    pub fn hold_until(&mut self, until: Timestamp) {
+        self.grants_from = self.grants_from.max(until);
+    }
+
     /// Says whether an endpoint is, or lately was, one of the shard's.
     pub fn knows(&self, endpoint: EndpointId) -> bool {
         self.slots.knows(endpoint)
@@ -237,6 +242,8 @@
         if let Some(granted) = self.granted.get_mut(&key) {
             granted.heard_at = now;
             granted.grant = None;
+            // The entry lives after all.
+            granted.reclaim_at = None;
             return;
         }
         self.slots.take(running.endpoint, running.class);
--- a/crates/daisynotch_wire/src/frame.rs
+++ b/crates/daisynotch_wire/src/frame.rs
@@ -22,6 +22,8 @@
     pub zone: ZoneName,
     /// Where callers reach the sender.
     pub caller_address: SocketAddr,
+    /// Where other routers reach the sender.
+    pub peer_address: SocketAddr,
 }
 
 impl Hello {
@@ -34,6 +36,7 @@
             },
             zone: ZoneId::from(&self.zone),
             caller_address: self.caller_address,
+            peer_address: self.peer_address,
         }
     }
 }
