--- a/crates/daisynotch/src/commands/demo.rs
+++ b/crates/daisynotch/src/commands/demo.rs
@@ -6,16 +6,24 @@
 
 mod caller;
 mod fleet;
+mod observer;
 mod summary;
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use super::CommandError;
 use crate::printer::Printer;
 use caller::CallerPlan;
 use fleet::Fleet;
+use observer::Observer;
 use summary::Summary;
 
+/// How often the demo says how far it is.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
+
 /// How to run the demo.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct DemoOptions {
@@ -26,9 +34,8 @@
 }
 
 pub(crate) async fn run(options: DemoOptions, printer: &Printer) -> Result<(), CommandError> {
-    let failed = |error: &dyn std::fmt::Display| CommandError::Failed(error.to_string());
     printer.progress("starting a key-value service, 3 routers, 6 engines and a plain service");
-    let fleet = Fleet::start().await.map_err(|error| failed(&error))?;
+    let fleet = Arc::new(Fleet::start().await?);
     printer.progress(&format!(
         "{} teams call for {} s",
         fleet::TEAMS.len(),
@@ -38,9 +45,36 @@
         seed: options.seed,
         length: Duration::from_secs(options.seconds),
     };
-    let tallies = caller::run(&fleet, plan).await;
-    let summary = Summary::new(&fleet, &tallies, options.seconds);
-    printer.result(&summary.to_table(), &summary);
+    let observer = Arc::new(Observer::default());
+    let watch = tokio::spawn(observer::run(Arc::clone(&observer), Arc::clone(&fleet)));
+    let callers = tokio::spawn(caller::run(Arc::clone(&fleet), Arc::clone(&observer), plan));
+    let tallies = show_progress(callers, &observer, printer).await?;
+    watch.abort();
+    // The observer holds the fleet until its task has ended.
+    let _ = watch.await;
+    let summary = Summary::new(&fleet, &observer, &tallies, options.seconds);
+    let fleet = Arc::into_inner(fleet).expect("callers and observer have ended");
     fleet.drain().await;
+    printer.result(&summary.to_table(), &summary);
     summary.verdict().map_err(CommandError::Failed)
 }
+
+/// Waits for the callers and says now and then what they have got so far.
+async fn show_progress(
+    mut callers: tokio::task::JoinHandle<Vec<caller::Tally>>,
+    observer: &Observer,
+    printer: &Printer,
+) -> Result<Vec<caller::Tally>, CommandError> {
+    let started_at = Instant::now();
+    loop {
+        tokio::select! {
+            tallies = &mut callers => {
+                return tallies.map_err(|error| CommandError::Failed(error.to_string()));
+            }
+            () = tokio::time::sleep(PROGRESS_INTERVAL) => {
+                let seconds = started_at.elapsed().as_secs();
+                printer.progress(&format!("{seconds:>4} s  {} tokens", observer.served_tokens()));
+            }
+        }
+    }
+}
--- a/crates/daisynotch/src/commands/demo/fleet.rs
+++ b/crates/daisynotch/src/commands/demo/fleet.rs
@@ -15,8 +15,8 @@
 const ZONES: [&str; 3] = ["sc-a", "sc-b", "sc-c"];
 /// Engines in each zone.
 const ENGINES_PER_ZONE: usize = 2;
-/// Concurrent requests of an engine.
-pub(super) const ENGINE_SLOTS: u32 = 8;
+/// Concurrent requests that an engine runs at full speed.
+pub(super) const ENGINE_BATCH: u32 = 8;
 /// The path prefix of the plain service.
 pub(super) const ORDERS_PATH: &str = "/orders";
 /// How long an order takes.
@@ -27,33 +27,27 @@
 /// A team of the demo and how many requests it keeps open.
 pub(super) struct DemoTeam {
     pub(super) name: &'static str,
+    pub(super) weight: u32,
     pub(super) callers: usize,
 }
 
 /// Teams of uneven size; the largest asks for far more than its part.
 pub(super) const TEAMS: [DemoTeam; 5] = [
-    DemoTeam {
-        name: "mill-large",
-        callers: 96,
-    },
-    DemoTeam {
-        name: "mill-middle",
-        callers: 32,
-    },
-    DemoTeam {
-        name: "tailor-1",
-        callers: 12,
-    },
-    DemoTeam {
-        name: "tailor-2",
-        callers: 12,
-    },
-    DemoTeam {
-        name: "designer",
-        callers: 4,
-    },
+    team("mill-large", 2, 96),
+    team("mill-middle", 1, 48),
+    team("tailor-1", 1, 24),
+    team("tailor-2", 1, 24),
+    team("designer", 1, 2),
 ];
 
+const fn team(name: &'static str, weight: u32, callers: usize) -> DemoTeam {
+    DemoTeam {
+        name,
+        weight,
+        callers,
+    }
+}
+
 /// A running fleet; dropping it ends it.
 pub(super) struct Fleet {
     pub(super) routers: Vec<Daemon>,
@@ -74,9 +68,13 @@
         let key_value = KeyValueStandin::start()
             .await
             .map_err(|error| failed(&error))?;
+        let engine_settings = EngineSettings {
+            batch: ENGINE_BATCH,
+            ..EngineSettings::default()
+        };
         let mut engines = Vec::new();
         for _ in 0..ZONES.len() * ENGINES_PER_ZONE {
-            let engine = Engine::start(EngineSettings::default()).await;
+            let engine = Engine::start(engine_settings).await;
             engines.push(engine.map_err(|error| failed(&error))?);
         }
         let orders = PlainService::start(ORDERS_PATH, ORDER_DURATION).await;
@@ -117,7 +115,7 @@
 
 fn objects(engines: &[Engine], orders: SocketAddr) -> Result<Objects, CommandError> {
     let mut text = format!(
-        "[pool.weaver-llm]\nkind = \"inference\"\nslots = {ENGINE_SLOTS}\n\
+        "[pool.weaver-llm]\nkind = \"inference\"\nslots = {ENGINE_BATCH}\n\
          [pool.orderdesk]\nkind = \"plain\"\n\
          [endpoint.orderdesk-1]\npool = \"orderdesk\"\nzone = \"{}\"\naddress = \"{orders}\"\n\
          [route.weaver]\npool = \"weaver-llm\"\nmodel = \"weaver-llm\"\n\
--- a/crates/daisynotch_router/src/daemon.rs
+++ b/crates/daisynotch_router/src/daemon.rs
@@ -53,6 +53,7 @@
     caller_address: SocketAddr,
     peer_address: SocketAddr,
     entry_keep: Duration,
+    metrics: Arc<Metrics>,
     stop: oneshot::Sender<()>,
     server: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
@@ -130,7 +131,7 @@
             settings,
             core: core.clone(),
             client: EndpointClient::new(EndpointSettings::default()),
-            metrics,
+            metrics: Arc::clone(&metrics),
         });
         let server = tokio::spawn(server::run(callers, api::routes(&app), limits, stopped));
         Ok(Self {
@@ -138,6 +139,7 @@
             caller_address,
             peer_address,
             entry_keep,
+            metrics,
             stop,
             server,
             tasks,
@@ -154,6 +156,11 @@
         self.peer_address
     }
 
+    /// Gives the bytes that it sent to other routers so far.
+    pub fn control_sent_bytes(&self) -> u64 {
+        self.metrics.control_sent_bytes.get()
+    }
+
     /// Says whether it has objects and sees a number of live routers, itself included.
     pub async fn is_ready(&self, routers: usize) -> bool {
         let has_objects = self.core.catalogue().revision > Revision::default();
--- a/crates/daisynotch_standins/src/engine.rs
+++ b/crates/daisynotch_standins/src/engine.rs
@@ -21,6 +21,8 @@
     pub token_gap: Duration,
     /// The tokens of an answer when the request sets no bound.
     pub default_tokens: u32,
+    /// Requests that run at full speed; more of them slow each other down.
+    pub batch: u32,
 }
 
 impl Default for EngineSettings {
@@ -29,6 +31,7 @@
             first_token: Duration::from_millis(20),
             token_gap: Duration::from_millis(2),
             default_tokens: 16,
+            batch: 8,
         }
     }
 }
@@ -88,6 +91,14 @@
     total: u32,
 }
 
+impl RunningAnswer {
+    /// Gives how many times slower the engine runs because of the requests beside this one.
+    fn crowding(&self, batch: u32) -> f64 {
+        let running = self.shared.running.load(Ordering::Relaxed);
+        (f64::from(running) / f64::from(batch.max(1))).max(1.0)
+    }
+}
+
 impl Drop for RunningAnswer {
     fn drop(&mut self) {
         self.shared.running.fetch_sub(1, Ordering::Relaxed);
@@ -186,7 +197,8 @@
     model: &str,
 ) -> Response {
     let decode = settings.token_gap * answer.total.saturating_sub(1);
-    tokio::time::sleep((settings.first_token + decode) * slowdown).await;
+    let crowding = answer.crowding(settings.batch);
+    tokio::time::sleep(((settings.first_token + decode) * slowdown).mul_f64(crowding)).await;
     answer.sent = answer.total;
     answer
         .shared
