Give the demo's objects the weights that its table shows

Cause: the largest team was served at weight 1 though the table said 2, since the objects did not have the weight; ruled out first: the queue itself, which served 2000:1000:1000:1000 in a closed loop of the same callers.

--- a/crates/daisynotch/src/commands/demo/fleet.rs
+++ b/crates/daisynotch/src/commands/demo/fleet.rs
@@ -133,8 +133,8 @@
     for team in &TEAMS {
         let digest = CredentialDigest::of_token(token_of(team.name).as_bytes());
         text.push_str(&format!(
-            "[team.{}]\ncredentials = [\"{digest}\"]\n",
-            team.name
+            "[team.{}]\nweight = {}\ncredentials = [\"{digest}\"]\n",
+            team.name, team.weight
         ));
     }
     text.parse()
--- a/crates/daisynotch/src/commands/demo/observer.rs
+++ b/crates/daisynotch/src/commands/demo/observer.rs
@@ -90,7 +90,11 @@
         (count > 0).then(|| samples.busy_share_sum / count as f64)
     }
 
+    /// Takes a sample; before the first token, schedulers still wait out their takeover.
     fn sample(&self, fleet: &Fleet) {
+        if self.served_tokens() == 0 {
+            return;
+        }
         let now = Instant::now();
         let service: Vec<f64> = (0..TEAMS.len())
             .map(|team| self.weighted_service(team))
