--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -9,6 +9,8 @@
 mod catalogue;
 mod cost;
 mod entry;
+mod host_list;
+mod idempotency;
 mod membership;
 mod message;
 mod node;
@@ -22,6 +24,11 @@
     EndpointId, PoolId, PoolKind, Revision, RouterId, RouterName, TeamId, ZoneId, ZoneName,
 };
 pub use entry::{Dispatch, Entry, EntryEvent, Refusal, RefusalReason, RequestId, RequestSpec};
+pub use host_list::ListedHost;
+pub use idempotency::{
+    ClaimSeq, IdempotencyKey, IdempotencyRecords, IdempotencySettings, KEY_MAX_BYTES, KeyDecision,
+    KeyError, KeyOutcome, KeyPrefix, MintWindow, RequestFingerprint,
+};
 pub use membership::{Introduction, Member, Membership, MembershipSettings};
 pub use message::{
     Grant, Heartbeat, Incarnation, LengthClass, Peer, PeerMessage, PrefixFingerprint, Progress,
