--- a/crates/daisynotch_router/src/daemon.rs
+++ b/crates/daisynotch_router/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use daisynotch_core::{
     Incarnation, Input, MembershipSettings, Node, NodeSettings, Revision, SchedulerSettings,
@@ -56,6 +56,7 @@
     caller_address: SocketAddr,
     peer_address: SocketAddr,
     entry_keep: Duration,
+    metrics: Arc<Metrics>,
     stop: oneshot::Sender<()>,
     server: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
@@ -83,9 +84,10 @@
         let hello = Hello {
             version: PROTOCOL_VERSION,
             router: settings.router.clone(),
-            incarnation: Incarnation(rand::random()),
+            incarnation: next_incarnation(),
             zone: settings.zone.clone(),
             caller_address,
+            peer_address,
         };
         let clock = Clock::start();
         let timers = TimerService::start();
@@ -140,7 +142,7 @@
             settings,
             core: core.clone(),
             client: EndpointClient::new(EndpointSettings::default()),
-            metrics,
+            metrics: Arc::clone(&metrics),
             keys: Keys::new(own, clock, claims),
         });
         let server = tokio::spawn(server::run(callers, api::routes(&app), limits, stopped));
@@ -149,6 +151,7 @@
             caller_address,
             peer_address,
             entry_keep,
+            metrics,
             stop,
             server,
             tasks,
@@ -165,6 +168,11 @@
         self.peer_address
     }
 
+    /// Gives the bytes that it sent to other routers so far.
+    pub fn control_sent_bytes(&self) -> u64 {
+        self.metrics.control_sent_bytes.get()
+    }
+
     /// Says whether it has objects and sees a number of live routers, itself included.
     pub async fn is_ready(&self, routers: usize) -> bool {
         let has_objects = self.core.catalogue().revision > Revision::default();
@@ -206,6 +214,13 @@
     })
 }
 
+/// Numbers this start: a later start of a router has a higher number.
+fn next_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let micros = since_epoch.unwrap_or_default().as_micros();
+    Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
+}
+
 fn local_address(
     key: &'static str,
     listener: &TcpListener,
--- a/crates/daisynotch_wire/src/frame.rs
+++ b/crates/daisynotch_wire/src/frame.rs
@@ -7,7 +7,7 @@
 };
 
 /// The version of the protocol between routers; both sides must have the same.
-pub const PROTOCOL_VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 2;
 
 /// Introduces the side that sends it; the first frame in each direction.
 #[daisynotch_macros::message]
