Find an endpoint's slots by observation and keep room for short work

Long work could hold every slot, an endpoint that was not reached got new work at once, and observations were not used.

Change: each endpoint's limit is judged by 16 samples of first token and token gap: missed targets shrink it in proportion, at most by half; while work waits it grows by an eighth every 250 ms up to 1.5 times the number that the samples allow, and not at all before there are samples. Long work (by hint, then by attained service) keeps to three quarters while short work waits, borrows the rest otherwise, and short work may then exceed the limit by what was borrowed. An endpoint that was not reached is left alone for 250 ms, doubling to 10 s, and probed with one request. A prefix goes where it was served, if a slot is free. The test of a request that did not run expected three attempts at one endpoint in the same instant; it now expects each attempt after its pause and none before it.

--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -384,7 +384,10 @@
         }];
         match reason {
             ReleaseReason::Unreachable => events.extend(self.try_again(request, endpoint, now)),
-            ReleaseReason::Done | ReleaseReason::Failed | ReleaseReason::Unused => {
+            ReleaseReason::Done
+            | ReleaseReason::Failed
+            | ReleaseReason::Unused
+            | ReleaseReason::Cancelled => {
                 self.forget(request);
             }
         }
--- a/crates/daisynotch_core/src/message.rs
+++ b/crates/daisynotch_core/src/message.rs
@@ -93,6 +93,8 @@
     Unreachable,
     /// The grant was not used.
     Unused,
+    /// Another attempt of the same request answered first.
+    Cancelled,
 }
 
 /// Gives a slot back, with what the work cost.
--- a/crates/daisynotch_core/src/node/tests.rs
+++ b/crates/daisynotch_core/src/node/tests.rs
@@ -87,14 +87,23 @@
     assert_eq!(dispatches(&outputs).len(), 1);
 }
 
+/// The only endpoint is left alone for a growing time after each attempt.
 #[test]
 fn a_request_that_did_not_run_is_tried_again_and_then_refused() {
     let mut node = configured(1);
     let (request, mut outputs) = node.admit(spec(&catalogue()), Timestamp(0));
     let request = request.expect("the request is admitted");
-    for _ in 0..3 {
+    let mut now = Timestamp(0);
+    for pause_ms in [250, 500, 0] {
         assert_eq!(dispatches(&outputs).len(), 1);
-        outputs = node.handle(finished(request, ReleaseReason::Unreachable), Timestamp(1));
+        outputs = node.handle(finished(request, ReleaseReason::Unreachable), now);
+        assert!(dispatches(&outputs).is_empty());
+        if pause_ms > 0 {
+            let early = node.handle(Input::Tick, now + Duration::from_millis(pause_ms - 1));
+            assert!(dispatches(&early).is_empty());
+            now = now + Duration::from_millis(pause_ms);
+            outputs = node.handle(Input::Tick, now);
+        }
     }
     assert!(
         matches!(outputs[..], [Output::Refuse { .. }]),
--- a/crates/daisynotch_core/src/scheduler.rs
+++ b/crates/daisynotch_core/src/scheduler.rs
@@ -4,7 +4,11 @@
 //! `docs/design/tickets.md` describes its messages, `docs/design/fairness.md` the
 //! order, `docs/design/slots.md` how many requests an endpoint gets at once.
 
+mod endpoint_health;
+mod length;
+mod prefixes;
 mod queue;
+mod slot_limit;
 mod slots;
 
 use std::collections::HashMap;
@@ -20,8 +24,9 @@
 use crate::time::Timestamp;
 use crate::{EndpointId, TeamId};
 
+use length::LengthJudge;
 use queue::FairQueue;
-use slots::EndpointSlots;
+use slots::{EndpointSlots, LongShare, Seen};
 
 /// How a scheduler judges.
 #[daisynotch_macros::value]
@@ -109,6 +114,7 @@
     grants_from: Timestamp,
     queue: FairQueue,
     slots: EndpointSlots,
+    lengths: LengthJudge,
     waiting: HashMap<TicketKey, Waiting>,
     granted: HashMap<TicketKey, Granted>,
 }
@@ -127,6 +133,7 @@
             grants_from: now + settings.takeover_grace,
             queue: FairQueue::default(),
             slots: EndpointSlots::default(),
+            lengths: LengthJudge::default(),
             waiting: HashMap::new(),
             granted: HashMap::new(),
         };
@@ -201,10 +208,21 @@
         let granted = self.granted.remove(&key).expect("it was found above");
         let cost = match release.reason {
             ReleaseReason::Done | ReleaseReason::Failed => release.cost,
-            ReleaseReason::Unreachable | ReleaseReason::Unused => Cost::default(),
+            ReleaseReason::Unreachable | ReleaseReason::Unused | ReleaseReason::Cancelled => {
+                Cost::default()
+            }
         };
         self.queue
             .correct(granted.team, cost.difference(granted.charged));
+        let seen = Seen {
+            first_token_ms: release.first_token_ms,
+            token_gap_us: release.token_gap_us,
+        };
+        self.slots
+            .on_ended(granted.endpoint, release.reason, seen, now);
+        if release.reason == ReleaseReason::Done {
+            self.lengths.learn(granted.class, cost);
+        }
         self.slots.release(granted.endpoint, granted.class);
         self.fill(now)
     }
@@ -225,6 +243,16 @@
             self.queue.correct(granted.team, more);
             granted.charged = progress.cost;
         }
+        let class = self.lengths.class_of(granted.class, progress.cost);
+        if class != granted.class {
+            granted.class = class;
+            self.slots.lengthen(granted.endpoint);
+        }
+        let seen = Seen {
+            first_token_ms: progress.first_token_ms,
+            token_gap_us: progress.token_gap_us,
+        };
+        self.slots.judge_speed(progress.endpoint, seen, now);
     }
 
     /// Takes in work that runs under a grant which this scheduler may not know.
@@ -318,24 +346,43 @@
         if now < self.grants_from {
             return actions;
         }
-        while let Some(key) = self.queue.peek() {
-            let ticket = &self.waiting[&key].ticket;
-            let Some(endpoint) = self.slots.choose(ticket) else {
+        loop {
+            while let Some((key, endpoint)) = self.next_grant(now) {
+                actions.push(self.grant(key, endpoint, now));
+            }
+            if self.queue.peek().is_none() || !self.slots.grow(now) {
                 break;
-            };
-            actions.push(self.grant(key, endpoint, now));
+            }
         }
         actions
     }
 
+    /// Chooses the next ticket and its endpoint; short work goes round long work that has its share.
+    fn next_grant(&self, now: Timestamp) -> Option<(TicketKey, EndpointId)> {
+        let key = self.queue.peek()?;
+        let choose = |key: &TicketKey, share| {
+            let endpoint = self.slots.choose(&self.waiting[key].ticket, share, now);
+            endpoint.map(|endpoint| (*key, endpoint))
+        };
+        let chosen = choose(&key, LongShare::Kept);
+        if chosen.is_some() || self.waiting[&key].ticket.class == LengthClass::Short {
+            return chosen;
+        }
+        let is_short = |key: &TicketKey| self.waiting[key].ticket.class == LengthClass::Short;
+        match self.queue.first_where(is_short) {
+            Some(short) => choose(&short, LongShare::Kept),
+            None => choose(&key, LongShare::Borrowed),
+        }
+    }
+
     fn grant(&mut self, key: TicketKey, endpoint: EndpointId, now: Timestamp) -> SchedulerAction {
         let waiting = self
             .waiting
             .remove(&key)
             .expect("the queue holds waiting tickets");
         let ticket = waiting.ticket;
-        self.queue.pop(ticket.team, ticket.hint);
-        self.slots.take(endpoint, ticket.class);
+        self.queue.pop(ticket.team, key, ticket.hint);
+        self.slots.grant(endpoint, &ticket, now);
         let waited_before = Duration::from_millis(u64::from(ticket.waited_ms));
         let waited = waited_before + now.since(waiting.received_at);
         let valid = waited + self.settings.grant_validity;
--- a/crates/daisynotch_core/src/scheduler/queue.rs
+++ b/crates/daisynotch_core/src/scheduler/queue.rs
@@ -16,6 +16,9 @@
 /// Virtual time advances by this much for one cost unit at weight 1.
 const VIRTUAL_TIME_SCALE: i128 = 1 << 20;
 
+/// Tickets of a team that may be served before the team's first.
+const LOOK_AHEAD_TICKETS: usize = 16;
+
 #[derive(Debug)]
 struct TeamQueue {
     weight: u32,
@@ -84,12 +87,21 @@
         self.teams[id].tickets.front().copied()
     }
 
-    /// Takes the first ticket of a team and charges the team for it.
-    pub(super) fn pop(&mut self, id: TeamId, charge: Cost) {
+    /// Gives the ticket that is served next of those that `accepts` takes.
+    ///
+    /// Only the first tickets of each team are looked at.
+    pub(super) fn first_where(&self, accepts: impl Fn(&TicketKey) -> bool) -> Option<TicketKey> {
+        let teams = self.order.iter().map(|(_, id)| &self.teams[id].tickets);
+        let mut firsts = teams.flat_map(|tickets| tickets.iter().take(LOOK_AHEAD_TICKETS));
+        firsts.find(|key| accepts(key)).copied()
+    }
+
+    /// Takes a ticket of a team and charges the team for it.
+    pub(super) fn pop(&mut self, id: TeamId, key: TicketKey, charge: Cost) {
         let Some(team) = self.teams.get_mut(&id) else {
             return;
         };
-        team.tickets.pop_front();
+        team.tickets.retain(|ticket| *ticket != key);
         self.order.remove(&(team.virtual_time, id));
         self.floor = self.floor.max(team.virtual_time);
         team.virtual_time += advance(i128::from(charge.0), team.weight);
--- a/crates/daisynotch_core/src/scheduler/queue/tests.rs
+++ b/crates/daisynotch_core/src/scheduler/queue/tests.rs
@@ -21,8 +21,9 @@
 ) -> HashMap<TeamId, usize> {
     let mut served = HashMap::new();
     for _ in 0..count {
-        let team = owners[&queue.peek().expect("a ticket waits")];
-        queue.pop(team, Cost(10));
+        let key = queue.peek().expect("a ticket waits");
+        let team = owners[&key];
+        queue.pop(team, key, Cost(10));
         *served.entry(team).or_default() += 1;
     }
     served
--- a/crates/daisynotch_core/src/scheduler/slots.rs
+++ b/crates/daisynotch_core/src/scheduler/slots.rs
@@ -4,22 +4,71 @@
 
 use std::collections::BTreeMap;
 
-use crate::EndpointId;
 use crate::catalogue::Catalogue;
-use crate::message::{LengthClass, ShardId, Ticket};
+use crate::message::{LengthClass, ReleaseReason, ShardId, Ticket};
+use crate::time::Timestamp;
+use crate::{EndpointId, PoolKind};
+
+use super::endpoint_health::{EndpointHealth, Fitness};
+use super::length::{long_slots, overflow_slots};
+use super::prefixes::Prefixes;
+use super::slot_limit::{Sample, SlotLimit};
+
+/// An endpoint is slow when its gap between tokens is this many times the usual one.
+const SLOW_GAP_FACTOR: u64 = 2;
+/// The weight of the newest gap in the usual one is one part in this many.
+const USUAL_GAP_PARTS: u64 = 32;
+/// A slow endpoint gets this part of its slots, when no other has one.
+const SLOW_PART: u32 = 4;
+
+/// Whether long work may take slots beyond its share.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub(super) enum LongShare {
+    /// Short work waits or may come.
+    Kept,
+    /// Only long work waits, and no slot is left idle.
+    Borrowed,
+}
+
+/// What a request saw of its endpoint.
+#[daisynotch_macros::value]
+#[derive(Copy, Default)]
+pub(super) struct Seen {
+    pub(super) first_token_ms: Option<u32>,
+    pub(super) token_gap_us: Option<u32>,
+}
 
 #[derive(Debug, Clone)]
 struct Slots {
-    limit: u32,
+    limit: SlotLimit,
+    health: EndpointHealth,
     taken: u32,
     taken_long: u32,
     leaving: bool,
 }
 
+impl Slots {
+    /// Gives the slots that work of a class may take, before health is judged.
+    fn open_to(&self, class: LengthClass, share: LongShare) -> bool {
+        let limit = self.limit.get();
+        match class {
+            LengthClass::Short => self.taken < limit + overflow_slots(limit, self.taken_long),
+            LengthClass::Long => {
+                let within_share = self.taken_long < long_slots(limit);
+                self.taken < limit && (within_share || share == LongShare::Borrowed)
+            }
+        }
+    }
+}
+
 /// The slots of a shard's endpoints.
 #[derive(Debug, Default)]
 pub(super) struct EndpointSlots {
     endpoints: BTreeMap<EndpointId, Slots>,
+    prefixes: Prefixes,
+    /// The usual gap between tokens, in parts of a microsecond.
+    usual_gap: u64,
 }
 
 impl EndpointSlots {
@@ -33,8 +82,9 @@
         };
         for id in pool.shards.get(&shard.zone).into_iter().flatten() {
             let leaving = catalogue.endpoints[id].leaving;
-            let slots = self.endpoints.entry(*id).or_insert(Slots {
-                limit: pool.slots,
+            let slots = self.endpoints.entry(*id).or_insert_with(|| Slots {
+                limit: SlotLimit::new(pool.slots, pool.kind == PoolKind::Inference),
+                health: EndpointHealth::default(),
                 taken: 0,
                 taken_long: 0,
                 leaving,
@@ -50,22 +100,72 @@
         self.endpoints.contains_key(&id)
     }
 
-    /// Chooses the least loaded endpoint with a free slot; long work is spread first.
-    pub(super) fn choose(&self, ticket: &Ticket) -> Option<EndpointId> {
-        let is_free = |slots: &Slots| !slots.leaving && slots.taken < slots.limit;
-        let load = |slots: &Slots| (slots.taken * 1_000) / slots.limit.max(1);
+    /// Chooses an endpoint with a free slot: a good one, one that has the prefix, the least loaded.
+    pub(super) fn choose(
+        &self,
+        ticket: &Ticket,
+        share: LongShare,
+        now: Timestamp,
+    ) -> Option<EndpointId> {
+        let trusts_health = self.trusts_health(now);
+        let cached = ticket
+            .prefix
+            .and_then(|prefix| self.prefixes.endpoint_of(prefix));
         let long = |slots: &Slots| match ticket.class {
             LengthClass::Short => 0,
             LengthClass::Long => slots.taken_long,
         };
         let rank = |id: EndpointId, slots: &Slots| {
-            (ticket.avoid == Some(id), long(slots), load(slots), id)
+            let fitness = slots.health.fitness(now);
+            let fitness = if trusts_health {
+                fitness
+            } else {
+                Fitness::Good
+            };
+            let load = slots.taken * 1_000 / slots.limit.get();
+            let is_avoided = ticket.avoid == Some(id);
+            (
+                fitness,
+                is_avoided,
+                cached != Some(id),
+                long(slots),
+                load,
+                id,
+            )
+        };
+        let is_free = |slots: &Slots| {
+            let has_room = match slots.health.fitness(now) {
+                Fitness::Good => true,
+                Fitness::Slow => {
+                    !trusts_health || slots.taken < slots.limit.get().div_ceil(SLOW_PART)
+                }
+                Fitness::Unreachable => false,
+            };
+            !slots.leaving && has_room && slots.open_to(ticket.class, share)
         };
         let free = self.endpoints.iter().filter(|(_, slots)| is_free(slots));
         free.min_by_key(|(id, slots)| rank(**id, slots))
             .map(|(id, _)| *id)
     }
 
+    /// Says whether slowness tells endpoints apart: when most are slow, it is the load.
+    fn trusts_health(&self, now: Timestamp) -> bool {
+        let is_slow = |slots: &&Slots| slots.health.fitness(now) == Fitness::Slow;
+        let slow = self.endpoints.values().filter(is_slow).count();
+        slow * 2 <= self.endpoints.len()
+    }
+
+    /// Takes a slot for a ticket.
+    pub(super) fn grant(&mut self, id: EndpointId, ticket: &Ticket, now: Timestamp) {
+        if let Some(prefix) = ticket.prefix {
+            self.prefixes.remember(prefix, id);
+        }
+        if let Some(slots) = self.endpoints.get_mut(&id) {
+            slots.health.on_granted(now);
+        }
+        self.take(id, ticket.class);
+    }
+
     /// Takes a slot, also one beyond the limit when the work runs already.
     pub(super) fn take(&mut self, id: EndpointId, class: LengthClass) {
         let Some(slots) = self.endpoints.get_mut(&id) else {
@@ -77,6 +177,13 @@
         }
     }
 
+    /// Counts work that holds a slot as long from now on.
+    pub(super) fn lengthen(&mut self, id: EndpointId) {
+        if let Some(slots) = self.endpoints.get_mut(&id) {
+            slots.taken_long += 1;
+        }
+    }
+
     /// Frees a slot.
     pub(super) fn release(&mut self, id: EndpointId, class: LengthClass) {
         let Some(slots) = self.endpoints.get_mut(&id) else {
@@ -87,4 +194,87 @@
             slots.taken_long = slots.taken_long.saturating_sub(1);
         }
     }
+
+    /// Takes in how a dispatch ended, before its slot is freed.
+    pub(super) fn on_ended(
+        &mut self,
+        id: EndpointId,
+        reason: ReleaseReason,
+        seen: Seen,
+        now: Timestamp,
+    ) {
+        match reason {
+            ReleaseReason::Unreachable => self.with_health(id, |health| health.on_unreachable(now)),
+            ReleaseReason::Unused | ReleaseReason::Cancelled => {
+                self.with_health(id, |health| health.on_no_news(now));
+            }
+            ReleaseReason::Done | ReleaseReason::Failed => {
+                self.with_health(id, EndpointHealth::on_reached);
+                self.learn(id, seen, now);
+            }
+        }
+    }
+
+    /// Takes in a whole request's mean; what a slow moment stretched says nothing of the load.
+    fn learn(&mut self, id: EndpointId, seen: Seen, now: Timestamp) {
+        if self.trusts_health(now) && self.is_slow_gap(seen) {
+            return;
+        }
+        self.learn_usual_gap(seen);
+        let Some(slots) = self.endpoints.get_mut(&id) else {
+            return;
+        };
+        let sample = Sample {
+            first_token_ms: seen.first_token_ms,
+            token_gap_us: seen.token_gap_us,
+            running: slots.taken,
+        };
+        slots.limit.observe(sample, now);
+    }
+
+    /// Takes in what a running request sees of its endpoint now, nothing yet included.
+    pub(super) fn judge_speed(&mut self, id: EndpointId, seen: Seen, now: Timestamp) {
+        let is_silent = seen.first_token_ms.is_none() && seen.token_gap_us.is_none();
+        if is_silent || self.is_slow_gap(seen) {
+            self.with_health(id, |health| health.on_slow(now));
+        } else if seen.token_gap_us.is_some() {
+            self.with_health(id, EndpointHealth::on_good);
+        }
+    }
+
+    fn is_slow_gap(&self, seen: Seen) -> bool {
+        let usual = self.usual_gap / USUAL_GAP_PARTS;
+        let gap = seen.token_gap_us.map_or(0, u64::from);
+        usual > 0 && gap > usual * SLOW_GAP_FACTOR
+    }
+
+    fn learn_usual_gap(&mut self, seen: Seen) {
+        let Some(gap) = seen.token_gap_us.map(u64::from) else {
+            return;
+        };
+        self.usual_gap = match self.usual_gap / USUAL_GAP_PARTS {
+            0 => gap * USUAL_GAP_PARTS,
+            usual => self.usual_gap - usual + gap,
+        };
+    }
+
+    fn with_health(&mut self, id: EndpointId, step: impl FnOnce(&mut EndpointHealth)) {
+        if let Some(slots) = self.endpoints.get_mut(&id) {
+            step(&mut slots.health);
+        }
+    }
+
+    /// Lets full endpoints grow, as work waits; says whether one did.
+    pub(super) fn grow(&mut self, now: Timestamp) -> bool {
+        let mut has_grown = false;
+        for slots in self.endpoints.values_mut() {
+            if slots.taken >= slots.limit.get() && !slots.health.is_paused() {
+                has_grown |= slots.limit.grow(now);
+            }
+        }
+        has_grown
+    }
 }
+
+#[cfg(test)]
+mod tests;
