Probe an endpoint without others sooner

Cause: a pool whose only endpoint is down let calls wait for the growing pause until their queue time ended, and said so late; the daemon's test of calls that reached no endpoint saw the queue's time out in place of the true reason.

Change: the pause protects other endpoints' traffic, so that it stays at 250 ms where no endpoint of the shard was reached.

--- a/crates/daisynotch_core/src/node/tests.rs
+++ b/crates/daisynotch_core/src/node/tests.rs
@@ -87,14 +87,14 @@
     assert_eq!(dispatches(&outputs).len(), 1);
 }
 
-/// The only endpoint is left alone for a growing time after each attempt.
+/// The only endpoint is left alone for a short time after each attempt.
 #[test]
 fn a_request_that_did_not_run_is_tried_again_and_then_refused() {
     let mut node = configured(1);
     let (request, mut outputs) = node.admit(spec(&catalogue()), Timestamp(0));
     let request = request.expect("the request is admitted");
     let mut now = Timestamp(0);
-    for pause_ms in [250, 500, 0] {
+    for pause_ms in [250, 250, 0] {
         assert_eq!(dispatches(&outputs).len(), 1);
         outputs = node.handle(finished(request, ReleaseReason::Unreachable), now);
         assert!(dispatches(&outputs).is_empty());
--- a/crates/daisynotch_core/src/scheduler/endpoint_health.rs
+++ b/crates/daisynotch_core/src/scheduler/endpoint_health.rs
@@ -31,12 +31,18 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Pause {
     fitness: Fitness,
+    began: Timestamp,
     length: Duration,
-    until: Timestamp,
     /// When one request was granted to find out.
     probed_at: Option<Timestamp>,
 }
 
+impl Pause {
+    fn is_over(&self, now: Timestamp) -> bool {
+        now.since(self.began) >= self.length
+    }
+}
+
 /// What is known of one endpoint.
 #[derive(Debug, Clone, Default)]
 pub(super) struct EndpointHealth {
@@ -46,13 +52,31 @@
 impl EndpointHealth {
     /// Says how the endpoint may be used.
     pub(super) fn fitness(&self, now: Timestamp) -> Fitness {
-        let Some(pause) = self.pause.filter(|pause| pause.until <= now) else {
-            return self.pause.map_or(Fitness::Good, |pause| pause.fitness);
+        self.fitness_after(now, UNREACHABLE_PAUSE_MAX)
+    }
+
+    /// Says the same when no other endpoint is left: then a probe is due sooner.
+    pub(super) fn fitness_alone(&self, now: Timestamp) -> Fitness {
+        self.fitness_after(now, UNREACHABLE_PAUSE_MIN)
+    }
+
+    fn fitness_after(&self, now: Timestamp, pause_max: Duration) -> Fitness {
+        let Some(pause) = self.pause else {
+            return Fitness::Good;
         };
-        match pause.probed_at {
-            Some(at) if now.since(at) < PROBE_QUIET => pause.fitness,
-            Some(_) | None => Fitness::Good,
+        let is_probed = pause
+            .probed_at
+            .is_some_and(|at| now.since(at) < PROBE_QUIET);
+        if is_probed || now.since(pause.began) < pause.length.min(pause_max) {
+            return pause.fitness;
         }
+        Fitness::Good
+    }
+
+    /// Says whether the endpoint was not reached last time.
+    pub(super) fn is_unreachable(&self) -> bool {
+        self.pause
+            .is_some_and(|pause| pause.fitness == Fitness::Unreachable)
     }
 
     /// Says whether the endpoint is paused, also when a probe is due.
@@ -63,7 +87,7 @@
     /// Takes in that a request was granted a slot here.
     pub(super) fn on_granted(&mut self, now: Timestamp) {
         if let Some(pause) = &mut self.pause
-            && pause.until <= now
+            && (pause.fitness == Fitness::Unreachable || pause.is_over(now))
         {
             pause.probed_at.get_or_insert(now);
         }
@@ -102,11 +126,11 @@
     }
 
     /// Takes in that a slot was given back without news of the endpoint.
-    pub(super) fn on_no_news(&mut self, now: Timestamp) {
+    pub(super) fn on_no_news(&mut self) {
         if let Some(pause) = &mut self.pause
             && pause.probed_at.take().is_some()
         {
-            pause.until = now;
+            pause.length = Duration::ZERO;
         }
     }
 
@@ -114,14 +138,16 @@
     fn extend(&mut self, fitness: Fitness, min: Duration, max: Duration, now: Timestamp) {
         let length = match self.pause {
             Some(pause) if pause.fitness != fitness => min,
-            Some(pause) if pause.until <= now => (pause.length * 2).min(max),
+            Some(pause) if pause.probed_at.is_some() || pause.is_over(now) => {
+                (pause.length * 2).clamp(min, max)
+            }
             Some(_) => return,
             None => min,
         };
         self.pause = Some(Pause {
             fitness,
             length,
-            until: now + length,
+            began: now,
             probed_at: None,
         });
     }
--- a/crates/daisynotch_core/src/scheduler/endpoint_health/tests.rs
+++ b/crates/daisynotch_core/src/scheduler/endpoint_health/tests.rs
@@ -37,10 +37,26 @@
     let mut health = EndpointHealth::default();
     health.on_unreachable(at(0));
     health.on_granted(at(250));
-    health.on_no_news(at(300));
+    health.on_no_news();
     assert_eq!(health.fitness(at(300)), Fitness::Good);
 }
 
+#[test]
+fn an_endpoint_without_others_is_probed_at_the_shortest_time() {
+    let mut health = EndpointHealth::default();
+    for time_ms in [0, 250, 500] {
+        health.on_granted(at(time_ms));
+        health.on_unreachable(at(time_ms));
+        assert_eq!(
+            health.fitness_alone(at(time_ms + 249)),
+            Fitness::Unreachable
+        );
+        assert_eq!(health.fitness_alone(at(time_ms + 250)), Fitness::Good);
+    }
+    assert_eq!(health.fitness(at(1_499)), Fitness::Unreachable);
+    assert_eq!(health.fitness(at(1_500)), Fitness::Good);
+}
+
 #[test]
 fn a_slow_endpoint_is_good_again_with_the_first_good_news() {
     let mut health = EndpointHealth::default();
--- a/crates/daisynotch_core/src/scheduler/slots.rs
+++ b/crates/daisynotch_core/src/scheduler/slots.rs
@@ -108,6 +108,11 @@
         now: Timestamp,
     ) -> Option<EndpointId> {
         let trusts_health = self.trusts_health(now);
+        let none_reachable = self.is_none_reachable();
+        let fitness_of = |slots: &Slots| match none_reachable {
+            true => slots.health.fitness_alone(now),
+            false => slots.health.fitness(now),
+        };
         let cached = ticket
             .prefix
             .and_then(|prefix| self.prefixes.endpoint_of(prefix));
@@ -116,7 +121,7 @@
             LengthClass::Long => slots.taken_long,
         };
         let rank = |id: EndpointId, slots: &Slots| {
-            let fitness = slots.health.fitness(now);
+            let fitness = fitness_of(slots);
             let fitness = if trusts_health {
                 fitness
             } else {
@@ -134,7 +139,7 @@
             )
         };
         let is_free = |slots: &Slots| {
-            let has_room = match slots.health.fitness(now) {
+            let has_room = match fitness_of(slots) {
                 Fitness::Good => true,
                 Fitness::Slow => {
                     !trusts_health || slots.taken < slots.limit.get().div_ceil(SLOW_PART)
@@ -155,6 +160,11 @@
         slow * 2 <= self.endpoints.len()
     }
 
+    fn is_none_reachable(&self) -> bool {
+        let mut staying = self.endpoints.values().filter(|slots| !slots.leaving);
+        staying.all(|slots| slots.health.is_unreachable())
+    }
+
     /// Takes a slot for a ticket.
     pub(super) fn grant(&mut self, id: EndpointId, ticket: &Ticket, now: Timestamp) {
         if let Some(prefix) = ticket.prefix {
@@ -206,7 +216,7 @@
         match reason {
             ReleaseReason::Unreachable => self.with_health(id, |health| health.on_unreachable(now)),
             ReleaseReason::Unused | ReleaseReason::Cancelled => {
-                self.with_health(id, |health| health.on_no_news(now));
+                self.with_health(id, EndpointHealth::on_no_news);
             }
             ReleaseReason::Done | ReleaseReason::Failed => {
                 self.with_health(id, EndpointHealth::on_reached);
