Compare sets of objects and cut a revision into chunks

Cause: the objects were one value, and an operator's file replaced all of them.

Conclusion: the pieces that the store and the commands need.

--- /dev/null
+++ b/crates/daisynotch_objects/src/snapshot.rs
@@ -0,0 +1,231 @@
+//! One revision of the objects, cut into chunks that are named by their content.
+//!
+//! An object's bucket follows from its kind and name alone, so that a change of one
+//! object rewrites one chunk. The digest over all chunks tells whether two routers
+//! hold the same objects. See `docs/design/configuration.md`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::document::Objects;
+use crate::edit::{Edit, EditError, for_each_kind};
+use crate::error::{ObjectKind, ObjectRef, ParseError};
+use crate::ids::Revision;
+
+/// Chunks of teams: 20,000 teams make about 1,250 a chunk.
+const TEAM_BUCKETS: u64 = 16;
+/// Chunks of endpoints: 6,600 endpoints make about 830 a chunk.
+const ENDPOINT_BUCKETS: u64 = 8;
+/// Chunks of every other kind, which has few objects.
+const OTHER_BUCKETS: u64 = 1;
+
+/// The SHA-256 of some content, written as 64 hexadecimal digits.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct ContentDigest([u8; 32]);
+
+/// Why a text is not a digest.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("`{0}` is not a digest of 64 hexadecimal digits")]
+pub struct ContentDigestError(String);
+
+impl ContentDigest {
+    /// Takes the digest of some content.
+    pub fn of(content: &[u8]) -> Self {
+        Self(Sha256::digest(content).into())
+    }
+}
+
+impl fmt::Display for ContentDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for ContentDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for ContentDigest {
+    type Err = ContentDigestError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || ContentDigestError(text.to_owned());
+        if text.len() != 64 || !text.is_ascii() {
+            return Err(error());
+        }
+        let mut bytes = [0; 32];
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            let digits = &text[2 * index..2 * index + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| error())?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+impl TryFrom<String> for ContentDigest {
+    type Error = ContentDigestError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<ContentDigest> for String {
+    fn from(digest: ContentDigest) -> Self {
+        digest.to_string()
+    }
+}
+
+/// The part of the objects that is stored in one chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Bucket {
+    /// The kind of its objects.
+    pub kind: ObjectKind,
+    /// Its number within the kind.
+    pub index: u16,
+}
+
+impl Bucket {
+    /// Gives the bucket of an object.
+    pub fn of(kind: ObjectKind, name: &str) -> Self {
+        let buckets = match kind {
+            ObjectKind::Team => TEAM_BUCKETS,
+            ObjectKind::Endpoint => ENDPOINT_BUCKETS,
+            ObjectKind::Share
+            | ObjectKind::Pool
+            | ObjectKind::Route
+            | ObjectKind::Limits
+            | ObjectKind::ServiceLevel => OTHER_BUCKETS,
+        };
+        let index = xxh3_64(name.as_bytes()) % buckets;
+        Self {
+            kind,
+            index: index as u16,
+        }
+    }
+}
+
+/// The content of one chunk.
+#[daisynotch_macros::value]
+pub struct Chunk {
+    /// The bucket whose objects it holds.
+    pub bucket: Bucket,
+    /// The digest of its text.
+    pub digest: ContentDigest,
+    /// The objects, in TOML.
+    pub text: String,
+}
+
+/// Objects of one revision with the digests of their chunks.
+#[daisynotch_macros::value]
+#[derive(Default)]
+pub struct Snapshot {
+    /// The revision; zero when nothing was ever published.
+    pub revision: Revision,
+    /// The objects.
+    pub objects: Objects,
+    /// The digest of every chunk that holds an object.
+    pub chunks: BTreeMap<Bucket, ContentDigest>,
+}
+
+impl Snapshot {
+    /// Cuts objects into chunks.
+    pub fn new(revision: Revision, objects: Objects) -> Result<Self, ParseError> {
+        let chunks = split(&objects, |_| true)?;
+        let chunks = chunks.iter().map(|chunk| (chunk.bucket, chunk.digest));
+        Ok(Self {
+            revision,
+            chunks: chunks.collect(),
+            objects,
+        })
+    }
+
+    /// Gives the revision that an edit makes of this one.
+    ///
+    /// Only the chunks that the edit touches are written again.
+    pub fn edited(&self, revision: Revision, edit: &Edit) -> Result<Self, SnapshotError> {
+        let objects = edit.apply(&self.objects)?;
+        let touched: BTreeSet<Bucket> = edit.objects().iter().map(bucket_of).collect();
+        let mut chunks = self.chunks.clone();
+        chunks.retain(|bucket, _| !touched.contains(bucket));
+        for chunk in split(&objects, |bucket| touched.contains(&bucket))? {
+            chunks.insert(chunk.bucket, chunk.digest);
+        }
+        Ok(Self {
+            revision,
+            objects,
+            chunks,
+        })
+    }
+
+    /// Gives the chunks whose content differs from another revision's, with their text.
+    pub fn chunks_not_in(&self, base: &Self) -> Result<Vec<Chunk>, ParseError> {
+        let is_new = |bucket| base.chunks.get(&bucket) != self.chunks.get(&bucket);
+        split(&self.objects, is_new)
+    }
+
+    /// Gives the digest over the revision's number and all chunks.
+    pub fn digest(&self) -> ContentDigest {
+        let mut hash = Sha256::new();
+        hash.update(self.revision.0.to_le_bytes());
+        for (bucket, digest) in &self.chunks {
+            hash.update(bucket.kind.to_string());
+            hash.update(bucket.index.to_le_bytes());
+            hash.update(digest.0);
+        }
+        ContentDigest(hash.finalize().into())
+    }
+}
+
+/// Why an edit makes no revision.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SnapshotError {
+    /// The edit does not fit the objects.
+    #[error(transparent)]
+    Edit(#[from] EditError),
+    /// The objects can't be written as TOML.
+    #[error(transparent)]
+    Parse(#[from] ParseError),
+}
+
+fn bucket_of(object: &ObjectRef) -> Bucket {
+    Bucket::of(object.kind, &object.name)
+}
+
+/// Writes the chunks of the wanted buckets.
+fn split(objects: &Objects, is_wanted: impl Fn(Bucket) -> bool) -> Result<Vec<Chunk>, ParseError> {
+    let mut parts: BTreeMap<Bucket, Objects> = BTreeMap::new();
+    macro_rules! split_kind {
+        ($map:ident, $kind:expr) => {
+            for (name, object) in &objects.$map {
+                let bucket = Bucket::of($kind, name.as_str());
+                if is_wanted(bucket) {
+                    let part = parts.entry(bucket).or_default();
+                    part.$map.insert(name.clone(), object.clone());
+                }
+            }
+        };
+    }
+    for_each_kind!(split_kind);
+    parts.into_iter().map(write_chunk).collect()
+}
+
+fn write_chunk((bucket, part): (Bucket, Objects)) -> Result<Chunk, ParseError> {
+    let text = part.to_toml()?;
+    Ok(Chunk {
+        bucket,
+        digest: ContentDigest::of(text.as_bytes()),
+        text,
+    })
+}
+
+#[cfg(test)]
+mod tests;
