Store the objects in chunks and settle lost answers by the change's mark

Cause: one head value held all objects, which 20,000 teams don't fit, and a writer whose answer was lost looked only at the newest change: a change that landed and was built upon at once was reported as a conflict.

Change: chunks named by digest are written first, the head by one compare-and-swap on the old head and on the presence of each new chunk. While the head is still the old one the same write is sent again, since the first may still arrive. What can't be known within the retries is said to be unknown. Chunks that no recent revision names are removed under the condition that the head is unchanged. All calls go through a client that counts them by use; retries have jitter and a budget.

--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -6,6 +6,7 @@
 //! here waits, the same code runs in the daemon, in the model checker and under
 //! the policy benchmark. See `docs/ARCHITECTURE.md`.
 
+mod backoff;
 mod catalogue;
 mod cost;
 mod entry;
@@ -17,6 +18,7 @@
 mod scheduler;
 mod time;
 
+pub use backoff::{Backoff, BackoffSettings, jittered};
 pub use catalogue::{Catalogue, EndpointView, PoolView, RequestLimits, RouteView, TeamView};
 pub use cost::Cost;
 pub use daisynotch_objects::{
--- a/crates/daisynotch_objects/src/snapshot.rs
+++ b/crates/daisynotch_objects/src/snapshot.rs
@@ -166,6 +166,44 @@
         })
     }
 
+    /// Gives the revision that has other chunks than this one.
+    ///
+    /// `fetched` holds the content of every chunk that this revision doesn't have.
+    #[must_use]
+    pub fn with_chunks(
+        &self,
+        revision: Revision,
+        chunks: BTreeMap<Bucket, ContentDigest>,
+        fetched: Vec<Objects>,
+    ) -> Self {
+        let mut objects = self.objects.clone();
+        let is_kept = |bucket: Bucket| {
+            let known = self.chunks.get(&bucket);
+            known.is_some() && known == chunks.get(&bucket)
+        };
+        macro_rules! replace_kind {
+            ($map:ident, $kind:expr) => {
+                objects
+                    .$map
+                    .retain(|name, _| is_kept(Bucket::of($kind, name.as_str())));
+            };
+        }
+        for_each_kind!(replace_kind);
+        for part in fetched {
+            macro_rules! add_kind {
+                ($map:ident, $kind:expr) => {
+                    objects.$map.extend(part.$map);
+                };
+            }
+            for_each_kind!(add_kind);
+        }
+        Self {
+            revision,
+            objects,
+            chunks,
+        }
+    }
+
     /// Gives the chunks whose content differs from another revision's, with their text.
     pub fn chunks_not_in(&self, base: &Self) -> Result<Vec<Chunk>, ParseError> {
         let is_new = |bucket| base.chunks.get(&bucket) != self.chunks.get(&bucket);
--- a/crates/daisynotch_platform/src/key_value.rs
+++ b/crates/daisynotch_platform/src/key_value.rs
@@ -4,7 +4,9 @@
 //! `/v3/kv/txn` compares and swaps. Keys and values travel as base64, 64-bit
 //! numbers as text.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use base64::Engine;
@@ -57,16 +59,96 @@
 }
 
 /// Talks to one address of the service.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct KeyValueClient {
     address: SocketAddr,
     timeout: Duration,
     client: Client<HttpConnector, Full<Bytes>>,
+    call_use: KeyValueUse,
+    observer: Option<CallObserver>,
+}
+
+impl fmt::Debug for KeyValueClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("KeyValueClient")
+            .field("address", &self.address)
+            .field("call_use", &self.call_use)
+            .finish_non_exhaustive()
+    }
+}
+
+/// What a call is made for; each use is counted by itself.
+#[daisynotch_macros::value]
+#[derive(Copy, PartialOrd, Ord, Hash)]
+pub enum KeyValueUse {
+    /// The value that names the newest revision of the objects.
+    ConfigurationHead,
+    /// A part of the objects.
+    ConfigurationChunk,
+    /// Anything else.
+    Other,
+}
+
+impl fmt::Display for KeyValueUse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::ConfigurationHead => "configuration_head",
+            Self::ConfigurationChunk => "configuration_chunk",
+            Self::Other => "other",
+        })
+    }
+}
+
+/// How a call ended, for counting.
+#[daisynotch_macros::value]
+#[derive(Copy, PartialOrd, Ord, Hash)]
+pub enum CallResult {
+    /// It was answered.
+    Ok,
+    /// No connection could be made.
+    Unreachable,
+    /// It was sent and not answered.
+    NoAnswer,
+}
+
+impl fmt::Display for CallResult {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Ok => "ok",
+            Self::Unreachable => "unreachable",
+            Self::NoAnswer => "no_answer",
+        })
+    }
+}
+
+/// Learns of every call.
+pub type CallObserver = Arc<dyn Fn(KeyValueUse, CallResult) + Send + Sync>;
+
+/// What must hold for a transaction to take effect.
+#[daisynotch_macros::value]
+pub enum Condition {
+    /// A key was last changed by this write; zero means that it is absent.
+    LastWrite(String, ModRevision),
+    /// A key is there.
+    Exists(String),
+}
+
+/// A write of a transaction.
+#[daisynotch_macros::value]
+pub enum Write {
+    /// Sets a key.
+    Put(String, Bytes),
+    /// Removes a key.
+    Delete(String),
 }
 
 #[derive(Serialize)]
 struct RangeRequest {
     key: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    range_end: Option<String>,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    keys_only: bool,
 }
 
 #[derive(Deserialize, Default)]
@@ -77,6 +159,7 @@
 
 #[derive(Deserialize)]
 struct KeyValue {
+    key: String,
     #[serde(default)]
     value: String,
     mod_revision: String,
@@ -84,8 +167,8 @@
 
 #[derive(Serialize)]
 struct TxnRequest {
-    compare: [Compare; 1],
-    success: [RequestOp; 1],
+    compare: Vec<Compare>,
+    success: Vec<RequestOp>,
     failure: [RequestOp; 0],
 }
 
@@ -94,18 +177,17 @@
     key: String,
     target: &'static str,
     result: &'static str,
-    mod_revision: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    mod_revision: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    create_revision: Option<String>,
 }
 
 #[derive(Serialize)]
-struct RequestOp {
-    request_put: PutRequest,
-}
-
-#[derive(Serialize)]
-struct PutRequest {
-    key: String,
-    value: String,
+#[serde(rename_all = "snake_case")]
+enum RequestOp {
+    RequestPut { key: String, value: String },
+    RequestDeleteRange { key: String },
 }
 
 #[derive(Deserialize)]
@@ -126,12 +208,36 @@
             address,
             timeout,
             client: builder.build(connector),
+            call_use: KeyValueUse::Other,
+            observer: None,
+        }
+    }
+
+    /// Gives the same client for one use.
+    #[must_use]
+    pub fn for_use(&self, call_use: KeyValueUse) -> Self {
+        Self {
+            call_use,
+            ..self.clone()
+        }
+    }
+
+    /// Tells an observer of every call from now on.
+    #[must_use]
+    pub fn observed(&self, observer: CallObserver) -> Self {
+        Self {
+            observer: Some(observer),
+            ..self.clone()
         }
     }
 
     /// Reads a key.
     pub async fn get(&self, key: &str) -> Result<Option<StoredValue>, KeyValueError> {
-        let request = RangeRequest { key: encode(key) };
+        let request = RangeRequest {
+            key: encode(key),
+            range_end: None,
+            keys_only: false,
+        };
         let response: RangeResponse = self.call("/v3/kv/range", &request).await?;
         response
             .kvs
@@ -141,6 +247,22 @@
             .transpose()
     }
 
+    /// Lists the keys that start with a prefix.
+    pub async fn list_keys(&self, prefix: &str) -> Result<Vec<String>, KeyValueError> {
+        let request = RangeRequest {
+            key: encode(prefix),
+            range_end: Some(BASE64_STANDARD.encode(prefix_end(prefix))),
+            keys_only: true,
+        };
+        let response: RangeResponse = self.call("/v3/kv/range", &request).await?;
+        let decode = |kv: KeyValue| {
+            let key = BASE64_STANDARD.decode(&kv.key);
+            let key = key.map_err(|error| self.no_answer(error))?;
+            String::from_utf8(key).map_err(|error| self.no_answer(error))
+        };
+        response.kvs.into_iter().map(decode).collect()
+    }
+
     /// Writes a key if its last write is still the expected one.
     ///
     /// Gives whether the write took effect. [`KeyValueError::NoAnswer`] leaves that
@@ -151,19 +273,22 @@
         expected: ModRevision,
         value: &[u8],
     ) -> Result<bool, KeyValueError> {
-        let compare = Compare {
-            key: encode(key),
-            target: "MOD",
-            result: "EQUAL",
-            mod_revision: expected.to_string(),
-        };
-        let request_put = PutRequest {
-            key: encode(key),
-            value: BASE64_STANDARD.encode(value),
-        };
+        let condition = Condition::LastWrite(key.to_owned(), expected);
+        let write = Write::Put(key.to_owned(), Bytes::copy_from_slice(value));
+        self.transact(&[condition], &[write]).await
+    }
+
+    /// Makes all writes at once if every condition holds.
+    ///
+    /// Gives whether they took effect. [`KeyValueError::NoAnswer`] leaves that open.
+    pub async fn transact(
+        &self,
+        conditions: &[Condition],
+        writes: &[Write],
+    ) -> Result<bool, KeyValueError> {
         let request = TxnRequest {
-            compare: [compare],
-            success: [RequestOp { request_put }],
+            compare: conditions.iter().map(compare).collect(),
+            success: writes.iter().map(request_op).collect(),
             failure: [],
         };
         let response: TxnResponse = self.call("/v3/kv/txn", &request).await?;
@@ -174,6 +299,23 @@
         &self,
         path: &str,
         request: &impl Serialize,
+    ) -> Result<R, KeyValueError> {
+        let response = self.call_uncounted(path, request).await;
+        let result = match &response {
+            Ok(_) => CallResult::Ok,
+            Err(KeyValueError::Unreachable { .. }) => CallResult::Unreachable,
+            Err(KeyValueError::NoAnswer { .. }) => CallResult::NoAnswer,
+        };
+        if let Some(observer) = &self.observer {
+            observer(self.call_use, result);
+        }
+        response
+    }
+
+    async fn call_uncounted<R: DeserializeOwned>(
+        &self,
+        path: &str,
+        request: &impl Serialize,
     ) -> Result<R, KeyValueError> {
         let body = serde_json::to_vec(request).expect("requests are plain data");
         let request = Request::builder()
@@ -223,14 +365,14 @@
         })
     }
 
-    fn unreachable(&self, reason: impl std::fmt::Display) -> KeyValueError {
+    fn unreachable(&self, reason: impl fmt::Display) -> KeyValueError {
         KeyValueError::Unreachable {
             address: self.address,
             reason: reason.to_string(),
         }
     }
 
-    fn no_answer(&self, reason: impl std::fmt::Display) -> KeyValueError {
+    fn no_answer(&self, reason: impl fmt::Display) -> KeyValueError {
         KeyValueError::NoAnswer {
             address: self.address,
             reason: reason.to_string(),
@@ -241,3 +383,42 @@
 fn encode(key: &str) -> String {
     BASE64_STANDARD.encode(key)
 }
+
+/// Gives the first key after all that start with a prefix.
+fn prefix_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    if let Some(last) = end.last_mut() {
+        // The prefixes in use end in an ASCII character, so this can't overflow.
+        *last += 1;
+    }
+    end
+}
+
+fn compare(condition: &Condition) -> Compare {
+    match condition {
+        Condition::LastWrite(key, expected) => Compare {
+            key: encode(key),
+            target: "MOD",
+            result: "EQUAL",
+            mod_revision: Some(expected.to_string()),
+            create_revision: None,
+        },
+        Condition::Exists(key) => Compare {
+            key: encode(key),
+            target: "CREATE",
+            result: "GREATER",
+            mod_revision: None,
+            create_revision: Some("0".to_owned()),
+        },
+    }
+}
+
+fn request_op(write: &Write) -> RequestOp {
+    match write {
+        Write::Put(key, value) => RequestOp::RequestPut {
+            key: encode(key),
+            value: BASE64_STANDARD.encode(value),
+        },
+        Write::Delete(key) => RequestOp::RequestDeleteRange { key: encode(key) },
+    }
+}
--- a/crates/daisynotch_platform/src/lib.rs
+++ b/crates/daisynotch_platform/src/lib.rs
@@ -9,7 +9,13 @@
 mod host_list;
 mod key_value;
 
-pub use config_store::{ChangeId, ConfigStore, Published, StoreError, StoredObjects};
+pub use config_store::{
+    Change, ChangeId, ChangeRecord, ConfigStore, Conflict, HISTORY_MAX, Head, Published,
+    StoreError, StoredHead, StoredObjects,
+};
 pub use endpoint::{EndpointClient, EndpointError, EndpointSettings};
 pub use host_list::{HostListClient, HostListError};
-pub use key_value::{KeyValueClient, KeyValueError, ModRevision, StoredValue};
+pub use key_value::{
+    CallObserver, CallResult, Condition, KeyValueClient, KeyValueError, KeyValueUse, ModRevision,
+    StoredValue, Write,
+};
--- a/crates/daisynotch_router/src/configuration.rs
+++ b/crates/daisynotch_router/src/configuration.rs
@@ -43,18 +43,21 @@
             return;
         }
     };
-    if stored.revision <= core.catalogue().revision {
+    if stored.snapshot.revision <= core.catalogue().revision {
         return;
     }
-    let errors = daisynotch_objects::check(&stored.objects);
+    let errors = daisynotch_objects::check(&stored.snapshot.objects);
     if let Some(error) = errors.first() {
-        log::error!("revision {} is not taken: {error}", stored.revision);
+        log::error!(
+            "revision {} is not taken: {error}",
+            stored.snapshot.revision
+        );
         return;
     }
-    log::info!(revision = stored.revision.0; "objects taken");
+    log::info!(revision = stored.snapshot.revision.0; "objects taken");
     metrics
         .revision
-        .set(i64::try_from(stored.revision.0).unwrap_or(i64::MAX));
-    let catalogue = Catalogue::new(stored.revision, &stored.objects);
+        .set(i64::try_from(stored.snapshot.revision.0).unwrap_or(i64::MAX));
+    let catalogue = Catalogue::new(stored.snapshot.revision, &stored.snapshot.objects);
     core.input(Input::Configured(Arc::new(catalogue)));
 }
--- a/crates/daisynotch_router/tests/support.rs
+++ b/crates/daisynotch_router/tests/support.rs
@@ -148,7 +148,7 @@
     let store = ConfigStore::new(KeyValueClient::new(key_value, Duration::from_secs(5)));
     let base = store.read().await.expect("the store can be read");
     let published = store
-        .publish(&base, &objects, ChangeId(base.revision.0 + 1))
+        .publish(&base, &objects, ChangeId(base.snapshot.revision.0 + 1))
         .await;
     assert!(
         matches!(published, Ok(Published::Accepted(_))),
--- a/crates/daisynotch_standins/src/key_value.rs
+++ b/crates/daisynotch_standins/src/key_value.rs
@@ -2,28 +2,53 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use http_body_util::{BodyExt, Limited};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use viz::{IntoResponse, Request, RequestExt, Response, Result, Router, StatusCode, types::Json};
+use viz::{IntoResponse, Request, Response, Result, Router, StatusCode, types::Json};
 
 use crate::server::StandinServer;
 
+/// The longest value that the service takes, as the platform's does.
+pub const VALUE_MAX_BYTES: usize = 1_000_000;
+/// The longest request body that the service takes.
+const BODY_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// Calls that reached the service.
+#[daisynotch_macros::value]
+#[derive(Copy, Default)]
+pub struct CallCounts {
+    /// Reads.
+    pub reads: u64,
+    /// Transactions, whether they took effect or not.
+    pub writes: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     revision: u64,
-    values: BTreeMap<String, Value>,
+    values: BTreeMap<Vec<u8>, Value>,
     is_down: bool,
+    delay: Duration,
     lose_answers: u32,
+    lose_requests: u32,
+    falls_after_write: bool,
+    calls: CallCounts,
 }
 
+/// A value in the base64 form in which it came.
 #[derive(Debug, Clone)]
 struct Value {
     value: String,
     mod_revision: u64,
 }
 
-/// The service. Keys and values are kept in the base64 form in which they come.
+/// The service, with faults that a test can bring about.
 #[derive(Debug)]
 pub struct KeyValueStandin {
     server: StandinServer,
@@ -33,6 +58,10 @@
 #[derive(Deserialize)]
 struct RangeRequest {
     key: String,
+    #[serde(default)]
+    range_end: Option<String>,
+    #[serde(default)]
+    keys_only: bool,
 }
 
 #[derive(Serialize)]
@@ -54,20 +83,19 @@
 }
 
 #[derive(Deserialize)]
-struct Compare {
-    key: String,
-    mod_revision: String,
-}
-
-#[derive(Deserialize)]
-struct RequestOp {
-    request_put: PutRequest,
+#[serde(tag = "target")]
+enum Compare {
+    #[serde(rename = "MOD")]
+    LastWrite { key: String, mod_revision: String },
+    #[serde(rename = "CREATE")]
+    Exists { key: String },
 }
 
 #[derive(Deserialize)]
-struct PutRequest {
-    key: String,
-    value: String,
+#[serde(rename_all = "snake_case")]
+enum RequestOp {
+    RequestPut { key: String, value: String },
+    RequestDeleteRange { key: String },
 }
 
 #[derive(Serialize)]
@@ -99,63 +127,163 @@
 
     /// Makes the service refuse all calls, or serve again.
     pub fn set_down(&self, is_down: bool) {
-        self.lock().is_down = is_down;
+        lock(&self.state).is_down = is_down;
+    }
+
+    /// Delays every answer from now on; the call takes effect at once.
+    pub fn set_delay(&self, delay: Duration) {
+        lock(&self.state).delay = delay;
     }
 
     /// Loses the answers of the next writes, which take effect all the same.
     pub fn lose_answers(&self, count: u32) {
-        self.lock().lose_answers = count;
+        lock(&self.state).lose_answers = count;
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
-        self.state.lock().expect("no holder of the lock panics")
+    /// Loses the next writes before they take effect.
+    pub fn lose_requests(&self, count: u32) {
+        lock(&self.state).lose_requests = count;
+    }
+
+    /// Makes the service lose the next write's answer and be down from then on.
+    pub fn fall_after_next_write(&self) {
+        lock(&self.state).falls_after_write = true;
     }
-}
 
-async fn range(state: Arc<Mutex<State>>, mut request: Request) -> Result<Response> {
-    let call: RangeRequest = request.json().await?;
-    let state = state.lock().expect("no holder of the lock panics");
-    if state.is_down {
-        return Ok(StatusCode::SERVICE_UNAVAILABLE.into_response());
+    /// Gives the calls so far, those during an outage included.
+    pub fn calls(&self) -> CallCounts {
+        lock(&self.state).calls
     }
-    let found = state.values.get(&call.key).map(|value| KeyValue {
-        key: call.key,
-        value: value.value.clone(),
-        mod_revision: value.mod_revision.to_string(),
-    });
-    let kvs = found.into_iter().collect();
-    Ok(Json::new(RangeResponse { kvs }).into_response())
-}
-
-async fn txn(state: Arc<Mutex<State>>, mut request: Request) -> Result<Response> {
-    let call: TxnRequest = request.json().await?;
-    let mut state = state.lock().expect("no holder of the lock panics");
-    if state.is_down {
-        return Ok(StatusCode::SERVICE_UNAVAILABLE.into_response());
+
+    /// Gives the length of every value by key.
+    pub fn value_lengths_bytes(&self) -> BTreeMap<String, usize> {
+        let state = lock(&self.state);
+        let values = state.values.iter();
+        let lengths = values.map(|(key, value)| {
+            let key = String::from_utf8_lossy(key).into_owned();
+            (key, decode(&value.value).len())
+        });
+        lengths.collect()
     }
-    let matches = |compare: &Compare| {
-        let value = state.values.get(&compare.key);
-        let mod_revision = value.map_or(0, |value| value.mod_revision);
-        compare.mod_revision == mod_revision.to_string()
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().expect("no holder of the lock panics")
+}
+
+fn decode(text: &str) -> Vec<u8> {
+    BASE64_STANDARD.decode(text).unwrap_or_default()
+}
+
+async fn read_call<C: DeserializeOwned>(request: Request) -> Option<C> {
+    let body = Limited::new(request.into_body(), BODY_MAX_BYTES);
+    let bytes = body.collect().await.ok()?.to_bytes();
+    serde_json::from_slice(&bytes).ok()
+}
+
+async fn range(state: Arc<Mutex<State>>, request: Request) -> Result<Response> {
+    let Some(call) = read_call::<RangeRequest>(request).await else {
+        return Ok(StatusCode::BAD_REQUEST.into_response());
+    };
+    let (response, delay) = {
+        let mut state = lock(&state);
+        state.calls.reads += 1;
+        (state.range(&call), state.delay)
+    };
+    tokio::time::sleep(delay).await;
+    Ok(response)
+}
+
+async fn txn(state: Arc<Mutex<State>>, request: Request) -> Result<Response> {
+    let Some(call) = read_call::<TxnRequest>(request).await else {
+        return Ok(StatusCode::BAD_REQUEST.into_response());
+    };
+    let (response, delay) = {
+        let mut state = lock(&state);
+        state.calls.writes += 1;
+        (state.txn(call), state.delay)
     };
-    let succeeded = call.compare.iter().all(matches);
-    if succeeded {
-        state.revision += 1;
-        let mod_revision = state.revision;
-        for RequestOp { request_put: put } in call.success {
-            let value = put.value;
-            state.values.insert(
-                put.key,
-                Value {
+    tokio::time::sleep(delay).await;
+    Ok(response)
+}
+
+impl State {
+    fn range(&self, call: &RangeRequest) -> Response {
+        if self.is_down {
+            return StatusCode::SERVICE_UNAVAILABLE.into_response();
+        }
+        let first = decode(&call.key);
+        let end = call.range_end.as_deref().map(decode);
+        let is_wanted = |key: &Vec<u8>| match &end {
+            Some(end) => *key >= first && key < end,
+            None => *key == first,
+        };
+        let found = self.values.iter().filter(|(key, _)| is_wanted(key));
+        let kvs = found.map(|(key, value)| KeyValue {
+            key: BASE64_STANDARD.encode(key),
+            value: if call.keys_only {
+                String::new()
+            } else {
+                value.value.clone()
+            },
+            mod_revision: value.mod_revision.to_string(),
+        });
+        let kvs = kvs.collect();
+        Json::new(RangeResponse { kvs }).into_response()
+    }
+
+    fn txn(&mut self, call: TxnRequest) -> Response {
+        if self.is_down {
+            return StatusCode::SERVICE_UNAVAILABLE.into_response();
+        }
+        if self.lose_requests > 0 {
+            self.lose_requests -= 1;
+            return StatusCode::GATEWAY_TIMEOUT.into_response();
+        }
+        let is_too_long = |op: &RequestOp| matches!(op, RequestOp::RequestPut { value, .. } if decode(value).len() > VALUE_MAX_BYTES);
+        if call.success.iter().any(is_too_long) {
+            return StatusCode::PAYLOAD_TOO_LARGE.into_response();
+        }
+        let succeeded = call.compare.iter().all(|compare| self.holds(compare));
+        if succeeded {
+            self.revision += 1;
+            call.success.into_iter().for_each(|op| self.write(op));
+        }
+        if std::mem::take(&mut self.falls_after_write) {
+            self.is_down = true;
+            return StatusCode::GATEWAY_TIMEOUT.into_response();
+        }
+        if self.lose_answers > 0 {
+            self.lose_answers -= 1;
+            return StatusCode::GATEWAY_TIMEOUT.into_response();
+        }
+        Json::new(TxnResponse { succeeded }).into_response()
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        match compare {
+            Compare::LastWrite { key, mod_revision } => {
+                let value = self.values.get(&decode(key));
+                let last = value.map_or(0, |value| value.mod_revision);
+                *mod_revision == last.to_string()
+            }
+            Compare::Exists { key } => self.values.contains_key(&decode(key)),
+        }
+    }
+
+    fn write(&mut self, op: RequestOp) {
+        match op {
+            RequestOp::RequestPut { key, value } => {
+                let mod_revision = self.revision;
+                let value = Value {
                     value,
                     mod_revision,
-                },
-            );
+                };
+                self.values.insert(decode(&key), value);
+            }
+            RequestOp::RequestDeleteRange { key } => {
+                self.values.remove(&decode(&key));
+            }
         }
     }
-    if state.lose_answers > 0 {
-        state.lose_answers -= 1;
-        return Ok(StatusCode::GATEWAY_TIMEOUT.into_response());
-    }
-    Ok(Json::new(TxnResponse { succeeded }).into_response())
 }
--- a/crates/daisynotch_standins/src/lib.rs
+++ b/crates/daisynotch_standins/src/lib.rs
@@ -10,6 +10,6 @@
 
 pub use engine::{Engine, EngineFault, EngineSettings};
 pub use host_list::{HostListStandin, StandinHost};
-pub use key_value::KeyValueStandin;
+pub use key_value::{CallCounts, KeyValueStandin, VALUE_MAX_BYTES};
 pub use plain::PlainService;
 pub use server::StandinServer;
