Apply partial changes, and give the operators diff, history and true exit codes

Cause: `apply` replaced all objects with a file's, knew no revision that the change was made from, and a conflict named nothing.

Change: a file adds and changes the objects that it names; `--delete KIND/NAME` removes one and `--prune` all that the file does not name. `check` and `diff` judge the result against the published revision, references included. `--base REVISION` gives a conflict unless that is the newest one; a conflict names who changed which objects since. Exit code 4 says that the outcome is unknown; it remains only when the service is away after the change was sent.

Conclusion: verified by running the command against the fake service, with lost answers and an outage (`cargo test -p daisynotch`).

--- a/crates/daisynotch/src/args.rs
+++ b/crates/daisynotch/src/args.rs
@@ -5,7 +5,12 @@
 
 use pico_args::Arguments as Raw;
 
+use daisynotch_objects::{ObjectRef, Revision};
+
+use crate::commands::apply::ApplyOptions;
 use crate::commands::demo::DemoOptions;
+use crate::commands::edit_source::EditSource;
+use crate::commands::get::Selection;
 
 /// The exit code for a wrong command line or objects with errors.
 pub(crate) const EXIT_USAGE: u8 = 2;
@@ -18,24 +23,38 @@
     daisynotch COMMAND [OPTIONS]
 
 COMMANDS
-    check FILE                       check objects as a whole
-    apply FILE --key-value ADDRESS   check objects and publish them
-    get --key-value ADDRESS          print the objects in force
+    check FILE                       check a file's objects as a whole
+    check FILE --key-value ADDRESS   check what `apply` would publish
+    diff FILE --key-value ADDRESS    print what `apply` would change
+    apply FILE --key-value ADDRESS   add and change the file's objects
+    get [KIND[/NAME]] --key-value ADDRESS
+                                     print the published objects
+    history --key-value ADDRESS      print the latest changes
     status --router ADDRESS          print what a router knows
     credential TOKEN                 print a token's digest for the objects
     demo                             run a small fleet in this process
 
 OPTIONS
     --json                           print JSON
+    --delete KIND/NAME               check, diff, apply: delete an object; may be
+                                     repeated, and FILE may be left out
+    --prune                          check, diff, apply: delete every object that
+                                     FILE does not name
+    --dry-run                        apply: check and print, change nothing
+    --base REVISION                  apply: fail with a conflict unless this is
+                                     the newest revision
+    --author NAME                    apply: who makes the change; $USER if not given
+    --summary TEXT                   apply: what the change is for
     --seconds N                      demo: how long callers send requests
     --seed N                         demo: the seed of the callers' choices
     -h, --help                       print this text
 
 EXIT CODES
     0  done
-    1  failed: the message says whether anything changed
-    2  wrong command line, or objects with errors: nothing changed
-    3  conflict: another operator published first, nothing changed
+    1  failed: nothing was changed
+    2  wrong command line, or objects with errors: nothing was changed
+    3  conflict: others published first, nothing was changed
+    4  unknown: the change was sent and may have landed; `history` tells
 ";
 
 /// The demo's length when none is given.
@@ -48,13 +67,19 @@
 pub(crate) enum Command {
     Help,
     Check {
-        file: PathBuf,
+        source: EditSource,
+        key_value: Option<SocketAddr>,
     },
-    Apply {
-        file: PathBuf,
+    Diff {
+        source: EditSource,
         key_value: SocketAddr,
     },
+    Apply(ApplyOptions),
     Get {
+        selection: Option<Selection>,
+        key_value: SocketAddr,
+    },
+    History {
         key_value: SocketAddr,
     },
     Status {
@@ -82,6 +107,12 @@
     UnknownCommand(String),
     #[error("unknown arguments {0:?}: see `daisynotch --help`")]
     UnknownArguments(Vec<std::ffi::OsString>),
+    #[error("no objects are given: name a FILE, or use `--delete KIND/NAME`")]
+    NoObjects,
+    #[error("`--prune` deletes what FILE does not name already: leave out `--delete`")]
+    PruneAndDelete,
+    #[error("`--prune` needs a FILE that names the objects to keep")]
+    PruneWithoutFile,
 }
 
 impl Arguments {
@@ -102,14 +133,20 @@
         let command = match raw.subcommand()?.as_deref() {
             None | Some("help") => Command::Help,
             Some("check") => Command::Check {
-                file: raw.free_from_str()?,
+                key_value: raw.opt_value_from_str("--key-value")?,
+                source: edit_source(&mut raw)?,
             },
-            Some("apply") => Command::Apply {
+            Some("diff") => Command::Diff {
                 key_value: raw.value_from_str("--key-value")?,
-                file: raw.free_from_str()?,
+                source: edit_source(&mut raw)?,
             },
+            Some("apply") => Command::Apply(apply_options(&mut raw)?),
             Some("get") => Command::Get {
                 key_value: raw.value_from_str("--key-value")?,
+                selection: raw.opt_free_from_str()?,
+            },
+            Some("history") => Command::History {
+                key_value: raw.value_from_str("--key-value")?,
             },
             Some("status") => Command::Status {
                 router: raw.value_from_str("--router")?,
@@ -131,3 +168,37 @@
         }
     }
 }
+
+fn edit_source(raw: &mut Raw) -> Result<EditSource, UsageError> {
+    let delete: Vec<ObjectRef> = raw.values_from_str("--delete")?;
+    let prune = raw.contains("--prune");
+    let file: Option<PathBuf> = raw.opt_free_from_str()?;
+    match (&file, prune, delete.is_empty()) {
+        (_, true, false) => Err(UsageError::PruneAndDelete),
+        (None, true, true) => Err(UsageError::PruneWithoutFile),
+        (None, false, true) => Err(UsageError::NoObjects),
+        _ => Ok(EditSource {
+            file,
+            delete: delete.into_iter().collect(),
+            prune,
+        }),
+    }
+}
+
+fn apply_options(raw: &mut Raw) -> Result<ApplyOptions, UsageError> {
+    let user = || std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned());
+    let author: Option<String> = raw.opt_value_from_str("--author")?;
+    let summary: Option<String> = raw.opt_value_from_str("--summary")?;
+    let base: Option<Revision> = raw.opt_value_from_str("--base")?;
+    Ok(ApplyOptions {
+        key_value: raw.value_from_str("--key-value")?,
+        dry_run: raw.contains("--dry-run"),
+        base,
+        author: author.unwrap_or_else(user),
+        summary: summary.unwrap_or_default(),
+        source: edit_source(raw)?,
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daisynotch/src/args/tests.rs
@@ -0,0 +1,81 @@
+use super::*;
+
+fn error_of(arguments: &[&str]) -> String {
+    let raw = Raw::from_vec(arguments.iter().map(Into::into).collect());
+    let error = Arguments::parse(raw).expect_err("the command line is wrong");
+    error.to_string()
+}
+
+#[test]
+fn the_help_text_names_commands_options_and_exit_codes() {
+    insta::assert_snapshot!(HELP, @r"
+    daisynotch: operates a fleet of routers
+
+    USAGE
+        daisynotch COMMAND [OPTIONS]
+
+    COMMANDS
+        check FILE                       check a file's objects as a whole
+        check FILE --key-value ADDRESS   check what `apply` would publish
+        diff FILE --key-value ADDRESS    print what `apply` would change
+        apply FILE --key-value ADDRESS   add and change the file's objects
+        get [KIND[/NAME]] --key-value ADDRESS
+                                         print the published objects
+        history --key-value ADDRESS      print the latest changes
+        status --router ADDRESS          print what a router knows
+        credential TOKEN                 print a token's digest for the objects
+        demo                             run a small fleet in this process
+
+    OPTIONS
+        --json                           print JSON
+        --delete KIND/NAME               check, diff, apply: delete an object; may be
+                                         repeated, and FILE may be left out
+        --prune                          check, diff, apply: delete every object that
+                                         FILE does not name
+        --dry-run                        apply: check and print, change nothing
+        --base REVISION                  apply: fail with a conflict unless this is
+                                         the newest revision
+        --author NAME                    apply: who makes the change; $USER if not given
+        --summary TEXT                   apply: what the change is for
+        --seconds N                      demo: how long callers send requests
+        --seed N                         demo: the seed of the callers' choices
+        -h, --help                       print this text
+
+    EXIT CODES
+        0  done
+        1  failed: nothing was changed
+        2  wrong command line, or objects with errors: nothing was changed
+        3  conflict: others published first, nothing was changed
+        4  unknown: the change was sent and may have landed; `history` tells
+    ");
+}
+
+#[test]
+fn wrong_command_lines_are_explained() {
+    let key_value = ["--key-value", "127.0.0.1:1"];
+    let with_key_value = |arguments: &[&str]| error_of(&[arguments, &key_value].concat());
+    let errors = [
+        error_of(&["aply"]),
+        error_of(&["apply", "a.toml"]),
+        error_of(&["get", "--key-value", "kaolack"]),
+        with_key_value(&["apply"]),
+        with_key_value(&["apply", "--prune"]),
+        with_key_value(&["apply", "a.toml", "--prune", "--delete", "team/a"]),
+        with_key_value(&["apply", "--delete", "kaolack-1"]),
+        with_key_value(&["apply", "a.toml", "--base", "old"]),
+        with_key_value(&["get", "tem"]),
+        with_key_value(&["history", "now"]),
+    ];
+    insta::assert_snapshot!(errors.join("\n"), @r#"
+    unknown command `aply`: see `daisynotch --help`
+    the '--key-value' option must be set: see `daisynotch --help`
+    failed to parse 'kaolack': invalid socket address syntax: see `daisynotch --help`
+    no objects are given: name a FILE, or use `--delete KIND/NAME`
+    `--prune` needs a FILE that names the objects to keep
+    `--prune` deletes what FILE does not name already: leave out `--delete`
+    failed to parse 'kaolack-1': `kaolack-1` names no object: write KIND/NAME with share, team, pool, endpoint, route, limits or service_level as the kind: see `daisynotch --help`
+    failed to parse 'old': invalid digit found in string: see `daisynotch --help`
+    failed to parse 'tem': `tem` names no object: write KIND/NAME with share, team, pool, endpoint, route, limits or service_level as the kind: see `daisynotch --help`
+    unknown arguments ["now"]: see `daisynotch --help`
+    "#);
+}
--- a/crates/daisynotch/src/commands.rs
+++ b/crates/daisynotch/src/commands.rs
@@ -4,15 +4,20 @@
 pub(crate) mod check;
 pub(crate) mod credential;
 pub(crate) mod demo;
+pub(crate) mod diff;
+pub(crate) mod edit_source;
 pub(crate) mod get;
+pub(crate) mod history;
 pub(crate) mod status;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use daisynotch_objects::{Objects, ParseError};
-use daisynotch_platform::{ConfigStore, KeyValueClient, StoreError};
+use daisynotch_objects::{EditError, Objects, ParseError};
+use daisynotch_platform::{
+    ChangeId, ChangeRecord, ConfigStore, Conflict, KeyValueClient, StoreError,
+};
 
 /// How long a call to the key-value service may take.
 const KEY_VALUE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -33,8 +38,17 @@
     #[error("nothing was changed, the objects have errors:\n{0}")]
     BadObjects(String),
     /// Another operator was first.
-    #[error("conflict: another change was published first, nothing was changed; apply again")]
-    Conflict,
+    #[error("{}", conflict_text(.0))]
+    Conflict(Conflict),
+    /// The answer was lost and nothing was learnt since.
+    #[error(
+        "unknown: the change was sent, and the key-value service has answered nothing since; \
+         when it answers again, `daisynotch history` has change {0} if it landed"
+    )]
+    Unknown(ChangeId),
+    /// The change does not fit the published objects.
+    #[error("nothing was changed: {0}")]
+    Edit(#[from] EditError),
     /// The stored objects can't be read or changed.
     #[error(transparent)]
     Store(#[from] StoreError),
@@ -47,27 +61,63 @@
     /// Gives the exit code that the help text names.
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
-            Self::Unreadable { .. } | Self::Malformed { .. } | Self::BadObjects(_) => 2,
-            Self::Conflict => 3,
+            Self::Unreadable { .. }
+            | Self::Malformed { .. }
+            | Self::BadObjects(_)
+            | Self::Edit(_) => 2,
+            Self::Conflict(_) => 3,
+            Self::Unknown(_) => 4,
             Self::Store(_) | Self::Failed(_) => 1,
         }
     }
 }
 
-/// Reads objects from a file and checks them as a whole.
+/// Says what others published first.
+fn conflict_text(conflict: &Conflict) -> String {
+    let mut lines = vec![format!(
+        "conflict: nothing was changed, as others have published up to revision {}:",
+        conflict.revision
+    )];
+    lines.extend(conflict.changes.iter().map(change_line));
+    if !conflict.is_complete {
+        lines.push("  older changes are no longer remembered".to_owned());
+    }
+    lines.push("compare with `daisynotch diff`, then apply again".to_owned());
+    lines.join("\n")
+}
+
+/// Describes a published change on one line.
+fn change_line(record: &ChangeRecord) -> String {
+    let names: Vec<String> = record.objects.iter().map(ToString::to_string).collect();
+    let more = match record.object_count - record.objects.len() {
+        0 => String::new(),
+        count => format!(" and {count} more"),
+    };
+    let names = names.join(", ");
+    format!(
+        "  revision {} by {}: {names}{more}",
+        record.revision, record.author
+    )
+}
+
+/// Reads objects from a file.
 fn read_objects(path: &Path) -> Result<Objects, CommandError> {
     let path_buf = || path.to_owned();
     let text = std::fs::read_to_string(path).map_err(|error| CommandError::Unreadable {
         path: path_buf(),
         error,
     })?;
-    let objects: Objects = text.parse().map_err(|error| CommandError::Malformed {
+    text.parse().map_err(|error| CommandError::Malformed {
         path: path_buf(),
         error,
-    })?;
-    let errors = daisynotch_objects::check(&objects);
+    })
+}
+
+/// Checks objects as a whole.
+fn check_objects(objects: &Objects) -> Result<(), CommandError> {
+    let errors = daisynotch_objects::check(objects);
     if errors.is_empty() {
-        return Ok(objects);
+        return Ok(());
     }
     let lines: Vec<String> = errors.iter().map(|error| format!("  {error}")).collect();
     Err(CommandError::BadObjects(lines.join("\n")))
--- a/crates/daisynotch/src/commands/check.rs
+++ b/crates/daisynotch/src/commands/check.rs
@@ -1,13 +1,27 @@
 //! `daisynotch check`: checks objects without publishing them.
 
-use std::path::Path;
+use std::net::SocketAddr;
 
-use super::{CommandError, read_objects};
+use daisynotch_objects::Objects;
+
+use super::edit_source::EditSource;
+use super::{CommandError, check_objects};
 use crate::printer::Printer;
 
-pub(crate) fn run(file: &Path, printer: &Printer) -> Result<(), CommandError> {
-    read_objects(file)?;
-    let text = format!("{}: the objects are valid", file.display());
-    printer.result(&text, &serde_json::json!({ "valid": true }));
+pub(crate) async fn run(
+    source: &EditSource,
+    key_value: Option<SocketAddr>,
+    printer: &Printer,
+) -> Result<(), CommandError> {
+    match key_value {
+        Some(key_value) => {
+            source.plan(key_value).await?;
+        }
+        None => check_objects(&source.target(&Objects::default())?)?,
+    }
+    printer.result(
+        "the objects are valid",
+        &serde_json::json!({ "valid": true }),
+    );
     Ok(())
 }
--- a/crates/daisynotch/src/main.rs
+++ b/crates/daisynotch/src/main.rs
@@ -37,11 +37,18 @@
 async fn run(command: Command, printer: &Printer) -> Result<(), commands::CommandError> {
     match command {
         Command::Help => printer.text(args::HELP),
-        Command::Check { file } => commands::check::run(&file, printer)?,
-        Command::Apply { file, key_value } => {
-            commands::apply::run(&file, key_value, printer).await?;
+        Command::Check { source, key_value } => {
+            commands::check::run(&source, key_value, printer).await?;
         }
-        Command::Get { key_value } => commands::get::run(key_value, printer).await?,
+        Command::Diff { source, key_value } => {
+            commands::diff::run(&source, key_value, printer).await?;
+        }
+        Command::Apply(options) => commands::apply::run(&options, printer).await?,
+        Command::Get {
+            selection,
+            key_value,
+        } => commands::get::run(selection.as_ref(), key_value, printer).await?,
+        Command::History { key_value } => commands::history::run(key_value, printer).await?,
         Command::Status { router } => commands::status::run(router, printer).await?,
         Command::Credential { token } => commands::credential::run(&token, printer),
         Command::Demo(options) => commands::demo::run(options, printer).await?,
--- /dev/null
+++ b/crates/daisynotch/tests/commands.rs
@@ -0,0 +1,185 @@
+//! The operators' commands as an operator runs them, with their exit codes.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Output;
+
+use daisynotch_standins::KeyValueStandin;
+
+const OBJECTS: &str = r#"
+[team.kaolack-1]
+weight = 2
+[team.kaolack-2]
+[pool.conseil-lm]
+kind = "inference"
+[route.conseil]
+pool = "conseil-lm"
+model = "conseil-lm"
+"#;
+
+/// A folder of its own for the files of one test.
+struct Files(PathBuf);
+
+impl Files {
+    fn new(test: &str) -> Self {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+        std::fs::create_dir_all(&folder).expect("the test may write");
+        Self(folder)
+    }
+
+    fn write(&self, name: &str, text: &str) -> String {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("the test may write");
+        path.display().to_string()
+    }
+}
+
+/// Runs the command in a thread, so that the fake can answer meanwhile.
+async fn run(key_value: SocketAddr, arguments: &[&str]) -> (i32, String) {
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_daisynotch"));
+    command.args(arguments).arg("--key-value");
+    command.arg(key_value.to_string()).env("USER", "awa");
+    let output = tokio::task::spawn_blocking(move || command.output());
+    let output = output.await.expect("the thread does not panic");
+    let Output {
+        status,
+        stdout,
+        stderr,
+    } = output.expect("the command can be run");
+    let text = [stdout, stderr].concat();
+    let text = String::from_utf8(text).expect("the command prints text");
+    (status.code().expect("it was not killed"), text)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn objects_are_applied_compared_printed_and_deleted() {
+    let service = KeyValueStandin::start().await.expect("the fake starts");
+    let address = service.address();
+    let files = Files::new("objects_are_applied");
+    let first = files.write("first.toml", OBJECTS);
+    let second = files.write("second.toml", "[team.kaolack-1]\nweight = 5\n");
+
+    let mut log = String::new();
+    let steps: [&[&str]; 10] = [
+        &["apply", &first, "--dry-run"],
+        &["apply", &first, "--summary", "the first objects"],
+        &["apply", &first],
+        &["diff", &second],
+        &[
+            "apply",
+            &second,
+            "--delete",
+            "team/kaolack-2",
+            "--base",
+            "1",
+        ],
+        &["get", "team"],
+        &["get", "team/kaolack-2"],
+        &["apply", "--delete", "pool/conseil-lm"],
+        &["apply", "--delete", "team/kaolack-9"],
+        &["apply", &second, "--base", "1"],
+    ];
+    for arguments in steps {
+        let (code, text) = run(address, arguments).await;
+        let named: Vec<&str> = arguments
+            .iter()
+            .map(|argument| argument.rsplit('/').next().unwrap_or(argument))
+            .collect();
+        log += &format!("$ {}\n{text}exit code {code}\n", named.join(" "));
+    }
+    insta::assert_snapshot!(log, @r"
+    $ apply first.toml --dry-run
+    + team/kaolack-1
+    + team/kaolack-2
+    + pool/conseil-lm
+    + route/conseil
+    nothing was changed
+    exit code 0
+    $ apply first.toml --summary the first objects
+    + team/kaolack-1
+    + team/kaolack-2
+    + pool/conseil-lm
+    + route/conseil
+    revision 1 is published
+    exit code 0
+    $ apply first.toml
+    no difference from revision 1
+    nothing was changed
+    exit code 0
+    $ diff second.toml
+    ~ team/kaolack-1
+        weight: 2 -> 5
+    exit code 0
+    $ apply second.toml --delete kaolack-2 --base 1
+    ~ team/kaolack-1
+        weight: 2 -> 5
+    - team/kaolack-2
+    revision 2 is published
+    exit code 0
+    $ get team
+    # revision 2
+    [team.kaolack-1]
+    weight = 5
+    exit code 0
+    $ get kaolack-2
+    daisynotch: team/kaolack-2 does not exist: `daisynotch get` lists all
+    exit code 1
+    $ apply --delete conseil-lm
+    daisynotch: nothing was changed, the objects have errors:
+      route/conseil refers to pool/conseil-lm, which does not exist: add pool/conseil-lm or change the reference
+    exit code 2
+    $ apply --delete kaolack-9
+    daisynotch: nothing was changed: team/kaolack-9 can't be deleted, as it does not exist: check its name with `daisynotch get`
+    exit code 2
+    $ apply second.toml --base 1
+    daisynotch: conflict: nothing was changed, as others have published up to revision 2:
+      revision 2 by awa: team/kaolack-1, team/kaolack-2
+    compare with `daisynotch diff`, then apply again
+    exit code 3
+    ");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn prune_keeps_only_what_the_file_names() {
+    let service = KeyValueStandin::start().await.expect("the fake starts");
+    let files = Files::new("prune");
+    let first = files.write("first.toml", OBJECTS);
+    let second = files.write("second.toml", "[team.kaolack-2]\n");
+    let (code, _) = run(service.address(), &["apply", &first]).await;
+    assert_eq!(code, 0);
+    let (code, text) = run(service.address(), &["apply", &second, "--prune"]).await;
+    assert_eq!(code, 0);
+    insta::assert_snapshot!(text, @r"
+    - team/kaolack-1
+    - pool/conseil-lm
+    - route/conseil
+    revision 2 is published
+    ");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_lost_or_an_outage_gives_the_true_exit_code() {
+    let service = KeyValueStandin::start().await.expect("the fake starts");
+    let address = service.address();
+    let files = Files::new("lost_answers");
+    let first = files.write("first.toml", OBJECTS);
+    service.lose_answers(2);
+    let (code, text) = run(address, &["apply", &first]).await;
+    assert_eq!(code, 0, "{text}");
+
+    // Deleting a team of a bucket of its own needs no new chunk: the head is written first.
+    service.fall_after_next_write();
+    let (code, text) = run(address, &["apply", "--delete", "team/kaolack-2"]).await;
+    assert_eq!(code, 4, "{text}");
+    assert!(text.contains("unknown"), "{text}");
+    let (code, text) = run(address, &["apply", &first]).await;
+    assert_eq!(code, 1, "{text}");
+
+    service.set_down(false);
+    let (code, text) = run(address, &["history", "--json"]).await;
+    assert_eq!(code, 0, "{text}");
+    let history: serde_json::Value = serde_json::from_str(&text).expect("it is JSON");
+    assert_eq!(history[0]["revision"], 2);
+    assert_eq!(history[0]["author"], "awa");
+    assert_eq!(history[0]["objects"][0]["name"], "kaolack-2");
+}
--- a/crates/daisynotch_objects/src/edit.rs
+++ b/crates/daisynotch_objects/src/edit.rs
@@ -98,6 +98,26 @@
     changes
 }
 
+impl Objects {
+    /// Gives the objects of one kind, or the one of that kind with a name.
+    #[must_use]
+    pub fn select(&self, kind: ObjectKind, name: Option<&str>) -> Self {
+        let mut selected = Self::default();
+        macro_rules! select_kind {
+            ($map:ident, $kind:expr) => {
+                if kind == $kind {
+                    selected.$map.clone_from(&self.$map);
+                    selected
+                        .$map
+                        .retain(|key, _| name.is_none_or(|name| key.as_str() == name));
+                }
+            };
+        }
+        for_each_kind!(select_kind);
+        selected
+    }
+}
+
 fn diff_map<K: Ord + Display, V: PartialEq + Serialize>(
     kind: ObjectKind,
     before: &BTreeMap<K, V>,
--- a/crates/daisynotch_platform/src/config_store.rs
+++ b/crates/daisynotch_platform/src/config_store.rs
@@ -94,7 +94,7 @@
     /// Uses a client of the service.
     pub fn new(client: KeyValueClient) -> Self {
         Self {
-            head_client: client.for_use(KeyValueUse::ConfigurationHead),
+            head_client: client.clone().for_use(KeyValueUse::ConfigurationHead),
             chunk_client: client.for_use(KeyValueUse::ConfigurationChunk),
             retries: publish::RETRIES,
         }
--- a/crates/daisynotch_platform/src/key_value.rs
+++ b/crates/daisynotch_platform/src/key_value.rs
@@ -215,20 +215,15 @@
 
     /// Gives the same client for one use.
     #[must_use]
-    pub fn for_use(&self, call_use: KeyValueUse) -> Self {
-        Self {
-            call_use,
-            ..self.clone()
-        }
+    pub fn for_use(self, call_use: KeyValueUse) -> Self {
+        Self { call_use, ..self }
     }
 
     /// Tells an observer of every call from now on.
     #[must_use]
-    pub fn observed(&self, observer: CallObserver) -> Self {
-        Self {
-            observer: Some(observer),
-            ..self.clone()
-        }
+    pub fn observed(self, observer: CallObserver) -> Self {
+        let observer = Some(observer);
+        Self { observer, ..self }
     }
 
     /// Reads a key.
