--- a/crates/daisynotch/src/commands/history.rs
+++ b/crates/daisynotch/src/commands/history.rs
@@ -43,7 +43,9 @@
 
 /// Turns days since 1970 into year, month and day of the Gregorian calendar.
 fn civil_date(days: u64) -> (u64, u64, u64) {
-    let is_leap = |year: u64| year % 4 == 0 && (year % 100 != 0 || year % 400 == 0);
+    let is_leap = |year: u64| {
+        year.is_multiple_of(4) && (!year.is_multiple_of(100) || year.is_multiple_of(400))
+    };
     let mut year = 1970;
     let mut left = days;
     while left >= 365 + u64::from(is_leap(year)) {
