Find and replace connections that stopped carrying bytes

Cause: an idempotent request on a kept connection that had gone silent waited for the whole first-byte timeout and then failed; an answer to a caller that took no bytes kept its endpoint's slot for ever. Ruled out: doubling each slow request, and TCP keep-alive alone, which a device that acknowledges defeats.

The fakes have a proxy that silences open connections.

A test of leaving endpoints found that a request whose own zone had only leaving endpoints waited there until it was refused, with other zones idle: such requests now choose, or move to, a zone that takes work.

--- a/crates/daisynotch_core/src/catalogue.rs
+++ b/crates/daisynotch_core/src/catalogue.rs
@@ -153,6 +153,14 @@
         zones.map(|zone| ShardId { pool, zone: *zone }).collect()
     }
 
+    /// Says whether a shard has an endpoint that is not leaving.
+    pub fn takes_work(&self, shard: ShardId) -> bool {
+        let pool = self.pools.get(&shard.pool);
+        let endpoints = pool.and_then(|pool| pool.shards.get(&shard.zone));
+        let mut endpoints = endpoints.into_iter().flatten();
+        endpoints.any(|id| !self.endpoints[id].leaving)
+    }
+
     /// Gives the shard that an endpoint belongs to.
     pub fn shard_of(&self, endpoint: EndpointId) -> Option<ShardId> {
         let view = self.endpoints.get(&endpoint)?;
--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -261,6 +261,45 @@
         events
     }
 
+    /// Moves requests that wait where every endpoint is leaving to another shard.
+    pub fn leave_closed_shards(
+        &mut self,
+        catalogue: &Catalogue,
+        now: Timestamp,
+    ) -> Vec<EntryEvent> {
+        let is_stuck = |open: &OpenRequest| {
+            matches!(open.state, State::Waiting { .. }) && !catalogue.takes_work(open.shard)
+        };
+        let stuck = self.requests.iter().filter(|(_, open)| is_stuck(open));
+        let mut stuck: Vec<RequestId> = stuck.map(|(request, _)| *request).collect();
+        stuck.sort_unstable();
+        let mut events = Vec::new();
+        for request in stuck {
+            let open = &self.requests[&request];
+            let Ok(shard) = self.home_shard(open.spec.pool, catalogue) else {
+                continue;
+            };
+            let message = PeerMessage::Withdraw {
+                shard: open.shard,
+                seq: open.ticket,
+            };
+            if let State::Waiting {
+                asked: Some((to, _)),
+                ..
+            } = open.state
+            {
+                events.push(EntryEvent::Send { to, message });
+            }
+            let open = self.requests.get_mut(&request).expect("it was just listed");
+            open.shard = shard;
+            open.state = State::Waiting {
+                asked: None,
+                resend_at: now,
+            };
+        }
+        events
+    }
+
     /// Resends everything that one router schedules, which may have lost it.
     pub fn resend_to(&mut self, router: RouterId, now: Timestamp) -> Vec<EntryEvent> {
         self.resend(|to| to == router, now)
@@ -472,9 +511,11 @@
         withdrawal.into_iter().chain([refuse]).collect()
     }
 
-    /// Chooses the shard that a request waits in: this zone's, or else the pool's first.
+    /// Chooses the shard that a request waits in: this zone's, or else the pool's first
+    /// of those that have an endpoint which takes new work.
     fn home_shard(&self, pool: PoolId, catalogue: &Catalogue) -> Result<ShardId, Refusal> {
-        let shards = catalogue.shards_of(pool);
+        let mut shards = catalogue.shards_of(pool);
+        shards.retain(|shard| catalogue.takes_work(*shard));
         let local = shards.iter().find(|shard| shard.zone == self.zone);
         let chosen = local.or(shards.first()).copied();
         chosen.ok_or(refusal(RefusalReason::NoEndpoint))
--- a/crates/daisynotch_core/src/node.rs
+++ b/crates/daisynotch_core/src/node.rs
@@ -387,6 +387,8 @@
         for scheduler in self.schedulers.values_mut() {
             scheduler.configure(&self.catalogue);
         }
+        let events = self.entry.leave_closed_shards(&self.catalogue, now);
+        self.run_entry(events);
         self.membership.hurry(now);
         self.tick(now);
     }
--- a/crates/daisynotch_core/src/node/tests.rs
+++ b/crates/daisynotch_core/src/node/tests.rs
@@ -161,3 +161,59 @@
     }
     answers
 }
+
+/// The host list may say it before the router itself does.
+#[test]
+fn a_router_that_the_host_list_calls_leaving_schedules_nothing() {
+    let names = ["router-1", "router-2"].map(|name| name.parse().expect("it is a name"));
+    let [own, other]: [crate::RouterName; 2] = names;
+    let introduction = |name: &crate::RouterName| {
+        let mut introduction = settings(0).own;
+        introduction.peer.router = RouterId::from(name);
+        introduction
+    };
+    let node_settings = NodeSettings {
+        own: introduction(&own),
+        ..settings(0)
+    };
+    let mut node = Node::new(node_settings, Timestamp(0));
+    node.handle(Input::Configured(catalogue()), Timestamp(0));
+    node.handle(Input::Connected(introduction(&other)), Timestamp(0));
+    let shard = catalogue().shards_of(spec(&catalogue()).pool)[0];
+    let listed = |leaving: Option<&crate::RouterName>| {
+        let host = |name: &crate::RouterName| ListedHost {
+            router: name.clone(),
+            peer_address: "127.0.0.1:10".parse().expect("it is an address"),
+            zone: "fatick".parse().expect("it is a name"),
+            leaving: leaving == Some(name),
+        };
+        Input::HostList(vec![host(&own), host(&other)])
+    };
+    for (leaving, stays) in [(&own, &other), (&other, &own)] {
+        node.handle(listed(Some(leaving)), Timestamp(1));
+        let scheduler = node.membership().scheduler_of(shard);
+        assert_eq!(scheduler, Some(RouterId::from(stays)));
+        assert_eq!(node.is_leaving(), leaving == &own);
+    }
+    node.handle(listed(None), Timestamp(2));
+    assert!(!node.is_leaving());
+}
+
+#[test]
+fn a_request_that_waits_where_every_endpoint_leaves_moves_to_another_zone() {
+    let mut node = configured(1);
+    node.admit(spec(&catalogue()), Timestamp(0));
+    let (waiting, outputs) = node.admit(spec(&catalogue()), Timestamp(0));
+    assert!(dispatches(&outputs).is_empty());
+    let text = OBJECTS
+        .replace("address", "leaving = true\naddress")
+        .to_owned()
+        + "[endpoint.conseil-2]\npool = \"conseil-lm\"\nzone = \"nioro\"\n\
+           address = \"127.0.0.1:11\"\n";
+    let objects = text.parse().expect("the objects can be read");
+    let changed = Arc::new(Catalogue::new(Revision(2), &objects));
+    let outputs = node.handle(Input::Configured(changed), Timestamp(1));
+    let dispatch = dispatches(&outputs);
+    assert_eq!(dispatch.len(), 1);
+    assert_eq!(Ok(dispatch[0].request), waiting);
+}
--- a/crates/daisynotch_platform/tests/endpoint.rs
+++ b/crates/daisynotch_platform/tests/endpoint.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use daisynotch_platform::{EndpointClient, EndpointError, EndpointSettings};
+use daisynotch_standins::{PlainService, SilencingProxy};
 use http_body_util::Full;
 use hyper::Request;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -81,3 +82,57 @@
     let answer = client.send(address, booking(), false, HANG_GUARD).await;
     assert!(matches!(answer, Err(EndpointError::Unreachable { .. })));
 }
+
+/// Listens behind a proxy and answers every request on kept connections.
+async fn start_service() -> (PlainService, SilencingProxy) {
+    let service = PlainService::start("/bookings", Duration::ZERO).await;
+    let service = service.expect("the fake starts");
+    let proxy = SilencingProxy::start(service.address()).await;
+    (service, proxy.expect("the fake starts"))
+}
+
+fn impatient() -> EndpointClient {
+    EndpointClient::new(EndpointSettings {
+        kept_silent_after: Duration::from_millis(100),
+        ..EndpointSettings::default()
+    })
+}
+
+async fn send(
+    client: &EndpointClient,
+    address: SocketAddr,
+    idempotent: bool,
+) -> Result<u16, EndpointError> {
+    let answer = client
+        .send(address, booking(), idempotent, HANG_GUARD)
+        .await?;
+    let status = answer.status().as_u16();
+    // The connection is kept only when the answer was read to its end.
+    let body = http_body_util::BodyExt::collect(answer.into_body()).await;
+    assert!(body.is_ok(), "{body:?}");
+    Ok(status)
+}
+
+#[tokio::test]
+async fn an_idempotent_request_on_a_silent_kept_connection_goes_out_on_a_fresh_one() {
+    let (service, proxy) = start_service().await;
+    let client = impatient();
+    assert_eq!(send(&client, proxy.address(), true).await, Ok(201));
+    proxy.silence_open_connections();
+    assert_eq!(send(&client, proxy.address(), true).await, Ok(201));
+    assert_eq!(
+        service.runs_of("farm-7"),
+        2,
+        "the silent one reached nobody"
+    );
+}
+
+#[tokio::test]
+async fn a_call_that_may_not_run_twice_never_meets_a_kept_connection() {
+    let (service, proxy) = start_service().await;
+    let client = impatient();
+    assert_eq!(send(&client, proxy.address(), true).await, Ok(201));
+    proxy.silence_open_connections();
+    assert_eq!(send(&client, proxy.address(), false).await, Ok(201));
+    assert_eq!(service.runs_of("farm-7"), 2);
+}
--- a/crates/daisynotch_router/src/lib.rs
+++ b/crates/daisynotch_router/src/lib.rs
@@ -18,6 +18,7 @@
 mod relay;
 mod server;
 mod settings;
+mod stall;
 mod timer;
 
 pub use api::OUTCOME_HEADER;
--- a/crates/daisynotch_router/src/server.rs
+++ b/crates/daisynotch_router/src/server.rs
@@ -11,6 +11,10 @@
 use viz::{Responder, Router, Tree};
 
 use crate::settings::HttpLimits;
+use crate::stall::StallGuard;
+
+/// How long a caller may take no byte of an answer.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Accepts connections until told to stop, then waits for the open ones to end.
 ///
@@ -56,10 +60,11 @@
     stream: TcpStream,
     responder: Responder<std::net::SocketAddr>,
     limits: &HttpLimits,
-) -> http1::Connection<TokioIo<TcpStream>, Responder<std::net::SocketAddr>> {
+) -> http1::Connection<TokioIo<StallGuard<TcpStream>>, Responder<std::net::SocketAddr>> {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("a caller's connection keeps its delay: {error}");
     }
+    let stream = StallGuard::new(stream, WRITE_STALL_TIMEOUT);
     http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
