Give operators an address of their own, with drain and status as JSON-RPC

Cause: metrics and status named every team on the address that callers use, and there was no way to make a router leave but a signal on its host. Change: operator_address with /metrics and JSON-RPC at /rpc; the commands drain and standin; example settings and objects; README's run by hand. The accept loop now also hears a stop while every connection permit is taken.

--- a/crates/daisynotch/src/args.rs
+++ b/crates/daisynotch/src/args.rs
@@ -6,6 +6,7 @@
 use pico_args::Arguments as Raw;
 
 use crate::commands::demo::DemoOptions;
+use crate::commands::standin::StandinKind;
 
 /// The exit code for a wrong command line or objects with errors.
 pub(crate) const EXIT_USAGE: u8 = 2;
@@ -22,8 +23,10 @@
     apply FILE --key-value ADDRESS   check objects and publish them
     get --key-value ADDRESS          print the objects in force
     status --router ADDRESS          print what a router knows
+    drain --router ADDRESS           make a router finish its requests and end
     credential TOKEN                 print a token's digest for the objects
     demo                             run a small fleet in this process
+    standin KIND --listen ADDRESS    run a fake `key-value`, `engine` or `bookings`
 
 OPTIONS
     --json                           print JSON
@@ -60,6 +63,13 @@
     Status {
         router: SocketAddr,
     },
+    Drain {
+        router: SocketAddr,
+    },
+    Standin {
+        kind: StandinKind,
+        listen: SocketAddr,
+    },
     Credential {
         token: String,
     },
@@ -114,6 +124,13 @@
             Some("status") => Command::Status {
                 router: raw.value_from_str("--router")?,
             },
+            Some("drain") => Command::Drain {
+                router: raw.value_from_str("--router")?,
+            },
+            Some("standin") => Command::Standin {
+                listen: raw.value_from_str("--listen")?,
+                kind: raw.free_from_str()?,
+            },
             Some("credential") => Command::Credential {
                 token: raw.free_from_str()?,
             },
--- a/crates/daisynotch/src/commands.rs
+++ b/crates/daisynotch/src/commands.rs
@@ -4,7 +4,9 @@
 pub(crate) mod check;
 pub(crate) mod credential;
 pub(crate) mod demo;
+pub(crate) mod drain;
 pub(crate) mod get;
+pub(crate) mod standin;
 pub(crate) mod status;
 
 use std::net::SocketAddr;
@@ -13,10 +15,14 @@
 
 use daisynotch_objects::{Objects, ParseError};
 use daisynotch_platform::{ConfigStore, KeyValueClient, StoreError};
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 
 /// How long a call to the key-value service may take.
 const KEY_VALUE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How long a call to a router may take.
+const ROUTER_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Why a command failed.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum CommandError {
@@ -44,6 +50,13 @@
 }
 
 impl CommandError {
+    /// A call to a router's operator address failed.
+    fn router(address: SocketAddr, error: &dyn std::fmt::Display) -> Self {
+        Self::Failed(format!(
+            "router at {address}: {error}; is it the router's `operator_address`?"
+        ))
+    }
+
     /// Gives the exit code that the help text names.
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
@@ -73,6 +86,13 @@
     Err(CommandError::BadObjects(lines.join("\n")))
 }
 
+/// Makes a client of a router's operator address.
+fn operator_client(router: SocketAddr) -> Result<HttpClient, CommandError> {
+    let client = HttpClientBuilder::default().request_timeout(ROUTER_TIMEOUT);
+    let client = client.build(format!("http://{router}/rpc"));
+    client.map_err(|error| CommandError::router(router, &error))
+}
+
 fn config_store(key_value: SocketAddr) -> ConfigStore {
     ConfigStore::new(KeyValueClient::new(key_value, KEY_VALUE_TIMEOUT))
 }
--- a/crates/daisynotch/src/commands/demo/fleet.rs
+++ b/crates/daisynotch/src/commands/demo/fleet.rs
@@ -183,6 +183,7 @@
             zone: zone.parse().expect("it is a name"),
             caller_address: callers.local_addr().map_err(|error| failed(&error))?,
             peer_address,
+            operator_address: "127.0.0.1:0".parse().expect("it is an address"),
             key_value_address: key_value,
             host_list_address: None,
             entry_keep_ms: 500,
--- a/crates/daisynotch/src/commands/status.rs
+++ b/crates/daisynotch/src/commands/status.rs
@@ -1,35 +1,40 @@
 //! `daisynotch status`: prints what a router knows.
 
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Empty};
-use hyper::Request;
-use hyper_util::client::legacy::Client;
-use hyper_util::rt::TokioExecutor;
+use daisynotch_router::{OperatorRpcClient, RouterStatus};
 
-use super::CommandError;
+use super::{CommandError, operator_client};
 use crate::printer::Printer;
 
 pub(crate) async fn run(router: SocketAddr, printer: &Printer) -> Result<(), CommandError> {
-    let failed = |error: &dyn std::fmt::Display| {
-        CommandError::Failed(format!("router at {router}: {error}"))
-    };
-    let request = Request::get(format!("http://{router}/v1/status")).body(Empty::<Bytes>::new());
-    let request = request.map_err(|error| failed(&error))?;
-    let client = Client::builder(TokioExecutor::new()).build_http();
-    let response = client
-        .request(request)
-        .await
-        .map_err(|error| failed(&error))?;
-    let body = response
-        .into_body()
-        .collect()
-        .await
-        .map_err(|error| failed(&error))?
-        .to_bytes();
-    let value: serde_json::Value = serde_json::from_slice(&body).map_err(|error| failed(&error))?;
-    let text = serde_json::to_string_pretty(&value).map_err(|error| failed(&error))?;
-    printer.result(&text, &value);
+    let status = operator_client(router)?.status().await;
+    let status = status.map_err(|error| CommandError::router(router, &error))?;
+    printer.result(to_text(&status).trim_end(), &status);
     Ok(())
 }
+
+fn to_text(status: &RouterStatus) -> String {
+    let leaving = if status.leaving { ", leaving" } else { "" };
+    let mut text = format!(
+        "{} in {}: revision {}, {} open requests{leaving}\n",
+        status.router, status.zone, status.revision, status.open_requests
+    );
+    for live in &status.live_routers {
+        let leaving = if live.leaving { "  leaving" } else { "" };
+        let _ = writeln!(
+            text,
+            "  router {}  revision {}  {} open requests{leaving}",
+            live.caller_address, live.revision, live.open_requests
+        );
+    }
+    for shard in &status.shards {
+        let _ = writeln!(
+            text,
+            "  schedules {} in {}: {} waiting, {} running",
+            shard.pool, shard.zone, shard.waiting, shard.granted
+        );
+    }
+    text
+}
--- a/crates/daisynotch/src/main.rs
+++ b/crates/daisynotch/src/main.rs
@@ -43,6 +43,10 @@
         }
         Command::Get { key_value } => commands::get::run(key_value, printer).await?,
         Command::Status { router } => commands::status::run(router, printer).await?,
+        Command::Drain { router } => commands::drain::run(router, printer).await?,
+        Command::Standin { kind, listen } => {
+            commands::standin::run(kind, listen, printer).await?;
+        }
         Command::Credential { token } => commands::credential::run(&token, printer),
         Command::Demo(options) => commands::demo::run(options, printer).await?,
     }
--- a/crates/daisynotch_core/src/catalogue.rs
+++ b/crates/daisynotch_core/src/catalogue.rs
@@ -11,7 +11,7 @@
 use smallvec::SmallVec;
 
 use crate::message::ShardId;
-use crate::{EndpointId, PoolId, PoolKind, Revision, TeamId, ZoneId};
+use crate::{EndpointId, PoolId, PoolKind, Revision, TeamId, ZoneId, ZoneName};
 
 /// Requests of a team that wait at one router when its objects set no bound.
 const DEFAULT_QUEUED_REQUESTS: u32 = 256;
@@ -104,6 +104,7 @@
     pub pools: BTreeMap<PoolId, PoolView>,
     /// Endpoints.
     pub endpoints: HashMap<EndpointId, EndpointView>,
+    zones: HashMap<ZoneId, ZoneName>,
     credentials: HashMap<CredentialDigest, TeamId>,
     models: HashMap<String, RouteView>,
     prefixes: Vec<(String, RouteView)>,
@@ -153,6 +154,11 @@
         zones.map(|zone| ShardId { pool, zone: *zone }).collect()
     }
 
+    /// Names a zone that has an endpoint.
+    pub fn zone_name(&self, zone: ZoneId) -> Option<&ZoneName> {
+        self.zones.get(&zone)
+    }
+
     /// Gives the shard that an endpoint belongs to.
     pub fn shard_of(&self, endpoint: EndpointId) -> Option<ShardId> {
         let view = self.endpoints.get(&endpoint)?;
@@ -202,6 +208,7 @@
             let id = EndpointId::from(name);
             let pool = PoolId::from(&endpoint.pool);
             let zone = ZoneId::from(&endpoint.zone);
+            self.zones.insert(zone, endpoint.zone.clone());
             if let Some(view) = self.pools.get_mut(&pool) {
                 view.shards.entry(zone).or_default().push(id);
             }
--- a/crates/daisynotch_router/src/api.rs
+++ b/crates/daisynotch_router/src/api.rs
@@ -1,15 +1,15 @@
-//! The HTTP interface towards callers and operators.
+//! The HTTP interface towards callers.
 //!
 //! `docs/operations/http.md` describes every path, status and header.
 
 mod answer;
 mod chat;
 mod entry_addresses;
+mod health;
 mod inbound;
 mod inference;
 mod keyed;
 mod plain;
-mod status;
 
 use std::future::Future;
 use std::sync::Arc;
@@ -55,10 +55,8 @@
     Router::new()
         .post("/v1/chat/completions", handler(app, inference::complete))
         .get("/v1/entry", handler(app, entry_addresses::get))
-        .get("/v1/status", handler(app, status::status))
-        .get("/metrics", handler(app, status::metrics))
-        .get("/healthz", handler(app, status::healthz))
-        .get("/readyz", handler(app, status::readyz))
+        .get("/healthz", handler(app, health::healthz))
+        .get("/readyz", handler(app, health::readyz))
         .any("/*", handler(app, plain::forward))
 }
 
--- a/crates/daisynotch_router/src/daemon.rs
+++ b/crates/daisynotch_router/src/daemon.rs
@@ -22,8 +22,9 @@
 use crate::host_list;
 use crate::links::{self, LinkContext};
 use crate::metrics::Metrics;
+use crate::operator::{self, OperatorContext};
 use crate::server;
-use crate::settings::Settings;
+use crate::settings::{HttpLimits, Settings};
 use crate::timer::{Tick, TimerService};
 
 /// How often the core learns that time passed.
@@ -49,6 +50,14 @@
     Metrics(#[from] prometheus::Error),
 }
 
+/// The operators' side, which is served until the router has ended.
+#[derive(Debug)]
+struct OperatorServer {
+    /// Dropping it stops the server.
+    _stop: oneshot::Sender<()>,
+    task: JoinHandle<()>,
+}
+
 /// A running router.
 #[derive(Debug)]
 pub struct Daemon {
@@ -57,8 +66,11 @@
     peer_address: SocketAddr,
     entry_keep: Duration,
     metrics: Arc<Metrics>,
+    operator_address: SocketAddr,
+    leave_requests: mpsc::Receiver<()>,
     stop: oneshot::Sender<()>,
     server: JoinHandle<()>,
+    operator_server: OperatorServer,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -88,6 +100,9 @@
             zone: settings.zone.clone(),
             caller_address,
         };
+        let operators = listen_now("operator_address", settings.operator_address)?;
+        let operator_address =
+            local_address("operator_address", &operators, settings.operator_address)?;
         let clock = Clock::start();
         let timers = TimerService::start();
         let metrics = Arc::new(Metrics::new()?);
@@ -137,6 +152,14 @@
         let (stop, stopped) = oneshot::channel();
         let entry_keep = settings.entry_keep();
         let limits = settings.http;
+        let (leave_sender, leave_requests) = mpsc::channel(1);
+        let operator = OperatorContext {
+            settings: settings.clone(),
+            core: core.clone(),
+            metrics: Arc::clone(&metrics),
+            leave_requests: leave_sender,
+        };
+        let operator_server = OperatorServer::start(operators, &operator, limits);
         let app = Arc::new(App {
             settings,
             core: core.clone(),
@@ -151,8 +174,11 @@
             peer_address,
             entry_keep,
             metrics,
+            operator_address,
+            leave_requests,
             stop,
             server,
+            operator_server,
             tasks,
         })
     }
@@ -167,6 +193,17 @@
         self.peer_address
     }
 
+    /// Gives where operators connect.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
+    /// Waits until an operator asks the router to leave.
+    pub async fn leave_requested(&mut self) {
+        // The operators' side holds the sender for as long as the router runs.
+        let _ = self.leave_requests.recv().await;
+    }
+
     /// Gives the bytes that it sent to other routers so far.
     pub fn control_sent_bytes(&self) -> u64 {
         self.metrics.control_sent_bytes.get()
@@ -194,16 +231,45 @@
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         self.tasks.iter().for_each(JoinHandle::abort);
+        self.operator_server.task.abort();
         log::info!("left: every request has ended");
     }
 
     /// Ends at once, as a crash would: connections break.
     pub fn kill(self) {
         self.server.abort();
+        self.operator_server.task.abort();
         self.tasks.iter().for_each(JoinHandle::abort);
     }
 }
 
+impl OperatorServer {
+    fn start(listener: TcpListener, context: &OperatorContext, limits: HttpLimits) -> Self {
+        let (stop, stopped) = oneshot::channel();
+        let task = tokio::spawn(server::run(
+            listener,
+            operator::routes(context),
+            limits,
+            stopped,
+        ));
+        Self { _stop: stop, task }
+    }
+}
+
+/// Listens without waiting, for a place that can't wait.
+fn listen_now(key: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    let listen = || {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        TcpListener::from_std(listener)
+    };
+    listen().map_err(|error| DaemonError::Listen {
+        key,
+        address,
+        error,
+    })
+}
+
 async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
     let listener = TcpListener::bind(address).await;
     listener.map_err(|error| DaemonError::Listen {
--- a/crates/daisynotch_router/src/main.rs
+++ b/crates/daisynotch_router/src/main.rs
@@ -75,13 +75,14 @@
     let failed = |error: &dyn std::fmt::Display| Failure::Run(error.to_string());
     let mut terminate = signal(SignalKind::terminate()).map_err(|error| failed(&error))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| failed(&error))?;
-    let daemon = Daemon::start(settings)
+    let mut daemon = Daemon::start(settings)
         .await
         .map_err(|error| failed(&error))?;
     log::info!("serving callers on {}", daemon.caller_address());
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        () = daemon.leave_requested() => {}
     }
     daemon.drain().await;
     Ok(())
--- a/crates/daisynotch_router/src/server.rs
+++ b/crates/daisynotch_router/src/server.rs
@@ -26,10 +26,13 @@
     let graceful = GracefulShutdown::new();
     let permits = Arc::new(Semaphore::new(limits.connections_max));
     loop {
-        let permit = Arc::clone(&permits).acquire_owned().await;
-        let permit = permit.expect("the semaphore is never closed");
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let accept = async {
+            let permit = Arc::clone(&permits).acquire_owned().await;
+            let permit = permit.expect("the semaphore is never closed");
+            (listener.accept().await, permit)
+        };
+        let (accepted, permit) = tokio::select! {
+            accepted = accept => accepted,
             _ = &mut stop => break,
         };
         let (stream, address) = match accepted {
--- a/crates/daisynotch_router/src/settings.rs
+++ b/crates/daisynotch_router/src/settings.rs
@@ -86,6 +86,8 @@
     pub caller_address: SocketAddr,
     /// Where other routers connect.
     pub peer_address: SocketAddr,
+    /// Where operators and their tools connect.
+    pub operator_address: SocketAddr,
     /// Where the platform's key-value service listens.
     pub key_value_address: SocketAddr,
     /// Where the platform's host list is served; without it only `peers` are known.
--- a/crates/daisynotch_router/tests/support.rs
+++ b/crates/daisynotch_router/tests/support.rs
@@ -157,6 +157,16 @@
         self.routers.remove(router).kill();
     }
 
+    pub async fn get_operator(&self, router: usize, path: &str) -> Response<Incoming> {
+        let address = self.routers[router].operator_address();
+        let request = Request::get(format!("http://{address}{path}")).body(Full::default());
+        let request = request.expect("the request is valid");
+        self.client
+            .request(request)
+            .await
+            .expect("the router answers")
+    }
+
     pub async fn get(&self, router: usize, path: &str) -> Response<Incoming> {
         let address = self.routers[router].caller_address();
         let request = Request::get(format!("http://{address}{path}"))
@@ -262,6 +272,7 @@
             zone: ZONES[index % ZONES.len()].parse().expect("it is a name"),
             caller_address: callers.local_addr().expect("the socket is bound"),
             peer_address: known[index].address,
+            operator_address: "127.0.0.1:0".parse().expect("it is an address"),
             key_value_address: key_value,
             host_list_address: None,
             peers: known
--- a/crates/daisynotch_router/tests/whole_path.rs
+++ b/crates/daisynotch_router/tests/whole_path.rs
@@ -108,13 +108,13 @@
 #[tokio::test]
 async fn health_and_metrics_answer() {
     let fleet = start(1).await;
-    for path in ["/healthz", "/readyz", "/v1/status", "/v1/entry"] {
+    for path in ["/healthz", "/readyz", "/v1/entry"] {
         assert_eq!(fleet.get(0, path).await.status(), 200, "{path}");
     }
     text_of(fleet.ask(0, false, 1).await)
         .await
         .expect("the answer is whole");
-    let metrics = text_of(fleet.get(0, "/metrics").await)
+    let metrics = text_of(fleet.get_operator(0, "/metrics").await)
         .await
         .expect("metrics are whole");
     assert!(metrics.contains("daisynotch_requests_total"), "{metrics}");
--- a/crates/daisynotch_standins/src/engine.rs
+++ b/crates/daisynotch_standins/src/engine.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use viz::{Body, IntoResponse, Request, RequestExt, Response, Result, Router, StatusCode, header};
 
-use crate::server::StandinServer;
+use crate::server::{ANY_PORT, StandinServer};
 
 /// How an engine behaves.
 #[derive(Debug, Clone, Copy)]
@@ -111,12 +111,17 @@
 impl Engine {
     /// Starts an engine on a free loopback port.
     pub async fn start(settings: EngineSettings) -> std::io::Result<Self> {
+        Self::start_at(ANY_PORT, settings).await
+    }
+
+    /// Starts an engine on an address.
+    pub async fn start_at(address: SocketAddr, settings: EngineSettings) -> std::io::Result<Self> {
         let shared = Arc::new(Shared::default());
         let for_chat = Arc::clone(&shared);
         let router = Router::new().post("/v1/chat/completions", move |request| {
             chat(Arc::clone(&for_chat), settings, request)
         });
-        let server = StandinServer::start(router).await?;
+        let server = StandinServer::start_at(address, router).await?;
         Ok(Self { server, shared })
     }
 
--- a/crates/daisynotch_standins/src/key_value.rs
+++ b/crates/daisynotch_standins/src/key_value.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use viz::{IntoResponse, Request, RequestExt, Response, Result, Router, StatusCode, types::Json};
 
-use crate::server::StandinServer;
+use crate::server::{ANY_PORT, StandinServer};
 
 #[derive(Debug, Default)]
 struct State {
@@ -78,6 +78,11 @@
 impl KeyValueStandin {
     /// Starts an empty service.
     pub async fn start() -> std::io::Result<Self> {
+        Self::start_at(ANY_PORT).await
+    }
+
+    /// Starts an empty service on an address.
+    pub async fn start_at(address: SocketAddr) -> std::io::Result<Self> {
         let state = Arc::new(Mutex::new(State::default()));
         let for_range = Arc::clone(&state);
         let for_txn = Arc::clone(&state);
@@ -88,7 +93,7 @@
             .post("/v3/kv/txn", move |request| {
                 txn(Arc::clone(&for_txn), request)
             });
-        let server = StandinServer::start(router).await?;
+        let server = StandinServer::start_at(address, router).await?;
         Ok(Self { server, state })
     }
 
--- a/crates/daisynotch_standins/src/plain.rs
+++ b/crates/daisynotch_standins/src/plain.rs
@@ -7,7 +7,7 @@
 
 use viz::{IntoResponse, Request, RequestExt, Response, Result, Router, StatusCode};
 
-use crate::server::StandinServer;
+use crate::server::{ANY_PORT, StandinServer};
 
 type Runs = Arc<Mutex<HashMap<String, u32>>>;
 
@@ -21,13 +21,22 @@
 impl PlainService {
     /// Starts a service that takes `duration` for each booking.
     pub async fn start(path_prefix: &str, duration: Duration) -> std::io::Result<Self> {
+        Self::start_at(ANY_PORT, path_prefix, duration).await
+    }
+
+    /// Starts a service on an address.
+    pub async fn start_at(
+        address: SocketAddr,
+        path_prefix: &str,
+        duration: Duration,
+    ) -> std::io::Result<Self> {
         let runs = Runs::default();
         let for_book = Arc::clone(&runs);
         let book = move |request| book(Arc::clone(&for_book), duration, request);
         let router = Router::new()
             .any(path_prefix, book.clone())
             .any(format!("{path_prefix}/*"), book);
-        let server = StandinServer::start(router).await?;
+        let server = StandinServer::start_at(address, router).await?;
         Ok(Self { server, runs })
     }
 
--- a/crates/daisynotch_standins/src/server.rs
+++ b/crates/daisynotch_standins/src/server.rs
@@ -1,11 +1,14 @@
 //! The HTTP server that the fakes share.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use viz::Router;
 
+/// Any free loopback port.
+pub(crate) const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// A fake that listens; dropping it ends it.
 #[derive(Debug)]
 pub struct StandinServer {
@@ -16,7 +19,7 @@
 impl StandinServer {
     /// Listens on a free loopback port.
     pub async fn start(router: Router) -> std::io::Result<Self> {
-        Self::start_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), router).await
+        Self::start_at(ANY_PORT, router).await
     }
 
     /// Listens on a given address.
