--- a/crates/daisynotch/src/args/tests.rs
+++ b/crates/daisynotch/src/args/tests.rs
@@ -23,8 +23,10 @@
                                          print the published objects
         history --key-value ADDRESS      print the latest changes
         status --router ADDRESS          print what a router knows
+        drain --router ADDRESS           make a router finish its requests and end
         credential TOKEN                 print a token's digest for the objects
         demo                             run a small fleet in this process
+        standin KIND --listen ADDRESS    run a fake `key-value`, `engine` or `bookings`
 
     OPTIONS
         --json                           print JSON
