--- a/crates/daisynotch/src/commands/status.rs
+++ b/crates/daisynotch/src/commands/status.rs
@@ -23,10 +23,15 @@
     );
     for live in &status.live_routers {
         let leaving = if live.leaving { "  leaving" } else { "" };
+        let load = live
+            .open_requests
+            .map_or_else(String::new, |open_requests| {
+                format!("  {open_requests} open requests")
+            });
         let _ = writeln!(
             text,
-            "  router {}  revision {}  {} open requests{leaving}",
-            live.caller_address, live.revision, live.open_requests
+            "  router {}  revision {}{load}{leaving}",
+            live.caller_address, live.revision
         );
     }
     for shard in &status.shards {
--- a/crates/daisynotch_router/src/core_task.rs
+++ b/crates/daisynotch_router/src/core_task.rs
@@ -4,6 +4,7 @@
 //! need no locks. The task ends when every [`CoreHandle`] is gone.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, RwLock};
 
 use daisynotch_core::{
@@ -66,11 +67,18 @@
     catalogue: Arc<RwLock<Arc<Catalogue>>>,
 }
 
-/// A message for another router.
+/// Something for the connections to other routers.
 #[derive(Debug)]
-pub(crate) struct Outgoing {
-    pub(crate) to: RouterId,
-    pub(crate) message: PeerMessage,
+pub(crate) enum Outgoing {
+    /// A message for a router.
+    Message {
+        to: RouterId,
+        /// Where it listens, as far as membership knows.
+        address: Option<SocketAddr>,
+        message: PeerMessage,
+    },
+    /// The routers that the host list names.
+    Seeds(Vec<(RouterId, SocketAddr)>),
 }
 
 impl CoreHandle {
@@ -172,6 +180,11 @@
             Input::Finished { request, .. } | Input::CallerLeft(request) => Some(*request),
             _ => None,
         };
+        if let Input::HostList(hosts) = &input {
+            let seeds = hosts.iter();
+            let seeds = seeds.map(|host| (RouterId::from(&host.router), host.peer_address));
+            let _ = self.outgoing.send(Outgoing::Seeds(seeds.collect()));
+        }
         let outputs = self.node.handle(input, self.clock.now());
         if is_configuration {
             *self
@@ -191,7 +204,13 @@
         for output in outputs {
             match output {
                 Output::Send { to, message } => {
-                    let _ = self.outgoing.send(Outgoing { to, message });
+                    let address = self.node.membership().address_of(to);
+                    let message = Outgoing::Message {
+                        to,
+                        address,
+                        message,
+                    };
+                    let _ = self.outgoing.send(message);
                 }
                 Output::Dispatch(dispatch) => {
                     self.decide(dispatch.request, Decision::Dispatch(dispatch));
--- a/crates/daisynotch_router/src/daemon.rs
+++ b/crates/daisynotch_router/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use daisynotch_core::{
     Incarnation, Input, MembershipSettings, Node, NodeSettings, Revision, SchedulerSettings,
@@ -96,9 +96,10 @@
         let hello = Hello {
             version: PROTOCOL_VERSION,
             router: settings.router.clone(),
-            incarnation: Incarnation(rand::random()),
+            incarnation: next_incarnation(),
             zone: settings.zone.clone(),
             caller_address,
+            peer_address,
         };
         let operators = listen_now("operator_address", settings.operator_address)?;
         let operator_address =
@@ -279,6 +280,13 @@
     })
 }
 
+/// Numbers this start: a later start of a router has a higher number.
+fn next_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let micros = since_epoch.unwrap_or_default().as_micros();
+    Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
+}
+
 fn local_address(
     key: &'static str,
     listener: &TcpListener,
--- a/crates/daisynotch_router/src/operator/status.rs
+++ b/crates/daisynotch_router/src/operator/status.rs
@@ -35,8 +35,9 @@
     pub revision: Revision,
     /// Whether it is leaving.
     pub leaving: bool,
-    /// Requests that its callers have open.
-    pub open_requests: u32,
+    /// Requests that its callers have open; known of the routers that this one
+    /// exchanges heartbeats with.
+    pub open_requests: Option<u32>,
 }
 
 /// A shard that a router schedules.
