--- a/crates/daisynotch_core/src/node/tests.rs
+++ b/crates/daisynotch_core/src/node/tests.rs
@@ -202,7 +202,8 @@
 #[test]
 fn a_request_that_waits_where_every_endpoint_leaves_moves_to_another_zone() {
     let mut node = configured(1);
-    node.admit(spec(&catalogue()), Timestamp(0));
+    let (_, outputs) = node.admit(spec(&catalogue()), Timestamp(0));
+    assert_eq!(dispatches(&outputs).len(), 1);
     let (waiting, outputs) = node.admit(spec(&catalogue()), Timestamp(0));
     assert!(dispatches(&outputs).is_empty());
     let text = OBJECTS
--- a/crates/daisynotch_router/tests/silent_connections.rs
+++ b/crates/daisynotch_router/tests/silent_connections.rs
@@ -30,6 +30,7 @@
         zone: ZONES[index].parse().expect("it is a name"),
         caller_address: callers.local_addr().expect("the socket is bound"),
         peer_address: peer_listener.local_addr().expect("the socket is bound"),
+        operator_address: "127.0.0.1:0".parse().expect("it is an address"),
         key_value_address: key_value.address(),
         host_list_address: None,
         peers,
