Spread revisions from a few relays a zone, from router to router

Cause: every router polled the head twice a second, 3,400 reads a second at 1,700 routers; a router that started during an outage got no objects at all.

Change: three relays a zone, chosen by rendezvous over its live routers, poll the service; the others learn of a newer revision from a heartbeat and pull it from the sender in pieces of 8 KB over the connection that carries the heartbeats: the edits since their own revision when the sender has them, the whole otherwise, checked by digest. A router without objects asks the service for the newest revision's number first, so that it takes no old one from a stale peer; when the service is down it takes the newest that a peer has. `/readyz` says why there are no objects. The decisions are in the core, without input or output.

--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod backoff;
 mod catalogue;
+mod configuration;
 mod cost;
 mod entry;
 mod host_list;
@@ -21,6 +22,10 @@
 
 pub use backoff::{Backoff, BackoffSettings, jittered};
 pub use catalogue::{Catalogue, EndpointView, PoolView, RequestLimits, RouteView, TeamView};
+pub use configuration::{
+    ConfigurationAction, ConfigurationState, EditPayload, Follower, FollowerSettings,
+    RELAYS_PER_ZONE, Replica, ServiceRead, is_relay,
+};
 pub use cost::Cost;
 pub use daisynotch_objects::{
     EndpointId, PoolId, PoolKind, Revision, RouterId, RouterName, TeamId, ZoneId, ZoneName,
@@ -33,8 +38,9 @@
 };
 pub use membership::{Introduction, Member, Membership, MembershipSettings};
 pub use message::{
-    Grant, Heartbeat, Incarnation, LengthClass, Peer, PeerMessage, PrefixFingerprint, Progress,
-    Release, ReleaseReason, Running, ShardId, Ticket, TicketSeq,
+    ConfigurationPiece, ConfigurationRequest, Grant, Heartbeat, Incarnation, LengthClass, Peer,
+    PeerMessage, PrefixFingerprint, Progress, Release, ReleaseReason, Running, ShardId, Ticket,
+    TicketSeq,
 };
 pub use node::{Input, Node, NodeSettings, Output};
 pub use placement::rendezvous;
--- a/crates/daisynotch_core/src/message.rs
+++ b/crates/daisynotch_core/src/message.rs
@@ -4,6 +4,7 @@
 //! receiver. A message about a slot names the endpoint, which implies the shard. The life of a ticket is described in `docs/design/tickets.md`, the
 //! bytes that each message takes in `docs/CAPACITY.md`.
 
+use bytes::Bytes;
 use smallvec::SmallVec;
 
 use crate::cost::Cost;
@@ -155,6 +156,32 @@
     pub open_requests: u32,
 }
 
+/// Asks for a piece of the newest objects that the receiver has.
+#[daisynotch_macros::message]
+pub struct ConfigurationRequest {
+    /// The revision that the sender has and can apply edits to; zero for none.
+    pub have: Revision,
+    /// The revision whose pieces came so far; zero before the first.
+    pub wanted: Revision,
+    /// The bytes that the sender has of it.
+    pub offset: u32,
+}
+
+/// A piece of the objects, as a whole or as edits to a revision.
+#[daisynotch_macros::message]
+pub struct ConfigurationPiece {
+    /// The revision that the request named.
+    pub have: Revision,
+    /// The revision that all pieces together make.
+    pub revision: Revision,
+    /// Where the piece starts.
+    pub offset: u32,
+    /// The length of all pieces together.
+    pub total_bytes: u32,
+    /// The piece.
+    pub bytes: Bytes,
+}
+
 /// Anything that one router says to another about requests and its own state.
 #[daisynotch_macros::message]
 pub enum PeerMessage {
@@ -191,6 +218,10 @@
     },
     /// Router to router.
     Heartbeat(Heartbeat),
+    /// Router to router: asks for newer objects.
+    ConfigurationRequest(ConfigurationRequest),
+    /// Router to router: a piece of newer objects.
+    ConfigurationPiece(ConfigurationPiece),
 }
 
 /// A router that a message came from.
--- a/crates/daisynotch_core/src/node.rs
+++ b/crates/daisynotch_core/src/node.rs
@@ -9,6 +9,9 @@
 use smallvec::SmallVec;
 
 use crate::catalogue::Catalogue;
+use crate::configuration::{
+    self, ConfigurationAction, ConfigurationState, Follower, FollowerSettings, Replica, ServiceRead,
+};
 use crate::cost::Cost;
 use crate::entry::{Dispatch, Entry, EntryEvent, Refusal, RequestId, RequestSpec};
 use crate::host_list::ListedHost;
@@ -43,6 +46,15 @@
     Connected(Introduction),
     /// A new revision of the objects was accepted.
     Configured(Arc<Catalogue>),
+    /// A read of the key-value service for newer objects ended.
+    ServiceRead(ServiceRead),
+    /// What a peer sent as newer objects can't be used.
+    PayloadRefused {
+        /// The peer.
+        from: RouterId,
+    },
+    /// The encoded form of the objects that come next, for peers.
+    Replica(Arc<Replica>),
     /// The platform's host list was read.
     HostList(Vec<ListedHost>),
     /// Running work goes on.
@@ -103,6 +115,9 @@
 pub struct Node {
     settings: NodeSettings,
     catalogue: Arc<Catalogue>,
+    follower: Follower,
+    configuration: Vec<ConfigurationAction>,
+    replica: Arc<Replica>,
     membership: Membership,
     entry: Entry,
     schedulers: BTreeMap<ShardId, Scheduler>,
@@ -118,6 +133,14 @@
         let membership = Membership::new(&settings.own, settings.membership, now);
         Self {
             catalogue: Arc::default(),
+            follower: Follower::new(
+                settings.own.peer.router,
+                FollowerSettings::default(),
+                settings.own.peer.incarnation.0,
+                now,
+            ),
+            configuration: Vec::new(),
+            replica: Arc::default(),
             membership,
             entry: Entry::new(settings.own.zone),
             schedulers: BTreeMap::new(),
@@ -134,6 +157,18 @@
         &self.catalogue
     }
 
+    /// Gives what is to be read or checked for the configuration since the last call.
+    ///
+    /// It is apart from [`Output`], since it concerns no request and one reader only.
+    pub fn take_configuration_actions(&mut self) -> Vec<ConfigurationAction> {
+        std::mem::take(&mut self.configuration)
+    }
+
+    /// Gives why there are no objects, or that there are some.
+    pub fn configuration_state(&self) -> ConfigurationState {
+        self.follower.state()
+    }
+
     /// Gives the routers that are taken for live.
     pub fn membership(&self) -> &Membership {
         &self.membership
@@ -178,6 +213,9 @@
             Input::Message { from, message } => self.on_message(from, message, now),
             Input::Connected(introduction) => self.on_connected(&introduction, now),
             Input::Configured(catalogue) => self.on_configured(catalogue, now),
+            Input::ServiceRead(read) => self.follower.on_service_read(read, now),
+            Input::PayloadRefused { from } => self.follower.on_payload_refused(from, now),
+            Input::Replica(replica) => self.replica = replica,
             Input::HostList(_) => {}
             Input::Progress {
                 request,
@@ -275,7 +313,19 @@
                 let event = self.entry.on_query(from.router, seq, endpoint);
                 self.run_entry([event]);
             }
-            PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(from, &heartbeat, now),
+            PeerMessage::Heartbeat(heartbeat) => {
+                self.follower.on_heartbeat(from.router, heartbeat.revision);
+                self.on_heartbeat(from, &heartbeat, now);
+            }
+            PeerMessage::ConfigurationRequest(request) => {
+                if let Some(piece) = self.replica.piece(&request) {
+                    self.send(from.router, PeerMessage::ConfigurationPiece(piece));
+                }
+            }
+            PeerMessage::ConfigurationPiece(piece) => {
+                let action = self.follower.on_piece(from.router, &piece, now);
+                self.run_configuration(action);
+            }
         }
     }
 
@@ -336,9 +386,11 @@
 
     fn on_configured(&mut self, catalogue: Arc<Catalogue>, now: Timestamp) {
         if catalogue.revision <= self.catalogue.revision {
+            self.follower.on_configured(self.catalogue.revision, now);
             return;
         }
         self.catalogue = catalogue;
+        self.follower.on_configured(self.catalogue.revision, now);
         for scheduler in self.schedulers.values_mut() {
             scheduler.configure(&self.catalogue);
         }
@@ -365,6 +417,7 @@
     }
 
     fn tick(&mut self, now: Timestamp) {
+        self.follow_configuration(now);
         self.drop_silent(now);
         self.send_heartbeats(now);
         let membership = &self.membership;
@@ -415,6 +468,32 @@
         }
     }
 
+    fn follow_configuration(&mut self, now: Timestamp) {
+        let own = &self.settings.own;
+        let members = self.membership.members();
+        let is_relay = || {
+            let routers = members.iter().filter(|(_, member)| !member.leaving);
+            let local = routers.filter(|(_, member)| member.zone == own.zone);
+            let local = local.map(|(router, _)| *router);
+            configuration::is_relay(own.peer.router, own.zone, local)
+        };
+        let actions = self.follower.tick(is_relay, now);
+        self.run_configuration(actions);
+    }
+
+    fn run_configuration(&mut self, actions: impl IntoIterator<Item = ConfigurationAction>) {
+        for action in actions {
+            match action {
+                ConfigurationAction::Ask { to, request } => {
+                    self.send(to, PeerMessage::ConfigurationRequest(request));
+                }
+                ConfigurationAction::ReadHead
+                | ConfigurationAction::ReadService
+                | ConfigurationAction::TakePayload { .. } => self.configuration.push(action),
+            }
+        }
+    }
+
     fn send_ticket(&mut self, request: RequestId, now: Timestamp) {
         let membership = &self.membership;
         let event = self
--- a/crates/daisynotch_router/src/api/status.rs
+++ b/crates/daisynotch_router/src/api/status.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use daisynotch_core::Revision;
+use daisynotch_core::{ConfigurationState, Revision};
 use serde::Serialize;
 use viz::header::{CONTENT_TYPE, HeaderValue};
 use viz::{Body, Request, Response, Result, StatusCode};
@@ -92,11 +92,20 @@
 /// Answers `GET /readyz`: the router has objects and is not leaving.
 pub(super) async fn readyz(app: Arc<App>, _request: Request) -> Result<Response> {
     let status = app.core.status().await;
-    let has_objects = app.core.catalogue().revision > Revision::default();
-    let reason = match (has_objects, status.is_leaving) {
-        (false, _) => Some("no objects yet: neither the key-value service nor a peer gave any"),
-        (true, true) => Some("this router is leaving"),
-        (true, false) => None,
+    let reason = match (status.configuration, status.is_leaving) {
+        (ConfigurationState::InForce, false) => None,
+        (ConfigurationState::InForce, true) => Some("this router is leaving"),
+        (ConfigurationState::Starting, _) => {
+            Some("no objects yet: the key-value service has not answered yet")
+        }
+        (ConfigurationState::NothingPublished, _) => {
+            Some("no objects yet: none were ever published; publish some with `daisynotch apply`")
+        }
+        (ConfigurationState::Fetching, _) => Some("no objects yet: they are being fetched"),
+        (ConfigurationState::NoSource, _) => Some(
+            "no objects yet: the key-value service does not answer, and no reachable router \
+             has any",
+        ),
     };
     let ready = reason.is_none();
     let code = if ready {
--- a/crates/daisynotch_router/src/core_task.rs
+++ b/crates/daisynotch_router/src/core_task.rs
@@ -7,8 +7,8 @@
 use std::sync::{Arc, RwLock};
 
 use daisynotch_core::{
-    Catalogue, Dispatch, Input, Member, Node, Output, PeerMessage, Refusal, RequestId, RequestSpec,
-    RouterId, ShardId,
+    Catalogue, ConfigurationAction, ConfigurationState, Dispatch, Input, Member, Node, Output,
+    PeerMessage, Refusal, RequestId, RequestSpec, RouterId, ShardId,
 };
 use tokio::sync::{mpsc, oneshot};
 
@@ -40,6 +40,7 @@
     pub(crate) shards: Vec<ShardStatus>,
     pub(crate) open_requests: usize,
     pub(crate) is_leaving: bool,
+    pub(crate) configuration: ConfigurationState,
 }
 
 /// The state of one shard that is scheduled here.
@@ -79,6 +80,7 @@
         node: Node,
         clock: Clock,
         outgoing: mpsc::UnboundedSender<Outgoing>,
+        configuration: mpsc::UnboundedSender<ConfigurationAction>,
         metrics: Arc<Metrics>,
     ) -> Self {
         let (commands, receiver) = mpsc::unbounded_channel();
@@ -87,6 +89,7 @@
             node,
             clock,
             outgoing,
+            configuration,
             metrics,
             requests: HashMap::new(),
             catalogue: Arc::clone(&catalogue),
@@ -132,6 +135,7 @@
     node: Node,
     clock: Clock,
     outgoing: mpsc::UnboundedSender<Outgoing>,
+    configuration: mpsc::UnboundedSender<ConfigurationAction>,
     metrics: Arc<Metrics>,
     requests: HashMap<RequestId, mpsc::UnboundedSender<Decision>>,
     catalogue: Arc<RwLock<Arc<Catalogue>>>,
@@ -188,6 +192,9 @@
     }
 
     fn run_outputs(&mut self, outputs: Vec<Output>) {
+        for action in self.node.take_configuration_actions() {
+            let _ = self.configuration.send(action);
+        }
         for output in outputs {
             match output {
                 Output::Send { to, message } => {
@@ -232,6 +239,7 @@
             shards: shards.collect(),
             open_requests: self.node.open_requests(),
             is_leaving: self.node.is_leaving(),
+            configuration: self.node.configuration_state(),
         }
     }
 }
--- a/crates/daisynotch_router/src/daemon.rs
+++ b/crates/daisynotch_router/src/daemon.rs
@@ -99,7 +99,8 @@
         let own = node_settings.own.peer;
         let node = Node::new(node_settings, clock.now());
         let (outgoing, outgoing_receiver) = mpsc::unbounded_channel();
-        let core = CoreHandle::start(node, clock, outgoing, Arc::clone(&metrics));
+        let (actions, action_receiver) = mpsc::unbounded_channel();
+        let core = CoreHandle::start(node, clock, outgoing, actions, Arc::clone(&metrics));
         let context = LinkContext {
             own: hello,
             core: core.clone(),
@@ -107,9 +108,9 @@
         };
         let dial_ticks = timers.subscribe(links::DIAL_INTERVAL);
         let known_peers = settings.peers.clone();
-        let store = ConfigStore::new(key_value_client(&settings));
+        let counter = configuration::call_counter(Arc::clone(&metrics));
+        let store = ConfigStore::new(key_value_client(&settings).observed(counter));
         let claims = ClaimStore::new(key_value_client(&settings), own);
-        let poll_ticks = timers.subscribe(configuration::POLL_INTERVAL);
         let mut tasks = vec![
             tokio::spawn(links::run(
                 context,
@@ -122,7 +123,7 @@
                 store,
                 core.clone(),
                 Arc::clone(&metrics),
-                poll_ticks,
+                action_receiver,
             )),
             tokio::spawn(tick_core(
                 core.clone(),
