--- a/crates/daisynotch_router/tests/configuration.rs
+++ b/crates/daisynotch_router/tests/configuration.rs
@@ -47,6 +47,7 @@
         zone: ZONES[index % ZONES.len()].parse().expect("it is a name"),
         caller_address: bound.callers.local_addr().expect("the socket is bound"),
         peer_address: bound.peers.local_addr().expect("the socket is bound"),
+        operator_address: "127.0.0.1:0".parse().expect("it is an address"),
         key_value_address: key_value,
         host_list_address: None,
         peers: known
@@ -86,8 +87,8 @@
 }
 
 impl Fleet {
-    async fn get(&self, router: &Daemon, path: &str) -> Response<Incoming> {
-        let uri = format!("http://{}{path}", router.caller_address());
+    async fn get(&self, address: SocketAddr, path: &str) -> Response<Incoming> {
+        let uri = format!("http://{address}{path}");
         let request = Request::get(uri).body(Full::default());
         let request = request.expect("the request is valid");
         let response = self.client.request(request).await;
@@ -95,9 +96,9 @@
     }
 
     async fn has_revision(&self, router: &Daemon, revision: u64) -> bool {
-        let status = text_of(self.get(router, "/v1/status").await).await;
-        let status = status.expect("the answer is whole");
-        status.contains(&format!("\"revision\":{revision},\"leaving\""))
+        let metrics = text_of(self.get(router.operator_address(), "/metrics").await).await;
+        let metrics = metrics.expect("the answer is whole");
+        metrics.contains(&format!("\ndaisynotch_revision {revision}\n"))
     }
 
     async fn wait_for_revision(&self, revision: u64) {
@@ -140,7 +141,7 @@
     fleet.key_value.set_down(true);
     let bound = bind("router-late".to_owned()).await;
     let late = launch(bound, 0, fleet.key_value.address(), &fleet.known);
-    wait_for(|| async { fleet.get(&late, "/readyz").await.status() == 200 }).await;
+    wait_for(|| async { fleet.get(late.caller_address(), "/readyz").await.status() == 200 }).await;
     assert!(fleet.has_revision(&late, 2).await);
     fleet.routers.push(late);
     fleet.key_value.set_down(false);
@@ -162,7 +163,9 @@
     };
     let reason = "the key-value service does not answer, and no reachable router has any";
     let says_why = || async {
-        let response = fleet.get(&fleet.routers[0], "/readyz").await;
+        let response = fleet
+            .get(fleet.routers[0].caller_address(), "/readyz")
+            .await;
         let is_unready = response.status() == 503;
         let text = text_of(response).await.expect("the answer is whole");
         is_unready && text.contains(reason)
@@ -171,7 +174,12 @@
     fleet.key_value.set_down(false);
     publish(fleet.key_value.address(), &objects(1)).await;
     fleet.wait_for_revision(1).await;
-    let metrics = text_of(fleet.get(&fleet.routers[0], "/metrics").await).await;
+    let metrics = text_of(
+        fleet
+            .get(fleet.routers[0].operator_address(), "/metrics")
+            .await,
+    )
+    .await;
     let metrics = metrics.expect("the answer is whole");
     for line in [
         "daisynotch_key_value_calls_total{result=\"no_answer\",use=\"configuration_head\"}",
