--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod backoff;
 mod catalogue;
+mod configuration;
 mod cost;
 mod entry;
 mod host_list;
@@ -21,6 +22,10 @@
 
 pub use backoff::{Backoff, BackoffSettings, jittered};
 pub use catalogue::{Catalogue, EndpointView, PoolView, RequestLimits, RouteView, TeamView};
+pub use configuration::{
+    ConfigurationAction, ConfigurationState, EditPayload, Follower, FollowerSettings,
+    RELAYS_PER_ZONE, Replica, ServiceRead, is_relay,
+};
 pub use cost::Cost;
 pub use daisynotch_objects::{
     EndpointId, PoolId, PoolKind, Revision, RouterId, RouterName, TeamId, ZoneId, ZoneName,
@@ -35,9 +40,9 @@
     Changes, Introduction, Member, Membership, MembershipChange, MembershipSettings, OwnState,
 };
 pub use message::{
-    Grant, Heartbeat, Incarnation, LengthClass, MemberState, MemberVersion, Peer, PeerMessage,
-    PrefixFingerprint, Progress, Release, ReleaseReason, Rumor, Running, ShardId, Ticket,
-    TicketSeq, ViewDigest,
+    ConfigurationPiece, ConfigurationRequest, Grant, Heartbeat, Incarnation, LengthClass,
+    MemberState, MemberVersion, Peer, PeerMessage, PrefixFingerprint, Progress, Release,
+    ReleaseReason, Rumor, Running, ShardId, Ticket, TicketSeq, ViewDigest,
 };
 pub use node::{Input, Node, NodeSettings, Output};
 pub use placement::rendezvous;
--- a/crates/daisynotch_router/src/api/entry_addresses/tests.rs
+++ b/crates/daisynotch_router/src/api/entry_addresses/tests.rs
@@ -1,5 +1,6 @@
 use daisynotch_core::{
-    Incarnation, Introduction, Membership, MembershipSettings, Peer, Timestamp, ZoneId,
+    ConfigurationState, Incarnation, Introduction, Membership, MembershipSettings, Peer, Timestamp,
+    ZoneId,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -35,6 +36,7 @@
         shards: Vec::new(),
         open_requests: 0,
         is_leaving: false,
+        configuration: ConfigurationState::InForce,
     }
 }
 
