Report late first tokens and hedge them in the core

Cause: a slowed endpoint was noticed only when its requests ended. A report of every running request each second would take more control than the 75 bytes of ticket, grant and release (a request of the design size runs for 22 s).

Change: an entry reports a running request only when its first token is late by what the pool does usually (mean and four mean deviations), when its gap between tokens turns to twice the usual one or back, and when its cost reaches twice the hint. The scheduler then uses the endpoint last, with a quarter of its slots, until a stream there is fast again or a probe goes well; when most endpoints of a shard are slow it takes that for load. Idempotent requests that have not begun to answer get a second ticket that avoids the endpoint; the first to answer wins, the other is cancelled, 3 in 100 dispatches at most. Requests that a slow moment stretched no longer count when slots are judged.

--- a/crates/daisynotch_core/benches/policy/engine.rs
+++ b/crates/daisynotch_core/benches/policy/engine.rs
@@ -66,6 +66,22 @@
         }
     }
 
+    /// Says how many tokens of a running request are still to come.
+    pub(crate) fn tokens_left(&self, id: usize) -> u64 {
+        let end = self
+            .due
+            .iter()
+            .find(|(_, other, is_end)| *other == id && *is_end);
+        end.map_or(0, |(at, ..)| at.saturating_sub(self.clock) / MICRO)
+    }
+
+    /// Drops a running request.
+    pub(crate) fn cancel(&mut self, id: usize) {
+        let before = self.due.len();
+        self.due.retain(|(_, other, _)| *other != id);
+        self.running -= u64::from(self.due.len() < before);
+    }
+
     /// Takes the next first token or end that is due.
     pub(crate) fn pop_due(&mut self) -> Option<(usize, bool)> {
         let (_, id, is_end) = *self.due.first().filter(|(at, ..)| *at <= self.clock)?;
--- a/crates/daisynotch_core/benches/policy/fleet.rs
+++ b/crates/daisynotch_core/benches/policy/fleet.rs
@@ -6,17 +6,19 @@
 use daisynotch_core::{
     Catalogue, Cost, EndpointId, Incarnation, Input, Introduction, MembershipSettings, Node,
     NodeSettings, Output, Peer, PeerMessage, ReleaseReason, RequestId, Revision, RouterId,
-    SchedulerSettings, Timestamp, ZoneId,
+    SchedulerSettings, TicketSeq, Timestamp, ZoneId,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::engine::Engine;
+use crate::engine::{Engine, PREFILL_TOKENS};
 use crate::load::{Load, SECOND_US};
 
 const TICK_US: u64 = 20_000;
-const REPORT_US: u64 = SECOND_US;
+const REPORT_US: u64 = SECOND_US / 4;
 const DISPATCH_DELAY_US: u64 = 500;
+/// Second attempts are among the latest ones.
+const LATEST_ATTEMPTS: usize = 4_096;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Policy {
@@ -38,6 +40,8 @@
     pub(crate) ended_us: Option<u64>,
     pub(crate) is_refused: bool,
     pub(crate) gap_us: u64,
+    /// What a second attempt cost that was cancelled.
+    pub(crate) wasted_tokens: u64,
 }
 
 #[derive(Debug)]
@@ -57,7 +61,9 @@
     work: usize,
     router: usize,
     request: RequestId,
+    ticket: TicketSeq,
     engine: usize,
+    tokens: u64,
     started_us: u64,
     first_us: Option<u64>,
     is_over: bool,
@@ -173,6 +179,7 @@
                 self.input(router, Input::Tick);
                 self.at(self.now_us + TICK_US, Event::Tick(router));
             }
+            Event::Start(id) if self.attempts[id].is_over => {}
             Event::Start(id) => {
                 let Attempt { work, engine, .. } = self.attempts[id];
                 let request = &self.load.requests[work];
@@ -220,7 +227,9 @@
                 }
                 Output::Dispatch(dispatch) => {
                     let work = self.works[&(router, dispatch.request)];
-                    self.send(work, dispatch.request, self.endpoints[&dispatch.endpoint]);
+                    let engine = self.endpoints[&dispatch.endpoint];
+                    self.send(work, dispatch.request, dispatch.ticket, engine);
+                    self.input(router, Input::Sent(dispatch.request));
                 }
                 Output::Refuse { request, .. } => {
                     let work = self.works[&(router, request)];
@@ -240,21 +249,21 @@
             Policy::LeastConnections => others.min_by_key(|e| open(*e)).expect("there are engines"),
         };
         *self.connections.entry((router, engine)).or_default() += 1;
-        self.send(work, RequestId(work as u64), engine);
+        self.send(work, RequestId(work as u64), TicketSeq(0), engine);
     }
 
-    fn send(&mut self, work: usize, request: RequestId, engine: usize) {
-        let router = self.load.requests[work].router;
-        let (started_us, id) = (self.now_us, self.attempts.len());
-        let (first_us, is_over) = (None, false);
+    fn send(&mut self, work: usize, request: RequestId, ticket: TicketSeq, engine: usize) {
+        let id = self.attempts.len();
         self.attempts.push(Attempt {
             work,
-            router,
+            router: self.load.requests[work].router,
             request,
+            ticket,
             engine,
-            started_us,
-            first_us,
-            is_over,
+            tokens: 0,
+            started_us: self.now_us,
+            first_us: None,
+            is_over: false,
         });
         self.at(self.now_us + DISPATCH_DELAY_US, Event::Start(id));
         self.at(self.now_us + REPORT_US, Event::Report(id));
@@ -266,9 +275,7 @@
             if is_end {
                 self.on_end(id);
             } else {
-                self.attempts[id].first_us = Some(self.now_us);
-                let outcome = &mut self.outcomes[self.attempts[id].work];
-                outcome.first_token_us.get_or_insert(self.now_us);
+                self.on_first_token(id);
             }
         }
         self.engines[engine].version += 1;
@@ -277,6 +284,56 @@
         }
     }
 
+    /// Drops the other attempts of a request once one answers, as the daemon does.
+    fn on_first_token(&mut self, id: usize) {
+        let Attempt {
+            work,
+            router,
+            request,
+            ticket,
+            started_us,
+            ..
+        } = self.attempts[id];
+        self.attempts[id].first_us = Some(self.now_us);
+        self.outcomes[work]
+            .first_token_us
+            .get_or_insert(self.now_us);
+        if self.policy != Policy::Ours {
+            return;
+        }
+        let others = (0..self.attempts.len()).rev().take(LATEST_ATTEMPTS);
+        let is_other = |other: &usize| *other != id && self.attempts[*other].work == work;
+        for other in others.filter(is_other).collect::<Vec<_>>() {
+            self.cancel(other);
+        }
+        self.input(router, Input::Answered { request, ticket });
+        let first_token_ms = Some(((self.now_us - started_us) / 1_000) as u32);
+        let (cost, token_gap_us) = (Cost(1), None);
+        self.input(
+            router,
+            Input::Progress {
+                request,
+                cost,
+                first_token_ms,
+                token_gap_us,
+            },
+        );
+    }
+
+    fn cancel(&mut self, id: usize) {
+        let Attempt { work, engine, .. } = self.attempts[id];
+        self.attempts[id].is_over = true;
+        self.engines[engine].advance(self.now_us);
+        let left = self.engines[engine].tokens_left(id);
+        self.engines[engine].cancel(id);
+        let total = self.load.requests[work].tokens + PREFILL_TOKENS;
+        self.outcomes[work].wasted_tokens += total - left.min(total);
+        self.at(
+            self.now_us,
+            Event::Engine(engine, self.engines[engine].version),
+        );
+    }
+
     fn on_end(&mut self, id: usize) {
         let Attempt {
             work,
@@ -310,8 +367,10 @@
     /// Reports running work as the daemon's relay does.
     fn report(&mut self, id: usize) {
         let Attempt {
+            work,
             router,
             request,
+            engine,
             started_us,
             first_us,
             is_over,
@@ -321,9 +380,15 @@
             return;
         }
         if let Some(first_us) = first_us {
+            self.engines[engine].advance(self.now_us);
+            let left = self.engines[engine].tokens_left(id);
+            let tokens = self.load.requests[work].tokens - left;
+            let recent = (tokens - self.attempts[id].tokens).max(1);
+            self.attempts[id].tokens = tokens;
+            let since_us = REPORT_US.min(self.now_us - first_us);
             let first_token_ms = Some(((first_us - started_us) / 1_000) as u32);
-            let cost = Cost((self.now_us - first_us) / 50_000);
-            let token_gap_us = None;
+            let token_gap_us = Some((since_us / recent) as u32);
+            let cost = Cost(tokens);
             self.input(
                 router,
                 Input::Progress {
--- a/crates/daisynotch_core/benches/policy/scenario.rs
+++ b/crates/daisynotch_core/benches/policy/scenario.rs
@@ -47,6 +47,15 @@
     outcomes.iter().filter(|outcome| outcome.is_refused).count() as f64 / outcomes.len() as f64
 }
 
+fn extra_work(load: &Load, outcomes: &[Outcome]) -> f64 {
+    let wasted: u64 = outcomes.iter().map(|outcome| outcome.wasted_tokens).sum();
+    let work = load
+        .requests
+        .iter()
+        .map(|request| request.tokens + PREFILL_TOKENS);
+    wasted as f64 / work.sum::<u64>() as f64
+}
+
 fn steady(policy: Policy, routers: usize) -> Vec<Measured> {
     let mut load = Load::new(routers, 120);
     load.add(1, 0.0, |_| 0.9);
@@ -111,6 +120,7 @@
             p99(&slowed) / p99(&unslowed),
         ),
         ("first token p99, s", "", p99(&slowed)),
+        ("extra work, part", "0.03", extra_work(&load, &slowed)),
         ("refused, part", "0", refused(&slowed)),
     ]
 }
--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -4,6 +4,9 @@
 //! each at most once at a time, however many grants arrive. See
 //! `docs/design/tickets.md`.
 
+mod hedge;
+mod watch;
+
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -16,6 +19,9 @@
 use crate::time::Timestamp;
 use crate::{EndpointId, PoolId, RouterId, TeamId, ZoneId};
 
+use hedge::Hedges;
+use watch::{Reported, Watch};
+
 /// How long an unanswered ticket waits before it is sent again.
 const TICKET_RESEND_AFTER: Duration = Duration::from_millis(2_000);
 /// How long a ticket that no scheduler took waits before it is sent again.
@@ -116,6 +122,8 @@
         scheduler: RouterId,
         endpoint: EndpointId,
         cost: Cost,
+        reported: Reported,
+        is_answered: bool,
     },
 }
 
@@ -140,6 +148,8 @@
     tickets: HashMap<TicketSeq, RequestId>,
     deadlines: BTreeSet<(Timestamp, RequestId)>,
     queued: HashMap<TeamId, u32>,
+    watch: Watch,
+    hedges: Hedges,
 }
 
 impl Entry {
@@ -153,6 +163,8 @@
             tickets: HashMap::new(),
             deadlines: BTreeSet::new(),
             queued: HashMap::new(),
+            watch: Watch::default(),
+            hedges: Hedges::default(),
         }
     }
 
@@ -258,11 +270,15 @@
                 State::Running { .. } => {}
             }
         }
+        events.extend(self.rehome_hedges(scheduler_of));
         events
     }
 
     /// Takes in a grant: dispatches, or gives the slot back.
     pub fn on_grant(&mut self, from: RouterId, grant: &Grant, now: Timestamp) -> EntryEvent {
+        if let Some(event) = self.on_hedge_grant(from, grant, now) {
+            return event;
+        }
         let request = self.tickets.get(&grant.seq).copied();
         if let Some(request) = request
             && self.may_use(request, from, grant, now)
@@ -280,6 +296,9 @@
 
     /// Answers a scheduler that asks what became of a grant.
     pub fn on_query(&self, from: RouterId, seq: TicketSeq, endpoint: EndpointId) -> EntryEvent {
+        if let Some(event) = self.on_hedge_query(from, seq, endpoint) {
+            return event;
+        }
         let open = self
             .tickets
             .get(&seq)
@@ -317,7 +336,16 @@
         }
     }
 
-    /// Reports running work to its scheduler.
+    /// Takes in that a streamed request went out, so that its first token is awaited.
+    pub fn on_sent(&mut self, request: RequestId, now: Timestamp) {
+        if let Some(open) = self.requests.get(&request)
+            && !self.has_hedge(request)
+        {
+            self.watch.on_sent(request, open.spec.pool, now);
+        }
+    }
+
+    /// Takes in how running work goes on; its scheduler hears of what is out of the ordinary.
     pub fn on_progress(
         &mut self,
         request: RequestId,
@@ -330,11 +358,19 @@
             scheduler,
             cost: so_far,
             endpoint,
+            reported,
+            ..
         } = &mut open.state
         else {
             return None;
         };
         *so_far = cost;
+        let (pool, hint) = (open.spec.pool, open.spec.hint);
+        if let Some(first_token_ms) = first_token_ms {
+            let took = Duration::from_millis(u64::from(first_token_ms));
+            self.watch.on_first_token(request, pool, took);
+        }
+        let is_news = self.watch.is_news(reported, pool, hint, cost, token_gap_us);
         let message = PeerMessage::Progress(Progress {
             seq: open.ticket,
             endpoint: *endpoint,
@@ -342,7 +378,7 @@
             first_token_ms,
             token_gap_us,
         });
-        Some(EntryEvent::Send {
+        is_news.then_some(EntryEvent::Send {
             to: *scheduler,
             message,
         })
@@ -382,6 +418,8 @@
             to: scheduler,
             message,
         }];
+        self.watch.forget(request);
+        events.extend(self.cancel_hedge(request));
         match reason {
             ReleaseReason::Unreachable => events.extend(self.try_again(request, endpoint, now)),
             ReleaseReason::Done
@@ -427,6 +465,7 @@
         for request in waiting {
             events.extend(self.send_due(request, &scheduler_of, now));
         }
+        events.extend(self.on_late(scheduler_of, now));
         events
     }
 
@@ -479,10 +518,13 @@
             .get_mut(&request)
             .expect("the ticket names an open request");
         open.attempts += 1;
+        self.hedges.budget.on_dispatched();
         open.state = State::Running {
             scheduler,
             endpoint: grant.endpoint,
             cost: Cost::default(),
+            reported: Reported::default(),
+            is_answered: false,
         };
         Dispatch {
             request,
--- /dev/null
+++ b/crates/daisynotch_core/src/entry/hedge.rs
@@ -0,0 +1,322 @@
+//! Sends a request a second time when its first token is late.
+//!
+//! Only idempotent requests that have not begun to answer are sent twice, to
+//! another endpoint and under a ticket of its own; the first attempt to answer
+//! wins and the other is cancelled. See `docs/design/slowed-endpoints.md`.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::{
+    Dispatch, Entry, EntryEvent, OpenRequest, RequestId, State, give_back, running_of, ticket_of,
+};
+use crate::cost::Cost;
+use crate::message::{Grant, PeerMessage, Progress, Release, ReleaseReason, ShardId, TicketSeq};
+use crate::time::Timestamp;
+use crate::{EndpointId, RouterId};
+
+/// A second attempt costs as many credits as this many dispatches earn with one each.
+const DISPATCHES_PER_HEDGE: u32 = 34;
+/// Credits that are saved up at most, in second attempts.
+const HEDGES_SAVED_MAX: u32 = 8;
+
+/// Bounds second attempts to 3 in 100 dispatches.
+#[derive(Debug)]
+pub(super) struct HedgeBudget {
+    credits: u32,
+}
+
+impl Default for HedgeBudget {
+    fn default() -> Self {
+        Self {
+            credits: DISPATCHES_PER_HEDGE,
+        }
+    }
+}
+
+impl HedgeBudget {
+    /// Takes in that a request was dispatched.
+    pub(super) fn on_dispatched(&mut self) {
+        self.credits = (self.credits + 1).min(DISPATCHES_PER_HEDGE * HEDGES_SAVED_MAX);
+    }
+
+    fn take(&mut self) -> bool {
+        let left = self.credits.checked_sub(DISPATCHES_PER_HEDGE);
+        self.credits = left.unwrap_or(self.credits);
+        left.is_some()
+    }
+}
+
+/// The second attempt of one request.
+#[derive(Debug, Clone)]
+struct Hedge {
+    ticket: TicketSeq,
+    shard: ShardId,
+    asked: RouterId,
+    asked_at: Timestamp,
+    running: Option<(RouterId, EndpointId)>,
+}
+
+/// The second attempts of one entry.
+#[derive(Debug, Default)]
+pub(super) struct Hedges {
+    pub(super) budget: HedgeBudget,
+    by_request: HashMap<RequestId, Hedge>,
+    tickets: HashMap<TicketSeq, RequestId>,
+}
+
+impl Entry {
+    /// Reports late first tokens, and asks for second attempts.
+    pub(super) fn on_late(
+        &mut self,
+        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+        now: Timestamp,
+    ) -> Vec<EntryEvent> {
+        let mut events = Vec::new();
+        while let Some(request) = self.watch.pop_late(now) {
+            events.extend(self.report_late(request));
+            events.extend(self.hedge(request, &scheduler_of, now));
+        }
+        events
+    }
+
+    /// Says whether a second attempt was asked for.
+    pub(super) fn has_hedge(&self, request: RequestId) -> bool {
+        self.hedges.by_request.contains_key(&request)
+    }
+
+    fn report_late(&self, request: RequestId) -> Option<EntryEvent> {
+        let open = self.requests.get(&request)?;
+        let State::Running {
+            scheduler,
+            endpoint,
+            ..
+        } = open.state
+        else {
+            return None;
+        };
+        let progress = Progress {
+            seq: open.ticket,
+            endpoint,
+            cost: Cost::default(),
+            first_token_ms: None,
+            token_gap_us: None,
+        };
+        let message = PeerMessage::Progress(progress);
+        Some(EntryEvent::Send {
+            to: scheduler,
+            message,
+        })
+    }
+
+    fn hedge(
+        &mut self,
+        request: RequestId,
+        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+        now: Timestamp,
+    ) -> Option<EntryEvent> {
+        let open = self.requests.get(&request)?;
+        let State::Running {
+            endpoint,
+            is_answered: false,
+            ..
+        } = open.state
+        else {
+            return None;
+        };
+        let shard = open.shard;
+        let to = scheduler_of(shard)?;
+        if !open.spec.idempotent || !self.hedges.budget.take() {
+            return None;
+        }
+        let seq = TicketSeq(self.next_ticket);
+        self.next_ticket += 1;
+        let mut ticket = ticket_of(&self.requests[&request], Duration::ZERO);
+        ticket.seq = seq;
+        ticket.avoid = Some(endpoint);
+        let hedge = Hedge {
+            ticket: seq,
+            shard,
+            asked: to,
+            asked_at: now,
+            running: None,
+        };
+        self.hedges.by_request.insert(request, hedge);
+        self.hedges.tickets.insert(seq, request);
+        let message = PeerMessage::Ticket(ticket);
+        Some(EntryEvent::Send { to, message })
+    }
+
+    /// Takes in a grant of a second attempt; gives nothing when it is none.
+    pub(super) fn on_hedge_grant(
+        &mut self,
+        from: RouterId,
+        grant: &Grant,
+        now: Timestamp,
+    ) -> Option<EntryEvent> {
+        let request = *self.hedges.tickets.get(&grant.seq)?;
+        let open = &self.requests[&request];
+        let hedge = self.hedges.by_request.get_mut(&request)?;
+        if hedge.running == Some((from, grant.endpoint)) {
+            return Some(running_hedge(open, hedge, from, grant.endpoint));
+        }
+        let valid = Duration::from_millis(grant.valid_after_sent_ms);
+        let is_valid = now.since(hedge.asked_at) < valid;
+        let is_elsewhere =
+            matches!(open.state, State::Running { endpoint, .. } if endpoint != grant.endpoint);
+        if !is_valid || !is_elsewhere || hedge.running.is_some() {
+            return Some(give_back(from, grant.seq, grant.endpoint));
+        }
+        hedge.running = Some((from, grant.endpoint));
+        Some(EntryEvent::Dispatch(Dispatch {
+            request,
+            endpoint: grant.endpoint,
+            ticket: grant.seq,
+        }))
+    }
+
+    /// Answers a scheduler that asks after a second attempt; gives nothing when it is none.
+    pub(super) fn on_hedge_query(
+        &self,
+        from: RouterId,
+        seq: TicketSeq,
+        endpoint: EndpointId,
+    ) -> Option<EntryEvent> {
+        let request = self.hedges.tickets.get(&seq)?;
+        let hedge = self.hedges.by_request.get(request)?;
+        let runs = hedge
+            .running
+            .is_some_and(|(_, runs_on)| runs_on == endpoint);
+        Some(match runs {
+            true => running_hedge(&self.requests[request], hedge, from, endpoint),
+            false => give_back(from, seq, endpoint),
+        })
+    }
+
+    /// Takes in that an attempt began to answer: the other one is cancelled.
+    pub fn on_answered(&mut self, request: RequestId, ticket: TicketSeq) -> Option<EntryEvent> {
+        let open = self.requests.get_mut(&request)?;
+        if let State::Running { is_answered, .. } = &mut open.state {
+            *is_answered = true;
+        }
+        let is_hedge = self.hedges.tickets.get(&ticket) == Some(&request);
+        if is_hedge {
+            self.promote_hedge(request, ReleaseReason::Cancelled)
+        } else {
+            self.cancel_hedge(request)
+        }
+    }
+
+    /// Takes in that one of two attempts ended without an answer; the other goes on.
+    pub fn on_attempt_failed(
+        &mut self,
+        request: RequestId,
+        ticket: TicketSeq,
+        reason: ReleaseReason,
+    ) -> Option<EntryEvent> {
+        if self.hedges.tickets.get(&ticket) != Some(&request) {
+            return self.promote_hedge(request, reason);
+        }
+        let hedge = self.take_hedge(request)?;
+        let (to, endpoint) = hedge.running?;
+        Some(release(to, hedge.ticket, endpoint, reason))
+    }
+
+    /// Makes the running second attempt the request's only one.
+    fn promote_hedge(&mut self, request: RequestId, reason: ReleaseReason) -> Option<EntryEvent> {
+        let hedge = self.take_hedge(request)?;
+        let (by, on) = hedge.running?;
+        let open = self.requests.get_mut(&request)?;
+        let State::Running {
+            scheduler,
+            endpoint,
+            ..
+        } = &mut open.state
+        else {
+            return None;
+        };
+        let event = release(*scheduler, open.ticket, *endpoint, reason);
+        (*scheduler, *endpoint) = (by, on);
+        self.tickets.remove(&open.ticket);
+        self.tickets.insert(hedge.ticket, request);
+        open.ticket = hedge.ticket;
+        Some(event)
+    }
+
+    /// Gives up a second attempt, wherever it is.
+    pub(super) fn cancel_hedge(&mut self, request: RequestId) -> Option<EntryEvent> {
+        let hedge = self.take_hedge(request)?;
+        Some(match hedge.running {
+            Some((to, endpoint)) => release(to, hedge.ticket, endpoint, ReleaseReason::Cancelled),
+            None => EntryEvent::Send {
+                to: hedge.asked,
+                message: PeerMessage::Withdraw {
+                    shard: hedge.shard,
+                    seq: hedge.ticket,
+                },
+            },
+        })
+    }
+
+    /// Tells new schedulers of running second attempts; waiting ones stay with the old.
+    pub(super) fn rehome_hedges(
+        &mut self,
+        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+    ) -> Vec<EntryEvent> {
+        let mut events = Vec::new();
+        let mut requests: Vec<RequestId> = self.hedges.by_request.keys().copied().collect();
+        requests.sort_unstable();
+        for request in requests {
+            let hedge = self.hedges.by_request.get_mut(&request);
+            let hedge = hedge.expect("it was just listed");
+            if let (Some((by, on)), Some(to)) = (hedge.running, scheduler_of(hedge.shard))
+                && by != to
+            {
+                hedge.running = Some((to, on));
+                events.push(running_hedge(&self.requests[&request], hedge, to, on));
+            }
+        }
+        events
+    }
+
+    fn take_hedge(&mut self, request: RequestId) -> Option<Hedge> {
+        let hedge = self.hedges.by_request.remove(&request)?;
+        self.hedges.tickets.remove(&hedge.ticket);
+        Some(hedge)
+    }
+}
+
+fn running_hedge(
+    open: &OpenRequest,
+    hedge: &Hedge,
+    to: RouterId,
+    endpoint: EndpointId,
+) -> EntryEvent {
+    let mut running = running_of(open);
+    running.seq = hedge.ticket;
+    running.endpoint = endpoint;
+    running.cost = Cost::default();
+    let message = PeerMessage::Running(running);
+    EntryEvent::Send { to, message }
+}
+
+fn release(
+    to: RouterId,
+    seq: TicketSeq,
+    endpoint: EndpointId,
+    reason: ReleaseReason,
+) -> EntryEvent {
+    let release = Release {
+        seq,
+        endpoint,
+        reason,
+        cost: Cost::default(),
+        first_token_ms: None,
+        token_gap_us: None,
+    };
+    let message = PeerMessage::Release(release);
+    EntryEvent::Send { to, message }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daisynotch_core/src/entry/hedge/tests.rs
@@ -0,0 +1,169 @@
+use super::*;
+use crate::catalogue::Catalogue;
+use crate::entry::RequestSpec;
+use crate::message::LengthClass;
+use crate::{PoolId, Revision, TeamId, ZoneId};
+
+const SCHEDULER: RouterId = RouterId(7);
+
+fn at(time_ms: u64) -> Timestamp {
+    Timestamp(time_ms * 1_000)
+}
+
+/// Starts a request at endpoint 1 whose first token is awaited.
+fn sent(idempotent: bool) -> (Entry, RequestId) {
+    let objects = r#"
+        [team.kaolack-1]
+        [pool.conseil-lm]
+        kind = "inference"
+        [endpoint.conseil-1]
+        pool = "conseil-lm"
+        zone = "fatick"
+        address = "127.0.0.1:9"
+    "#;
+    let catalogue = Catalogue::new(Revision(1), &objects.parse().expect("it can be read"));
+    let mut entry = Entry::new(ZoneId(1));
+    let spec = RequestSpec {
+        team: TeamId::from(&"kaolack-1".parse().expect("it is a name")),
+        pool: PoolId::from(&"conseil-lm".parse().expect("it is a name")),
+        hint: Cost(10),
+        class: LengthClass::Short,
+        prefix: None,
+        idempotent,
+    };
+    let request = entry
+        .admit(spec, &catalogue, at(0))
+        .expect("it is admitted");
+    entry.send_due(request, |_| Some(SCHEDULER), at(0));
+    let granted = entry.on_grant(SCHEDULER, &grant(0, 1), at(0));
+    assert!(matches!(granted, EntryEvent::Dispatch(_)));
+    entry.on_sent(request, at(0));
+    (entry, request)
+}
+
+fn grant(seq: u64, endpoint: u32) -> Grant {
+    Grant {
+        seq: TicketSeq(seq),
+        endpoint: EndpointId(endpoint),
+        valid_after_sent_ms: 1_000,
+    }
+}
+
+fn messages(events: impl IntoIterator<Item = EntryEvent>) -> Vec<PeerMessage> {
+    let message = |event| match event {
+        EntryEvent::Send { message, .. } => Some(message),
+        EntryEvent::Dispatch(_) | EntryEvent::Refuse { .. } => None,
+    };
+    events.into_iter().filter_map(message).collect()
+}
+
+fn late(entry: &mut Entry) -> Vec<PeerMessage> {
+    messages(entry.tick(|_| Some(SCHEDULER), at(320)))
+}
+
+#[test]
+fn a_late_first_token_is_reported_and_hedged_elsewhere_once() {
+    let (mut entry, request) = sent(true);
+    let messages = late(&mut entry);
+    let [PeerMessage::Progress(progress), PeerMessage::Ticket(ticket)] = &messages[..] else {
+        panic!("{messages:?}");
+    };
+    assert_eq!(progress.first_token_ms, None);
+    assert_eq!(ticket.avoid, Some(EndpointId(1)));
+    assert!(late(&mut entry).is_empty());
+    let granted = entry.on_grant(SCHEDULER, &grant(ticket.seq.0, 2), at(321));
+    let dispatch = Dispatch {
+        request,
+        endpoint: EndpointId(2),
+        ticket: ticket.seq,
+    };
+    assert_eq!(granted, EntryEvent::Dispatch(dispatch));
+    let again = entry.on_grant(SCHEDULER, &grant(ticket.seq.0, 3), at(322));
+    assert!(matches!(
+        &messages_of(again)[..],
+        [PeerMessage::Release(release)] if release.reason == ReleaseReason::Unused
+    ));
+}
+
+fn messages_of(event: EntryEvent) -> Vec<PeerMessage> {
+    messages([event])
+}
+
+#[test]
+fn the_first_attempt_to_answer_wins_and_the_other_is_released() {
+    for (winner, loser_endpoint) in [(0, 2), (1, 1)] {
+        let (mut entry, request) = sent(true);
+        late(&mut entry);
+        entry.on_grant(SCHEDULER, &grant(1, 2), at(321));
+        let messages = messages(entry.on_answered(request, TicketSeq(winner)));
+        assert!(
+            matches!(
+                &messages[..],
+                [PeerMessage::Release(release)]
+                    if release.reason == ReleaseReason::Cancelled
+                        && release.endpoint == EndpointId(loser_endpoint)
+            ),
+            "{messages:?}"
+        );
+        let done = entry.on_finished(request, ReleaseReason::Done, Cost(9), None, None, at(400));
+        assert_eq!(done.len(), 1);
+        assert_eq!(entry.open_requests(), 0);
+    }
+}
+
+#[test]
+fn a_second_attempt_that_still_waits_is_withdrawn() {
+    let (mut entry, request) = sent(true);
+    late(&mut entry);
+    let messages = messages(entry.on_answered(request, TicketSeq(0)));
+    assert!(
+        matches!(messages[..], [PeerMessage::Withdraw { .. }]),
+        "{messages:?}"
+    );
+    let crossed = entry.on_grant(SCHEDULER, &grant(1, 2), at(321));
+    assert!(matches!(
+        &messages_of(crossed)[..],
+        [PeerMessage::Release(_)]
+    ));
+}
+
+#[test]
+fn a_request_that_may_not_run_twice_or_has_begun_to_answer_is_not_hedged() {
+    let (mut entry, _) = sent(false);
+    assert!(matches!(late(&mut entry)[..], [PeerMessage::Progress(_)]));
+    let (mut entry, request) = sent(true);
+    entry.on_answered(request, TicketSeq(0));
+    assert!(matches!(late(&mut entry)[..], [PeerMessage::Progress(_)]));
+}
+
+#[test]
+fn when_one_attempt_fails_the_other_goes_on() {
+    for (failed, left) in [(0, 2), (1, 1)] {
+        let (mut entry, request) = sent(true);
+        late(&mut entry);
+        entry.on_grant(SCHEDULER, &grant(1, 2), at(321));
+        let reason = ReleaseReason::Unreachable;
+        assert!(
+            entry
+                .on_attempt_failed(request, TicketSeq(failed), reason)
+                .is_some()
+        );
+        let done = entry.on_finished(request, ReleaseReason::Done, Cost(9), None, None, at(400));
+        let messages = messages(done);
+        assert!(
+            matches!(&messages[..], [PeerMessage::Release(release)] if release.endpoint == EndpointId(left)),
+            "{messages:?}"
+        );
+    }
+}
+
+#[test]
+fn second_attempts_stay_within_3_in_100_dispatches() {
+    let mut budget = HedgeBudget::default();
+    let mut hedges = 0;
+    for _ in 0..10_000 {
+        budget.on_dispatched();
+        hedges += u32::from(budget.take());
+    }
+    assert!(hedges <= 300, "{hedges}");
+}
--- a/crates/daisynotch_core/src/node.rs
+++ b/crates/daisynotch_core/src/node.rs
@@ -45,6 +45,24 @@
     Configured(Arc<Catalogue>),
     /// The platform's host list was read.
     HostList(Vec<ListedHost>),
+    /// A streamed request went to its endpoint; its first token is awaited.
+    Sent(RequestId),
+    /// An attempt began to answer; another one of the same request is to be dropped.
+    Answered {
+        /// The request.
+        request: RequestId,
+        /// The grant that the attempt ran under.
+        ticket: TicketSeq,
+    },
+    /// One of two attempts of a request ended without an answer; the other goes on.
+    AttemptFailed {
+        /// The request.
+        request: RequestId,
+        /// The grant that the attempt ran under.
+        ticket: TicketSeq,
+        /// How it ended.
+        reason: ReleaseReason,
+    },
     /// Running work goes on.
     Progress {
         /// The request.
@@ -179,6 +197,19 @@
             Input::Connected(introduction) => self.on_connected(&introduction, now),
             Input::Configured(catalogue) => self.on_configured(catalogue, now),
             Input::HostList(_) => {}
+            Input::Sent(request) => self.entry.on_sent(request, now),
+            Input::Answered { request, ticket } => {
+                let event = self.entry.on_answered(request, ticket);
+                self.run_entry(event);
+            }
+            Input::AttemptFailed {
+                request,
+                ticket,
+                reason,
+            } => {
+                let event = self.entry.on_attempt_failed(request, ticket, reason);
+                self.run_entry(event);
+            }
             Input::Progress {
                 request,
                 cost,
--- a/crates/daisynotch_core/src/scheduler.rs
+++ b/crates/daisynotch_core/src/scheduler.rs
@@ -24,6 +24,7 @@
 use crate::time::Timestamp;
 use crate::{EndpointId, TeamId};
 
+use endpoint_health::Fitness;
 use length::LengthJudge;
 use queue::FairQueue;
 use slots::{EndpointSlots, LongShare, Seen};
@@ -98,6 +99,7 @@
     endpoint: EndpointId,
     team: TeamId,
     class: LengthClass,
+    granted_at: Timestamp,
     charged: Cost,
     /// The grant as it was sent, so that a doubled ticket gets the same answer.
     grant: Option<Grant>,
@@ -218,8 +220,13 @@
             first_token_ms: release.first_token_ms,
             token_gap_us: release.token_gap_us,
         };
-        self.slots
-            .on_ended(granted.endpoint, release.reason, seen, now);
+        self.slots.on_ended(
+            granted.endpoint,
+            release.reason,
+            seen,
+            granted.granted_at,
+            now,
+        );
         if release.reason == ReleaseReason::Done {
             self.lengths.learn(granted.class, cost);
         }
@@ -274,6 +281,7 @@
             endpoint: running.endpoint,
             team: running.team,
             class: running.class,
+            granted_at: now,
             charged: running.cost,
             grant: None,
             heard_at: now,
@@ -347,21 +355,29 @@
             return actions;
         }
         loop {
-            while let Some((key, endpoint)) = self.next_grant(now) {
-                actions.push(self.grant(key, endpoint, now));
-            }
+            self.fill_within(Fitness::Good, &mut actions, now);
             if self.queue.peek().is_none() || !self.slots.grow(now) {
                 break;
             }
         }
+        self.fill_within(Fitness::Slow, &mut actions, now);
         actions
     }
 
+    /// Grants slots of endpoints that are no worse than `worst`.
+    fn fill_within(&mut self, worst: Fitness, actions: &mut Actions, now: Timestamp) {
+        while let Some((key, endpoint)) = self.next_grant(worst, now) {
+            actions.push(self.grant(key, endpoint, now));
+        }
+    }
+
     /// Chooses the next ticket and its endpoint; short work goes round long work that has its share.
-    fn next_grant(&self, now: Timestamp) -> Option<(TicketKey, EndpointId)> {
+    fn next_grant(&self, worst: Fitness, now: Timestamp) -> Option<(TicketKey, EndpointId)> {
         let key = self.queue.peek()?;
         let choose = |key: &TicketKey, share| {
-            let endpoint = self.slots.choose(&self.waiting[key].ticket, share, now);
+            let endpoint = self
+                .slots
+                .choose(&self.waiting[key].ticket, share, worst, now);
             endpoint.map(|endpoint| (*key, endpoint))
         };
         let chosen = choose(&key, LongShare::Kept);
@@ -395,6 +411,7 @@
             endpoint,
             team: ticket.team,
             class: ticket.class,
+            granted_at: now,
             charged: ticket.hint,
             grant: Some(grant.clone()),
             heard_at: now,
--- a/crates/daisynotch_core/src/scheduler/endpoint_health.rs
+++ b/crates/daisynotch_core/src/scheduler/endpoint_health.rs
@@ -33,11 +33,19 @@
     fitness: Fitness,
     began: Timestamp,
     length: Duration,
+    /// Whether a running stream told of it, which will tell of its end too.
+    by_stream: bool,
     /// When one request was granted to find out.
     probed_at: Option<Timestamp>,
 }
 
 impl Pause {
+    /// Says whether a probe went well: bad news would have come by now.
+    fn has_proved_good(&self, now: Timestamp) -> bool {
+        self.probed_at
+            .is_some_and(|at| now.since(at) >= PROBE_QUIET)
+    }
+
     fn is_over(&self, now: Timestamp) -> bool {
         now.since(self.began) >= self.length
     }
@@ -47,11 +55,22 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct EndpointHealth {
     pause: Option<Pause>,
+    /// When the endpoint was last known to be slow.
+    slow_at: Option<Timestamp>,
 }
 
 impl EndpointHealth {
-    /// Says how the endpoint may be used.
-    pub(super) fn fitness(&self, now: Timestamp) -> Fitness {
+    /// Says how the endpoint may be used, with some requests running there or none.
+    ///
+    /// Running streams tell when the endpoint is fast again, so that no request
+    /// needs to be risked to find out.
+    pub(super) fn fitness(&self, running: u32, now: Timestamp) -> Fitness {
+        let waits_for_stream = self.pause.is_some_and(|pause| {
+            pause.by_stream && running > 0 && now.since(pause.began) < SLOW_PAUSE_MAX
+        });
+        if waits_for_stream {
+            return Fitness::Slow;
+        }
         self.fitness_after(now, UNREACHABLE_PAUSE_MAX)
     }
 
@@ -61,13 +80,10 @@
     }
 
     fn fitness_after(&self, now: Timestamp, pause_max: Duration) -> Fitness {
-        let Some(pause) = self.pause else {
+        let Some(pause) = self.pause.filter(|pause| !pause.has_proved_good(now)) else {
             return Fitness::Good;
         };
-        let is_probed = pause
-            .probed_at
-            .is_some_and(|at| now.since(at) < PROBE_QUIET);
-        if is_probed || now.since(pause.began) < pause.length.min(pause_max) {
+        if pause.probed_at.is_some() || now.since(pause.began) < pause.length.min(pause_max) {
             return pause.fitness;
         }
         Fitness::Good
@@ -80,8 +96,8 @@
     }
 
     /// Says whether the endpoint is paused, also when a probe is due.
-    pub(super) fn is_paused(&self) -> bool {
-        self.pause.is_some()
+    pub(super) fn is_paused(&self, now: Timestamp) -> bool {
+        self.pause.is_some_and(|pause| !pause.has_proved_good(now))
     }
 
     /// Takes in that a request was granted a slot here.
@@ -103,19 +119,30 @@
         );
     }
 
+    /// Says whether the endpoint was slow at any time since then.
+    pub(super) fn was_slow_since(&self, then: Timestamp) -> bool {
+        self.slow_at.is_some_and(|at| at >= then)
+    }
+
     /// Takes in that a request waits too long for a token here.
-    pub(super) fn on_slow(&mut self, now: Timestamp) {
+    pub(super) fn on_slow(&mut self, by_stream: bool, now: Timestamp) {
+        self.slow_at = Some(now);
         match self.pause.map(|pause| pause.fitness) {
             Some(Fitness::Unreachable) => self.on_unreachable(now),
             Some(Fitness::Slow | Fitness::Good) | None => {
                 self.extend(Fitness::Slow, SLOW_PAUSE_MIN, SLOW_PAUSE_MAX, now);
             }
         }
+        if let Some(pause) = &mut self.pause {
+            pause.by_stream |= by_stream;
+        }
     }
 
     /// Takes in that a request is answered as fast as it should.
-    pub(super) fn on_good(&mut self) {
-        self.pause = None;
+    pub(super) fn on_good(&mut self, now: Timestamp) {
+        if self.pause.take().is_some() {
+            self.slow_at = Some(now);
+        }
     }
 
     /// Takes in that the endpoint answered, at whatever speed.
@@ -136,7 +163,8 @@
 
     /// Starts a pause, or doubles it when it was to end; further news within it change nothing.
     fn extend(&mut self, fitness: Fitness, min: Duration, max: Duration, now: Timestamp) {
-        let length = match self.pause {
+        let is_going_on = |pause: &Pause| !pause.has_proved_good(now);
+        let length = match self.pause.filter(is_going_on) {
             Some(pause) if pause.fitness != fitness => min,
             Some(pause) if pause.probed_at.is_some() || pause.is_over(now) => {
                 (pause.length * 2).clamp(min, max)
@@ -146,8 +174,9 @@
         };
         self.pause = Some(Pause {
             fitness,
-            length,
             began: now,
+            length,
+            by_stream: false,
             probed_at: None,
         });
     }
--- a/crates/daisynotch_core/src/scheduler/endpoint_health/tests.rs
+++ b/crates/daisynotch_core/src/scheduler/endpoint_health/tests.rs
@@ -9,16 +9,16 @@
     let mut health = EndpointHealth::default();
     health.on_unreachable(at(0));
     health.on_unreachable(at(1));
-    assert_eq!(health.fitness(at(249)), Fitness::Unreachable);
-    assert_eq!(health.fitness(at(250)), Fitness::Good);
+    assert_eq!(health.fitness(0, at(249)), Fitness::Unreachable);
+    assert_eq!(health.fitness(0, at(250)), Fitness::Good);
     health.on_granted(at(250));
-    assert_eq!(health.fitness(at(251)), Fitness::Unreachable);
+    assert_eq!(health.fitness(0, at(251)), Fitness::Unreachable);
     health.on_unreachable(at(260));
-    assert_eq!(health.fitness(at(759)), Fitness::Unreachable);
-    assert_eq!(health.fitness(at(760)), Fitness::Good);
+    assert_eq!(health.fitness(0, at(759)), Fitness::Unreachable);
+    assert_eq!(health.fitness(0, at(760)), Fitness::Good);
     health.on_granted(at(760));
-    health.on_good();
-    assert_eq!(health.fitness(at(761)), Fitness::Good);
+    health.on_good(at(999));
+    assert_eq!(health.fitness(0, at(761)), Fitness::Good);
 }
 
 #[test]
@@ -29,7 +29,7 @@
         health.on_unreachable(now);
         now = now + UNREACHABLE_PAUSE_MAX;
     }
-    assert_eq!(health.fitness(now), Fitness::Good);
+    assert_eq!(health.fitness(0, now), Fitness::Good);
 }
 
 #[test]
@@ -38,7 +38,7 @@
     health.on_unreachable(at(0));
     health.on_granted(at(250));
     health.on_no_news();
-    assert_eq!(health.fitness(at(300)), Fitness::Good);
+    assert_eq!(health.fitness(0, at(300)), Fitness::Good);
 }
 
 #[test]
@@ -53,15 +53,27 @@
         );
         assert_eq!(health.fitness_alone(at(time_ms + 250)), Fitness::Good);
     }
-    assert_eq!(health.fitness(at(1_499)), Fitness::Unreachable);
-    assert_eq!(health.fitness(at(1_500)), Fitness::Good);
+    assert_eq!(health.fitness(0, at(1_499)), Fitness::Unreachable);
+    assert_eq!(health.fitness(0, at(1_500)), Fitness::Good);
 }
 
 #[test]
 fn a_slow_endpoint_is_good_again_with_the_first_good_news() {
     let mut health = EndpointHealth::default();
-    health.on_slow(at(0));
-    assert_eq!(health.fitness(at(999)), Fitness::Slow);
-    health.on_good();
-    assert_eq!(health.fitness(at(999)), Fitness::Good);
+    health.on_slow(false, at(0));
+    assert_eq!(health.fitness(0, at(999)), Fitness::Slow);
+    health.on_good(at(999));
+    assert_eq!(health.fitness(0, at(999)), Fitness::Good);
+}
+
+#[test]
+fn while_streams_run_that_will_tell_no_request_is_risked() {
+    let mut health = EndpointHealth::default();
+    health.on_slow(true, at(0));
+    assert_eq!(health.fitness(1, at(1_000)), Fitness::Slow);
+    assert_eq!(health.fitness(0, at(1_000)), Fitness::Good);
+    assert_eq!(health.fitness(1, at(8_000)), Fitness::Good);
+    health.on_good(at(8_500));
+    assert!(health.was_slow_since(at(8_500)));
+    assert!(!health.was_slow_since(at(8_501)));
 }
--- a/crates/daisynotch_core/src/scheduler/slots.rs
+++ b/crates/daisynotch_core/src/scheduler/slots.rs
@@ -105,13 +105,23 @@
         &self,
         ticket: &Ticket,
         share: LongShare,
+        worst: Fitness,
         now: Timestamp,
     ) -> Option<EndpointId> {
         let trusts_health = self.trusts_health(now);
         let none_reachable = self.is_none_reachable();
-        let fitness_of = |slots: &Slots| match none_reachable {
-            true => slots.health.fitness_alone(now),
-            false => slots.health.fitness(now),
+        let fitness_of = |slots: &Slots| {
+            let fitness = match none_reachable {
+                true => slots.health.fitness_alone(now),
+                false => slots.health.fitness(slots.taken, now),
+            };
+            let is_second_attempt = ticket.avoid.is_some();
+            match fitness {
+                Fitness::Slow if !trusts_health => Fitness::Good,
+                // A request that has been late already is not the one to try a slow endpoint.
+                Fitness::Good if is_second_attempt && slots.health.is_paused(now) => Fitness::Slow,
+                Fitness::Good | Fitness::Slow | Fitness::Unreachable => fitness,
+            }
         };
         let cached = ticket
             .prefix
@@ -121,16 +131,10 @@
             LengthClass::Long => slots.taken_long,
         };
         let rank = |id: EndpointId, slots: &Slots| {
-            let fitness = fitness_of(slots);
-            let fitness = if trusts_health {
-                fitness
-            } else {
-                Fitness::Good
-            };
             let load = slots.taken * 1_000 / slots.limit.get();
             let is_avoided = ticket.avoid == Some(id);
             (
-                fitness,
+                fitness_of(slots),
                 is_avoided,
                 cached != Some(id),
                 long(slots),
@@ -139,13 +143,13 @@
             )
         };
         let is_free = |slots: &Slots| {
-            let has_room = match fitness_of(slots) {
+            let fitness = fitness_of(slots);
+            let has_room = match fitness {
                 Fitness::Good => true,
-                Fitness::Slow => {
-                    !trusts_health || slots.taken < slots.limit.get().div_ceil(SLOW_PART)
-                }
+                Fitness::Slow => slots.taken < slots.limit.get().div_ceil(SLOW_PART),
                 Fitness::Unreachable => false,
             };
+            let has_room = has_room && fitness <= worst;
             !slots.leaving && has_room && slots.open_to(ticket.class, share)
         };
         let free = self.endpoints.iter().filter(|(_, slots)| is_free(slots));
@@ -155,7 +159,7 @@
 
     /// Says whether slowness tells endpoints apart: when most are slow, it is the load.
     fn trusts_health(&self, now: Timestamp) -> bool {
-        let is_slow = |slots: &&Slots| slots.health.fitness(now) == Fitness::Slow;
+        let is_slow = |slots: &&Slots| slots.health.fitness(slots.taken, now) == Fitness::Slow;
         let slow = self.endpoints.values().filter(is_slow).count();
         slow * 2 <= self.endpoints.len()
     }
@@ -211,6 +215,7 @@
         id: EndpointId,
         reason: ReleaseReason,
         seen: Seen,
+        granted_at: Timestamp,
         now: Timestamp,
     ) {
         match reason {
@@ -220,14 +225,16 @@
             }
             ReleaseReason::Done | ReleaseReason::Failed => {
                 self.with_health(id, EndpointHealth::on_reached);
-                self.learn(id, seen, now);
+                self.learn(id, seen, granted_at, now);
             }
         }
     }
 
     /// Takes in a whole request's mean; what a slow moment stretched says nothing of the load.
-    fn learn(&mut self, id: EndpointId, seen: Seen, now: Timestamp) {
-        if self.trusts_health(now) && self.is_slow_gap(seen) {
+    fn learn(&mut self, id: EndpointId, seen: Seen, granted_at: Timestamp, now: Timestamp) {
+        let slots = self.endpoints.get(&id);
+        let was_slow = slots.is_some_and(|slots| slots.health.was_slow_since(granted_at));
+        if self.trusts_health(now) && (was_slow || self.is_slow_gap(seen)) {
             return;
         }
         self.learn_usual_gap(seen);
@@ -246,9 +253,9 @@
     pub(super) fn judge_speed(&mut self, id: EndpointId, seen: Seen, now: Timestamp) {
         let is_silent = seen.first_token_ms.is_none() && seen.token_gap_us.is_none();
         if is_silent || self.is_slow_gap(seen) {
-            self.with_health(id, |health| health.on_slow(now));
+            self.with_health(id, |health| health.on_slow(!is_silent, now));
         } else if seen.token_gap_us.is_some() {
-            self.with_health(id, EndpointHealth::on_good);
+            self.with_health(id, |health| health.on_good(now));
         }
     }
 
@@ -278,7 +285,7 @@
     pub(super) fn grow(&mut self, now: Timestamp) -> bool {
         let mut has_grown = false;
         for slots in self.endpoints.values_mut() {
-            if slots.taken >= slots.limit.get() && !slots.health.is_paused() {
+            if slots.taken >= slots.limit.get() && !slots.health.is_paused(now) {
                 has_grown |= slots.limit.grow(now);
             }
         }
--- a/crates/daisynotch_core/src/scheduler/slots/tests.rs
+++ b/crates/daisynotch_core/src/scheduler/slots/tests.rs
@@ -38,7 +38,7 @@
 }
 
 fn choose(slots: &EndpointSlots, class: LengthClass, share: LongShare) -> Option<EndpointId> {
-    slots.choose(&ticket(class), share, at(0))
+    slots.choose(&ticket(class), share, Fitness::Slow, at(0))
 }
 
 #[test]
@@ -108,7 +108,13 @@
 fn an_unreachable_endpoint_gets_nothing() {
     let mut slots = slots(1);
     let id = choose(&slots, LengthClass::Short, LongShare::Kept).expect("slots are free");
-    slots.on_ended(id, ReleaseReason::Unreachable, Seen::default(), at(0));
+    slots.on_ended(
+        id,
+        ReleaseReason::Unreachable,
+        Seen::default(),
+        at(0),
+        at(0),
+    );
     assert_eq!(choose(&slots, LengthClass::Short, LongShare::Kept), None);
 }
 
@@ -118,12 +124,15 @@
     let mut ticket = ticket(LengthClass::Short);
     ticket.prefix = Some(PrefixFingerprint(7));
     let first = slots
-        .choose(&ticket, LongShare::Kept, at(0))
+        .choose(&ticket, LongShare::Kept, Fitness::Slow, at(0))
         .expect("slots are free");
     for _ in 0..LIMIT {
-        assert_eq!(slots.choose(&ticket, LongShare::Kept, at(0)), Some(first));
+        assert_eq!(
+            slots.choose(&ticket, LongShare::Kept, Fitness::Slow, at(0)),
+            Some(first)
+        );
         slots.grant(first, &ticket, at(0));
     }
-    let other = slots.choose(&ticket, LongShare::Kept, at(0));
+    let other = slots.choose(&ticket, LongShare::Kept, Fitness::Slow, at(0));
     assert!(other.is_some_and(|id| id != first));
 }
