--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -6,6 +6,7 @@
 //! here waits, the same code runs in the daemon, in the model checker and under
 //! the policy benchmark. See `docs/ARCHITECTURE.md`.
 
+mod backoff;
 mod catalogue;
 mod cost;
 mod entry;
@@ -18,6 +19,7 @@
 mod scheduler;
 mod time;
 
+pub use backoff::{Backoff, BackoffSettings, jittered};
 pub use catalogue::{Catalogue, EndpointView, PoolView, RequestLimits, RouteView, TeamView};
 pub use cost::Cost;
 pub use daisynotch_objects::{
@@ -29,10 +31,13 @@
     ClaimSeq, IdempotencyKey, IdempotencyRecords, IdempotencySettings, KEY_MAX_BYTES, KeyDecision,
     KeyError, KeyOutcome, KeyPrefix, MintWindow, RequestFingerprint,
 };
-pub use membership::{Introduction, Member, Membership, MembershipSettings};
+pub use membership::{
+    Changes, Introduction, Member, Membership, MembershipChange, MembershipSettings, OwnState,
+};
 pub use message::{
-    Grant, Heartbeat, Incarnation, LengthClass, Peer, PeerMessage, PrefixFingerprint, Progress,
-    Release, ReleaseReason, Running, ShardId, Ticket, TicketSeq,
+    Grant, Heartbeat, Incarnation, LengthClass, MemberState, MemberVersion, Peer, PeerMessage,
+    PrefixFingerprint, Progress, Release, ReleaseReason, Rumor, Running, ShardId, Ticket,
+    TicketSeq, ViewDigest,
 };
 pub use node::{Input, Node, NodeSettings, Output};
 pub use placement::rendezvous;
--- a/crates/daisynotch_router/src/api/status.rs
+++ b/crates/daisynotch_router/src/api/status.rs
@@ -26,7 +26,8 @@
     caller_address: String,
     revision: Revision,
     leaving: bool,
-    open_requests: u32,
+    /// Known of the routers that this one exchanges heartbeats with.
+    open_requests: Option<u32>,
 }
 
 #[derive(Serialize)]
