--- a/crates/daisynotch_core/src/node.rs
+++ b/crates/daisynotch_core/src/node.rs
@@ -60,6 +60,24 @@
     Replica(Arc<Replica>),
     /// The platform's host list was read.
     HostList(Vec<ListedHost>),
+    /// A streamed request went to its endpoint; its first token is awaited.
+    Sent(RequestId),
+    /// An attempt began to answer; another one of the same request is to be dropped.
+    Answered {
+        /// The request.
+        request: RequestId,
+        /// The grant that the attempt ran under.
+        ticket: TicketSeq,
+    },
+    /// One of two attempts of a request ended without an answer; the other goes on.
+    AttemptFailed {
+        /// The request.
+        request: RequestId,
+        /// The grant that the attempt ran under.
+        ticket: TicketSeq,
+        /// How it ended.
+        reason: ReleaseReason,
+    },
     /// Running work goes on.
     Progress {
         /// The request.
@@ -221,6 +239,19 @@
             Input::ServiceRead(read) => self.follower.on_service_read(read, now),
             Input::PayloadRefused { from } => self.follower.on_payload_refused(from, now),
             Input::Replica(replica) => self.replica = replica,
+            Input::Sent(request) => self.entry.on_sent(request, now),
+            Input::Answered { request, ticket } => {
+                let event = self.entry.on_answered(request, ticket);
+                self.run_entry(event);
+            }
+            Input::AttemptFailed {
+                request,
+                ticket,
+                reason,
+            } => {
+                let event = self.entry.on_attempt_failed(request, ticket, reason);
+                self.run_entry(event);
+            }
             Input::HostList(hosts) => {
                 let changes = self.membership.on_host_list(&hosts);
                 self.run_changes(&changes, now);
