Order teams on two levels and share tickets and service between shards

After a partition a team that entered in one zone got 8,335 cost units where the others got 28,300, since each scheduler ordered by what it had served itself. Share and team weights were multiplied, so a share grew with the number of its teams. Removing a ticket took time in proportion to the team's queue.

The queue orders shares, then the teams of a share; a team's hints are judged by its finished work; corrections move a team no further than a bound; a team that the others have caught up with has no state; every step is logarithmic. Schedulers of one pool tell each other what they charged and gave back as sums that only grow, within 800 bytes a second; a shard that is short of tickets asks the one with the most and grants straight to the entry. An entry whose team already has a request waiting spreads the next over the pool's shards.

--- a/crates/daisynotch_core/src/catalogue.rs
+++ b/crates/daisynotch_core/src/catalogue.rs
@@ -6,9 +6,10 @@
 
 use daisynotch_objects::{
     CredentialDigest, EndpointName, Fencing, Limits, LimitsName, Objects, PoolName, RouteName,
-    TeamName,
+    ShareName, TeamName,
 };
 use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::message::ShardId;
 use crate::{EndpointId, PoolId, PoolKind, Revision, TeamId, ZoneId};
@@ -32,15 +33,27 @@
     pub queue_timeout: Duration,
 }
 
+/// What a team's service is ordered under: its share, or itself when it stands alone.
+#[daisynotch_macros::value]
+#[derive(Copy, Hash, PartialOrd, Ord)]
+pub enum ShareKey {
+    /// A share, by a hash of its name.
+    Share(u64),
+    /// A team without a share.
+    Alone(TeamId),
+}
+
 /// A team as decisions see it.
 #[daisynotch_macros::value]
 pub struct TeamView {
     /// The team's name.
     pub name: TeamName,
-    /// The share's weight.
+    /// What the team's service is ordered under.
+    pub share_key: ShareKey,
+    /// The share's weight, or the team's own when it stands alone.
     pub share_weight: u32,
     /// The name of the share, or none for a team that stands alone.
-    pub share: Option<daisynotch_objects::ShareName>,
+    pub share: Option<ShareName>,
     /// The team's weight within its share.
     pub weight: u32,
     /// The team's own limits.
@@ -171,7 +184,8 @@
                 .and_then(|share| objects.share.get(share));
             let view = TeamView {
                 name: name.clone(),
-                share_weight: share.map_or(1, |share| share.weight),
+                share_key: share_key(id, team.share.as_ref()),
+                share_weight: share.map_or(team.weight, |share| share.weight),
                 share: team.share.clone(),
                 weight: team.weight,
                 limits: request_limits(objects, team.limits.as_ref()),
@@ -241,6 +255,13 @@
     }
 }
 
+fn share_key(team: TeamId, share: Option<&ShareName>) -> ShareKey {
+    match share {
+        Some(share) => ShareKey::Share(xxh3_64(share.as_str().as_bytes())),
+        None => ShareKey::Alone(team),
+    }
+}
+
 fn request_limits(objects: &Objects, name: Option<&LimitsName>) -> RequestLimits {
     let none = Limits::default();
     let limits = name
--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -10,8 +10,8 @@
 use crate::catalogue::Catalogue;
 use crate::cost::Cost;
 use crate::message::{
-    Grant, LengthClass, PeerMessage, PrefixFingerprint, Progress, Release, ReleaseReason, Running,
-    ShardId, Ticket, TicketSeq,
+    ForwardedGrant, Grant, LengthClass, PeerMessage, PrefixFingerprint, Progress, Release,
+    ReleaseReason, Running, ShardId, Ticket, TicketSeq,
 };
 use crate::time::Timestamp;
 use crate::{EndpointId, PoolId, RouterId, TeamId, ZoneId};
@@ -25,6 +25,9 @@
 /// The shortest time that a refused caller is told to wait.
 const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
 
+/// A large odd factor that scatters consecutive request numbers over a pool's endpoints.
+const SPREAD_STEP: u64 = 0x9E37_79B9_7F4A_7C15;
+
 /// Numbers the requests of one router incarnation.
 #[daisynotch_macros::number]
 pub struct RequestId(pub u64);
@@ -175,11 +178,14 @@
     ) -> Result<RequestId, Refusal> {
         let team = catalogue.teams.get(&spec.team);
         let team = team.ok_or(refusal(RefusalReason::Unknown))?;
-        let shard = self.home_shard(spec.pool, catalogue)?;
         let queued = self.queued.get(&spec.team).copied().unwrap_or(0);
         if queued >= team.limits.queued_requests {
             return Err(refusal(RefusalReason::QueueFull));
         }
+        let shard = match queued {
+            0 => self.home_shard(spec.pool, catalogue)?,
+            _ => self.spread_shard(spec.pool, catalogue)?,
+        };
         let request = RequestId(self.next_request);
         self.next_request += 1;
         let queue_deadline = now + team.limits.queue_timeout;
@@ -278,6 +284,28 @@
         give_back(from, grant.seq, grant.endpoint)
     }
 
+    /// Takes in a grant of a scheduler that got the ticket from the one that was asked.
+    ///
+    /// The request moves to the shard that granted, so that a successor of that
+    /// shard's scheduler hears of it.
+    pub fn on_forwarded_grant(
+        &mut self,
+        from: RouterId,
+        forwarded: &ForwardedGrant,
+        now: Timestamp,
+    ) -> EntryEvent {
+        let grant = &forwarded.grant;
+        let request = self.tickets.get(&grant.seq).copied();
+        if let Some(request) = request
+            && self.may_use(request, forwarded.asked, grant, now)
+            && let Some(open) = self.requests.get_mut(&request)
+        {
+            open.shard = forwarded.shard;
+            return EntryEvent::Dispatch(self.start(request, from, grant));
+        }
+        self.on_grant(from, grant, now)
+    }
+
     /// Answers a scheduler that asks what became of a grant.
     pub fn on_query(&self, from: RouterId, seq: TicketSeq, endpoint: EndpointId) -> EntryEvent {
         let open = self
@@ -442,6 +470,26 @@
         chosen.ok_or(refusal(RefusalReason::NoEndpoint))
     }
 
+    /// Chooses a shard by its endpoints, so that a backlog waits in every shard of the pool.
+    fn spread_shard(&self, pool: PoolId, catalogue: &Catalogue) -> Result<ShardId, Refusal> {
+        let view = catalogue.pools.get(&pool);
+        let shards = view.map(|view| &view.shards).into_iter().flatten();
+        let total: usize = shards.clone().map(|(_, endpoints)| endpoints.len()).sum();
+        let total = total as u64;
+        if total == 0 {
+            return self.home_shard(pool, catalogue);
+        }
+        let mut place = (self.next_request.wrapping_mul(SPREAD_STEP) >> 32) % total;
+        for (zone, endpoints) in shards {
+            let count = endpoints.len() as u64;
+            if place < count {
+                return Ok(ShardId { pool, zone: *zone });
+            }
+            place -= count;
+        }
+        self.home_shard(pool, catalogue)
+    }
+
     fn mint_ticket(&mut self, request: RequestId) -> TicketSeq {
         let ticket = TicketSeq(self.next_ticket);
         self.next_ticket += 1;
--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -17,7 +17,9 @@
 mod scheduler;
 mod time;
 
-pub use catalogue::{Catalogue, EndpointView, PoolView, RequestLimits, RouteView, TeamView};
+pub use catalogue::{
+    Catalogue, EndpointView, PoolView, RequestLimits, RouteView, ShareKey, TeamView,
+};
 pub use cost::Cost;
 pub use daisynotch_objects::{
     EndpointId, PoolId, PoolKind, Revision, RouterId, RouterName, TeamId, ZoneId, ZoneName,
@@ -26,8 +28,9 @@
 pub use host_list::ListedHost;
 pub use membership::{Introduction, Member, Membership, MembershipSettings};
 pub use message::{
-    Grant, Heartbeat, Incarnation, LengthClass, Peer, PeerMessage, PrefixFingerprint, Progress,
-    Release, ReleaseReason, Running, ShardId, Ticket, TicketSeq,
+    Forward, ForwardedGrant, ForwardedTicket, Grant, Heartbeat, Incarnation, LengthClass, Peer,
+    PeerMessage, PrefixFingerprint, Progress, Release, ReleaseReason, Running, Service, ShardId,
+    TeamService, Ticket, TicketSeq, Want,
 };
 pub use node::{Input, Node, NodeSettings, Output};
 pub use placement::rendezvous;
--- a/crates/daisynotch_core/src/message.rs
+++ b/crates/daisynotch_core/src/message.rs
@@ -142,6 +142,82 @@
     pub cost: Cost,
 }
 
+/// What one scheduler has charged a team since the scheduler started; both sums only grow.
+#[daisynotch_macros::message]
+#[derive(Copy)]
+pub struct TeamService {
+    /// The team.
+    pub team: TeamId,
+    /// What was charged at grants and after.
+    pub charged: Cost,
+    /// What was given back of it, as hints were too large or grants went unused.
+    pub refunded: Cost,
+}
+
+/// Tells another shard of the pool what was served here and how much waits.
+#[daisynotch_macros::message]
+pub struct Service {
+    /// The shard that tells.
+    pub shard: ShardId,
+    /// The zone of the shard that is told.
+    pub to: ZoneId,
+    /// When the telling scheduler started, on its router's own clock.
+    pub started_us: u64,
+    /// Tickets that wait there.
+    pub waiting: u32,
+    /// Teams that wait there and whose service moved.
+    pub served: SmallVec<[TeamService; 2]>,
+}
+
+/// Asks another shard of the pool for tickets that wait there.
+#[daisynotch_macros::message]
+#[derive(Copy)]
+pub struct Want {
+    /// The shard that is asked.
+    pub shard: ShardId,
+    /// The zone of the shard that asks.
+    pub to: ZoneId,
+    /// Tickets that would get a slot at once.
+    pub idle: u32,
+    /// Tickets that would wait there for the next slots.
+    pub buffer: u32,
+}
+
+/// A ticket that another shard's scheduler took.
+#[daisynotch_macros::message]
+pub struct ForwardedTicket {
+    /// The entry that holds the request.
+    pub entry: Peer,
+    /// The router that the entry asked, when it isn't the sender.
+    pub asked: Option<RouterId>,
+    /// The ticket, with the time that it has waited so far.
+    pub ticket: Ticket,
+}
+
+/// Passes waiting tickets to another shard of the pool.
+#[daisynotch_macros::message]
+pub struct Forward {
+    /// The shard that gets them.
+    pub shard: ShardId,
+    /// The zone of the shard that gave them.
+    pub from: ZoneId,
+    /// The tickets.
+    pub tickets: Vec<ForwardedTicket>,
+    /// Tickets that wait still where these came from.
+    pub left: u32,
+}
+
+/// Gives a slot for a ticket that its entry sent to another router.
+#[daisynotch_macros::message]
+pub struct ForwardedGrant {
+    /// The router that the entry asked.
+    pub asked: RouterId,
+    /// The shard that grants.
+    pub shard: ShardId,
+    /// The grant; its expiry counts from when the entry asked that router.
+    pub grant: Grant,
+}
+
 /// Says that a router is alive and what it knows.
 #[daisynotch_macros::message]
 pub struct Heartbeat {
@@ -189,10 +265,18 @@
     },
     /// Router to router.
     Heartbeat(Heartbeat),
+    /// Scheduler to scheduler: service given and tickets waiting.
+    Service(Service),
+    /// Scheduler to scheduler: asks for tickets.
+    Want(Want),
+    /// Scheduler to scheduler: passes tickets on.
+    Forward(Forward),
+    /// Scheduler to entry: gives a slot for a ticket that was passed on.
+    ForwardedGrant(ForwardedGrant),
 }
 
 /// A router that a message came from.
-#[daisynotch_macros::value]
+#[daisynotch_macros::message]
 #[derive(Copy, Hash, PartialOrd, Ord)]
 pub struct Peer {
     /// The router.
--- a/crates/daisynotch_core/src/node.rs
+++ b/crates/daisynotch_core/src/node.rs
@@ -276,6 +276,13 @@
                 self.run_entry([event]);
             }
             PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(from, &heartbeat, now),
+            PeerMessage::Service(_) | PeerMessage::Want(_) | PeerMessage::Forward(_) => {
+                self.on_sharing(from, &message, now);
+            }
+            PeerMessage::ForwardedGrant(grant) => {
+                let event = self.entry.on_forwarded_grant(from.router, &grant, now);
+                self.run_entry([event]);
+            }
         }
     }
 
@@ -299,6 +306,30 @@
         self.run_scheduler(actions);
     }
 
+    /// Handles what another shard of a pool says; it is dropped when its shard isn't scheduled here.
+    fn on_sharing(&mut self, from: Peer, message: &PeerMessage, now: Timestamp) {
+        let Some(shard) = shard_of_sharing(message) else {
+            return;
+        };
+        let own = self.settings.own.peer.router;
+        let is_ours = self.membership.scheduler_of(shard) == Some(own);
+        if !is_ours || !self.catalogue.shards_of(shard.pool).contains(&shard) {
+            return;
+        }
+        self.with_scheduler(
+            from,
+            shard,
+            SmallVec::new(),
+            now,
+            |scheduler| match message {
+                PeerMessage::Service(service) => scheduler.on_service(from, service, now),
+                PeerMessage::Want(want) => scheduler.on_want(want, now),
+                PeerMessage::Forward(forward) => scheduler.on_forward(from, forward, now),
+                _ => SmallVec::new(),
+            },
+        );
+    }
+
     /// Finds the scheduler here that has an endpoint, also one that left the objects.
     fn scheduler_of_endpoint(&mut self, endpoint: EndpointId) -> Option<&mut Scheduler> {
         let shard = self.catalogue.shard_of(endpoint);
@@ -444,6 +475,14 @@
                 SchedulerAction::Query { to, seq, endpoint } => {
                     self.send(to.router, PeerMessage::Query { endpoint, seq });
                 }
+                SchedulerAction::Share { to, message } => {
+                    if let Some(router) = self.membership.scheduler_of(to) {
+                        self.send(router, message);
+                    }
+                }
+                SchedulerAction::ForwardedGrant { to, grant } => {
+                    self.send(to.router, PeerMessage::ForwardedGrant(grant));
+                }
             }
         }
     }
@@ -457,5 +496,18 @@
     }
 }
 
+/// Gives the shard that a message between shards is meant for.
+fn shard_of_sharing(message: &PeerMessage) -> Option<ShardId> {
+    match message {
+        PeerMessage::Service(service) => Some(ShardId {
+            pool: service.shard.pool,
+            zone: service.to,
+        }),
+        PeerMessage::Want(want) => Some(want.shard),
+        PeerMessage::Forward(forward) => Some(forward.shard),
+        _ => None,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/daisynotch_core/src/scheduler.rs
+++ b/crates/daisynotch_core/src/scheduler.rs
@@ -4,10 +4,13 @@
 //! `docs/design/tickets.md` describes its messages, `docs/design/fairness.md` the
 //! order, `docs/design/slots.md` how many requests an endpoint gets at once.
 
+mod exchange;
 mod queue;
+mod sharing;
 mod slots;
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -15,12 +18,15 @@
 use crate::catalogue::Catalogue;
 use crate::cost::Cost;
 use crate::message::{
-    Grant, LengthClass, Peer, Progress, Release, ReleaseReason, Running, ShardId, Ticket, TicketSeq,
+    ForwardedGrant, Grant, LengthClass, Peer, PeerMessage, Progress, Release, ReleaseReason,
+    Running, ShardId, Ticket, TicketSeq,
 };
 use crate::time::Timestamp;
-use crate::{EndpointId, TeamId};
+use crate::{EndpointId, RouterId, TeamId};
 
+use exchange::Exchange;
 use queue::FairQueue;
+use sharing::waited;
 use slots::EndpointSlots;
 
 /// How a scheduler judges.
@@ -35,6 +41,8 @@
     pub query_after: Duration,
     /// How long the slots of a lost entry stay taken.
     pub lost_entry_hold: Duration,
+    /// How far a team of weight 1 is moved from the others to repay service of the past.
+    pub repayment_max: Cost,
 }
 
 impl Default for SchedulerSettings {
@@ -44,6 +52,7 @@
             grant_validity: Duration::from_millis(1_000),
             query_after: Duration::from_millis(5_000),
             lost_entry_hold: Duration::from_millis(3_000),
+            repayment_max: Cost(65_536),
         }
     }
 }
@@ -77,6 +86,20 @@
         /// The endpoint whose slot is held.
         endpoint: EndpointId,
     },
+    /// Send a message to the scheduler of another shard of the pool.
+    Share {
+        /// The shard.
+        to: ShardId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Send a grant to an entry that asked another router for it.
+    ForwardedGrant {
+        /// The entry.
+        to: Peer,
+        /// The grant.
+        grant: ForwardedGrant,
+    },
 }
 
 /// Actions of one step; most steps have one or none.
@@ -86,6 +109,8 @@
 struct Waiting {
     ticket: Ticket,
     received_at: Timestamp,
+    /// The router that the entry asked, when the ticket was passed on from there.
+    asked: Option<RouterId>,
 }
 
 #[derive(Debug, Clone)]
@@ -93,9 +118,11 @@
     endpoint: EndpointId,
     team: TeamId,
     class: LengthClass,
+    /// What the entry thought it would cost; none when another scheduler granted it.
+    hint: Option<Cost>,
     charged: Cost,
     /// The grant as it was sent, so that a doubled ticket gets the same answer.
-    grant: Option<Grant>,
+    grant: Option<SchedulerAction>,
     heard_at: Timestamp,
     /// When the slot is free though nobody gave it back.
     reclaim_at: Option<Timestamp>,
@@ -108,6 +135,7 @@
     settings: SchedulerSettings,
     grants_from: Timestamp,
     queue: FairQueue,
+    exchange: Exchange,
     slots: EndpointSlots,
     waiting: HashMap<TicketKey, Waiting>,
     granted: HashMap<TicketKey, Granted>,
@@ -118,14 +146,15 @@
     pub fn new(
         shard: ShardId,
         settings: SchedulerSettings,
-        catalogue: &Catalogue,
+        catalogue: &Arc<Catalogue>,
         now: Timestamp,
     ) -> Self {
         let mut scheduler = Self {
             shard,
             settings,
             grants_from: now + settings.takeover_grace,
-            queue: FairQueue::default(),
+            queue: FairQueue::new(settings.repayment_max, Arc::clone(catalogue)),
+            exchange: Exchange::new(shard, now),
             slots: EndpointSlots::default(),
             waiting: HashMap::new(),
             granted: HashMap::new(),
@@ -135,9 +164,11 @@
     }
 
     /// Takes in a new revision of the objects.
-    pub fn configure(&mut self, catalogue: &Catalogue) {
+    pub fn configure(&mut self, catalogue: &Arc<Catalogue>) {
         self.slots.configure(self.shard, catalogue);
-        self.queue.configure(catalogue);
+        self.queue.configure(Arc::clone(catalogue));
+        self.exchange
+            .set_peers(&catalogue.shards_of(self.shard.pool));
     }
 
     /// Says whether an endpoint is, or lately was, one of the shard's.
@@ -157,27 +188,36 @@
 
     /// Takes in a ticket; one that is known already changes nothing.
     pub fn on_ticket(&mut self, entry: Peer, ticket: Ticket, now: Timestamp) -> Actions {
+        let mut actions = self.accept(entry, None, ticket, now);
+        actions.extend(self.fill(now));
+        actions
+    }
+
+    /// Puts a ticket into the queue, or repeats the grant that it has already.
+    fn accept(
+        &mut self,
+        entry: Peer,
+        asked: Option<RouterId>,
+        ticket: Ticket,
+        now: Timestamp,
+    ) -> Actions {
         let key = TicketKey {
             entry,
             seq: ticket.seq,
         };
         if let Some(granted) = self.granted.get(&key) {
-            let grant = granted.grant.clone();
-            let repeat = grant.map(|grant| SchedulerAction::Grant { to: entry, grant });
-            return repeat.into_iter().collect();
+            return granted.grant.clone().into_iter().collect();
         }
         if !self.waiting.contains_key(&key) {
             self.queue.push(ticket.team, key);
-            let received_at = now;
-            self.waiting.insert(
-                key,
-                Waiting {
-                    ticket,
-                    received_at,
-                },
-            );
+            let waiting = Waiting {
+                ticket,
+                received_at: now,
+                asked,
+            };
+            self.waiting.insert(key, waiting);
         }
-        self.fill(now)
+        Actions::new()
     }
 
     /// Forgets a ticket that is no longer wanted.
@@ -199,12 +239,18 @@
             return Actions::new();
         }
         let granted = self.granted.remove(&key).expect("it was found above");
+        if release.reason == ReleaseReason::Done
+            && let Some(hint) = granted.hint
+        {
+            self.queue.learn(granted.team, hint, release.cost);
+        }
         let cost = match release.reason {
             ReleaseReason::Done | ReleaseReason::Failed => release.cost,
             ReleaseReason::Unreachable | ReleaseReason::Unused => Cost::default(),
         };
-        self.queue
-            .correct(granted.team, cost.difference(granted.charged));
+        let difference = cost.difference(granted.charged);
+        self.queue.correct(granted.team, difference);
+        self.exchange.count(granted.team, difference, now);
         self.slots.release(granted.endpoint, granted.class);
         self.fill(now)
     }
@@ -223,6 +269,7 @@
         if progress.cost > granted.charged {
             let more = progress.cost.difference(granted.charged);
             self.queue.correct(granted.team, more);
+            self.exchange.count(granted.team, more, now);
             granted.charged = progress.cost;
         }
     }
@@ -246,6 +293,7 @@
             endpoint: running.endpoint,
             team: running.team,
             class: running.class,
+            hint: None,
             charged: running.cost,
             grant: None,
             heard_at: now,
@@ -276,6 +324,7 @@
         self.reclaim(now);
         let mut actions = self.query_silent(now);
         actions.extend(self.fill(now));
+        actions.extend(self.tell_service(now));
         actions
     }
 
@@ -325,6 +374,7 @@
             };
             actions.push(self.grant(key, endpoint, now));
         }
+        actions.extend(self.ask_for_tickets(now));
         actions
     }
 
@@ -334,28 +384,43 @@
             .remove(&key)
             .expect("the queue holds waiting tickets");
         let ticket = waiting.ticket;
-        self.queue.pop(ticket.team, ticket.hint);
+        let charged = self.queue.pop(ticket.team, key, ticket.hint);
+        self.exchange
+            .count(ticket.team, charged.difference(Cost::default()), now);
         self.slots.take(endpoint, ticket.class);
-        let waited_before = Duration::from_millis(u64::from(ticket.waited_ms));
-        let waited = waited_before + now.since(waiting.received_at);
+        let waited = waited(ticket.waited_ms, waiting.received_at, now);
         let valid = waited + self.settings.grant_validity;
         let grant = Grant {
             seq: key.seq,
             endpoint,
             valid_after_sent_ms: u64::try_from(valid.as_millis()).unwrap_or(u64::MAX),
         };
+        let action = self.address(key.entry, waiting.asked, grant);
         let granted = Granted {
             endpoint,
             team: ticket.team,
             class: ticket.class,
-            charged: ticket.hint,
-            grant: Some(grant.clone()),
+            hint: Some(ticket.hint),
+            charged,
+            grant: Some(action.clone()),
             heard_at: now,
             reclaim_at: None,
         };
         self.granted.insert(key, granted);
-        let to = key.entry;
-        SchedulerAction::Grant { to, grant }
+        action
+    }
+
+    fn address(&self, to: Peer, asked: Option<RouterId>, grant: Grant) -> SchedulerAction {
+        let Some(asked) = asked else {
+            return SchedulerAction::Grant { to, grant };
+        };
+        let shard = self.shard;
+        let grant = ForwardedGrant {
+            asked,
+            shard,
+            grant,
+        };
+        SchedulerAction::ForwardedGrant { to, grant }
     }
 }
 
--- a/crates/daisynotch_core/src/scheduler/slots.rs
+++ b/crates/daisynotch_core/src/scheduler/slots.rs
@@ -50,6 +50,20 @@
         self.endpoints.contains_key(&id)
     }
 
+    /// Gives the slots of endpoints that take new work.
+    pub(super) fn total(&self) -> u32 {
+        let staying = self.endpoints.values().filter(|slots| !slots.leaving);
+        staying.map(|slots| slots.limit).sum()
+    }
+
+    /// Gives the slots that new work could take at once.
+    pub(super) fn free(&self) -> u32 {
+        let staying = self.endpoints.values().filter(|slots| !slots.leaving);
+        staying
+            .map(|slots| slots.limit.saturating_sub(slots.taken))
+            .sum()
+    }
+
     /// Chooses the least loaded endpoint with a free slot; long work is spread first.
     pub(super) fn choose(&self, ticket: &Ticket) -> Option<EndpointId> {
         let is_free = |slots: &Slots| !slots.leaving && slots.taken < slots.limit;
--- a/crates/daisynotch_core/src/scheduler/tests.rs
+++ b/crates/daisynotch_core/src/scheduler/tests.rs
@@ -18,7 +18,7 @@
 
 fn scheduler() -> Scheduler {
     let objects = SHARD_OBJECTS.parse().expect("the objects can be read");
-    let catalogue = Catalogue::new(Revision(1), &objects);
+    let catalogue = Arc::new(Catalogue::new(Revision(1), &objects));
     let shard = catalogue.shards_of(*catalogue.pools.keys().next().expect("there is a pool"))[0];
     let settings = SchedulerSettings {
         takeover_grace: Duration::ZERO,
