--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -10,6 +10,7 @@
 mod cost;
 mod entry;
 mod host_list;
+mod idempotency;
 mod membership;
 mod message;
 mod node;
@@ -26,6 +27,10 @@
 };
 pub use entry::{Dispatch, Entry, EntryEvent, Refusal, RefusalReason, RequestId, RequestSpec};
 pub use host_list::ListedHost;
+pub use idempotency::{
+    ClaimSeq, IdempotencyKey, IdempotencyRecords, IdempotencySettings, KEY_MAX_BYTES, KeyDecision,
+    KeyError, KeyOutcome, KeyPrefix, MintWindow, RequestFingerprint,
+};
 pub use membership::{Introduction, Member, Membership, MembershipSettings};
 pub use message::{
     Forward, ForwardedGrant, ForwardedTicket, Grant, Heartbeat, Incarnation, LengthClass, Peer,
