--- a/crates/daisynotch_core/tests/fairness/cluster.rs
+++ b/crates/daisynotch_core/tests/fairness/cluster.rs
@@ -354,7 +354,7 @@
     fn run(&mut self, router: usize, outputs: Vec<Output>) {
         for output in outputs {
             match output {
-                Output::Send { to, message } => self.send(router, to, message),
+                Output::Send { to, message } => self.send(router, to, &message),
                 Output::Dispatch(dispatch) => self.dispatch(router, dispatch),
                 Output::Refuse { request, .. } => {
                     if let Some(open) = self.work.remove(&Work { router, request }) {
@@ -367,10 +367,10 @@
         }
     }
 
-    fn send(&mut self, from: usize, to: RouterId, message: PeerMessage) {
+    fn send(&mut self, from: usize, to: RouterId, message: &PeerMessage) {
         let to = to.0 as usize - 1;
-        let bytes = postcard_bytes(&message);
-        let is_exchange = is_exchange(&message);
+        let bytes = postcard_bytes(message);
+        let is_exchange = is_exchange(message);
         if self.now_us >= self.setup.warm_up_us && !matches!(message, PeerMessage::Heartbeat(_)) {
             self.control_bytes += bytes;
             if is_exchange {
