--- a/crates/daisynotch_core/src/scheduler.rs
+++ b/crates/daisynotch_core/src/scheduler.rs
@@ -4,9 +4,13 @@
 //! `docs/design/tickets.md` describes its messages, `docs/design/fairness.md` the
 //! order, `docs/design/slots.md` how many requests an endpoint gets at once.
 
+mod endpoint_health;
 mod exchange;
+mod length;
+mod prefixes;
 mod queue;
 mod sharing;
+mod slot_limit;
 mod slots;
 
 use std::collections::HashMap;
@@ -25,9 +29,10 @@
 use crate::{EndpointId, RouterId, TeamId};
 
 use exchange::Exchange;
+use length::LengthJudge;
 use queue::FairQueue;
 use sharing::waited;
-use slots::EndpointSlots;
+use slots::{EndpointSlots, LongShare, Seen};
 
 /// How a scheduler judges.
 #[daisynotch_macros::value]
@@ -137,6 +142,7 @@
     queue: FairQueue,
     exchange: Exchange,
     slots: EndpointSlots,
+    lengths: LengthJudge,
     waiting: HashMap<TicketKey, Waiting>,
     granted: HashMap<TicketKey, Granted>,
 }
@@ -156,6 +162,7 @@
             queue: FairQueue::new(settings.repayment_max, Arc::clone(catalogue)),
             exchange: Exchange::new(shard, now),
             slots: EndpointSlots::default(),
+            lengths: LengthJudge::default(),
             waiting: HashMap::new(),
             granted: HashMap::new(),
         };
@@ -246,11 +253,22 @@
         }
         let cost = match release.reason {
             ReleaseReason::Done | ReleaseReason::Failed => release.cost,
-            ReleaseReason::Unreachable | ReleaseReason::Unused => Cost::default(),
+            ReleaseReason::Unreachable | ReleaseReason::Unused | ReleaseReason::Cancelled => {
+                Cost::default()
+            }
         };
         let difference = cost.difference(granted.charged);
         self.queue.correct(granted.team, difference);
         self.exchange.count(granted.team, difference, now);
+        let seen = Seen {
+            first_token_ms: release.first_token_ms,
+            token_gap_us: release.token_gap_us,
+        };
+        self.slots
+            .on_ended(granted.endpoint, release.reason, seen, now);
+        if release.reason == ReleaseReason::Done {
+            self.lengths.learn(granted.class, cost);
+        }
         self.slots.release(granted.endpoint, granted.class);
         self.fill(now)
     }
@@ -272,6 +290,16 @@
             self.exchange.count(granted.team, more, now);
             granted.charged = progress.cost;
         }
+        let class = self.lengths.class_of(granted.class, progress.cost);
+        if class != granted.class {
+            granted.class = class;
+            self.slots.lengthen(granted.endpoint);
+        }
+        let seen = Seen {
+            first_token_ms: progress.first_token_ms,
+            token_gap_us: progress.token_gap_us,
+        };
+        self.slots.judge_speed(progress.endpoint, seen, now);
     }
 
     /// Takes in work that runs under a grant which this scheduler may not know.
@@ -367,17 +395,36 @@
         if now < self.grants_from {
             return actions;
         }
-        while let Some(key) = self.queue.peek() {
-            let ticket = &self.waiting[&key].ticket;
-            let Some(endpoint) = self.slots.choose(ticket) else {
+        loop {
+            while let Some((key, endpoint)) = self.next_grant(now) {
+                actions.push(self.grant(key, endpoint, now));
+            }
+            if self.queue.peek().is_none() || !self.slots.grow(now) {
                 break;
-            };
-            actions.push(self.grant(key, endpoint, now));
+            }
         }
         actions.extend(self.ask_for_tickets(now));
         actions
     }
 
+    /// Chooses the next ticket and its endpoint; short work goes round long work that has its share.
+    fn next_grant(&self, now: Timestamp) -> Option<(TicketKey, EndpointId)> {
+        let key = self.queue.peek()?;
+        let choose = |key: &TicketKey, share| {
+            let endpoint = self.slots.choose(&self.waiting[key].ticket, share, now);
+            endpoint.map(|endpoint| (*key, endpoint))
+        };
+        let chosen = choose(&key, LongShare::Kept);
+        if chosen.is_some() || self.waiting[&key].ticket.class == LengthClass::Short {
+            return chosen;
+        }
+        let is_short = |key: &TicketKey| self.waiting[key].ticket.class == LengthClass::Short;
+        match self.queue.first_where(is_short) {
+            Some(short) => choose(&short, LongShare::Kept),
+            None => choose(&key, LongShare::Borrowed),
+        }
+    }
+
     fn grant(&mut self, key: TicketKey, endpoint: EndpointId, now: Timestamp) -> SchedulerAction {
         let waiting = self
             .waiting
@@ -387,7 +434,7 @@
         let charged = self.queue.pop(ticket.team, key, ticket.hint);
         self.exchange
             .count(ticket.team, charged.difference(Cost::default()), now);
-        self.slots.take(endpoint, ticket.class);
+        self.slots.grant(endpoint, &ticket, now);
         let waited = waited(ticket.waited_ms, waiting.received_at, now);
         let valid = waited + self.settings.grant_validity;
         let grant = Grant {
--- a/crates/daisynotch_core/src/scheduler/queue.rs
+++ b/crates/daisynotch_core/src/scheduler/queue.rs
@@ -20,6 +20,9 @@
 use hints::HintAccuracy;
 use order::ServiceOrder;
 
+/// Tickets of a team that may be served before the team's first.
+const LOOK_AHEAD_TICKETS: usize = 16;
+
 /// A team's place on the two levels.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Placement {
@@ -137,15 +140,22 @@
 
     /// Gives the ticket that is served next.
     pub(super) fn peek(&self) -> Option<TicketKey> {
-        self.heads().next()
+        self.firsts(1).next()
+    }
+
+    /// Gives the ticket that is served next of those that `accepts` takes.
+    ///
+    /// Only the first tickets of each team are looked at.
+    pub(super) fn first_where(&self, accepts: impl Fn(&TicketKey) -> bool) -> Option<TicketKey> {
+        self.firsts(LOOK_AHEAD_TICKETS).find(accepts)
     }
 
-    /// Gives the first ticket of every waiting team, the next to be served first.
-    pub(super) fn heads(&self) -> impl Iterator<Item = TicketKey> {
+    /// Gives the first tickets of every waiting team, the next to be served first.
+    fn firsts(&self, count: usize) -> impl Iterator<Item = TicketKey> {
         let shares = self.order.iter_waiting().map(|key| &self.shares[&key]);
-        shares.flat_map(|share| {
+        shares.flat_map(move |share| {
             let teams = share.order.iter_waiting();
-            teams.filter_map(|id| share.teams[&id].tickets.values().next().copied())
+            teams.flat_map(move |id| share.teams[&id].tickets.values().take(count).copied())
         })
     }
 
