--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -33,11 +33,14 @@
     ClaimSeq, IdempotencyKey, IdempotencyRecords, IdempotencySettings, KEY_MAX_BYTES, KeyDecision,
     KeyError, KeyOutcome, KeyPrefix, MintWindow, RequestFingerprint,
 };
-pub use membership::{Introduction, Member, Membership, MembershipSettings};
+pub use membership::{
+    Changes, Introduction, Member, Membership, MembershipChange, MembershipSettings, OwnState,
+};
 pub use message::{
-    Forward, ForwardedGrant, ForwardedTicket, Grant, Heartbeat, Incarnation, LengthClass, Peer,
-    PeerMessage, PrefixFingerprint, Progress, Release, ReleaseReason, Running, Service, ShardId,
-    TeamService, Ticket, TicketSeq, Want,
+    Forward, ForwardedGrant, ForwardedTicket, Grant, Heartbeat, Incarnation, LengthClass,
+    MemberState, MemberVersion, Peer, PeerMessage, PrefixFingerprint, Progress, Release,
+    ReleaseReason, Rumor, Running, Service, ShardId, TeamService, Ticket, TicketSeq, ViewDigest,
+    Want,
 };
 pub use node::{Input, Node, NodeSettings, Output};
 pub use placement::rendezvous;
--- a/crates/daisynotch_core/tests/fairness.rs
+++ b/crates/daisynotch_core/tests/fairness.rs
@@ -35,7 +35,6 @@
         teams,
         faults: ExchangeFaults::default(),
         partition_us: None,
-        heartbeats: true,
         warm_up_us: 10 * SECOND_US,
         end_us: 210 * SECOND_US,
     }
--- a/crates/daisynotch_core/tests/fairness/cluster.rs
+++ b/crates/daisynotch_core/tests/fairness/cluster.rs
@@ -13,7 +13,6 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::fmt::Write as _;
 use std::sync::Arc;
-use std::time::Duration;
 
 use daisynotch_core::{
     Catalogue, Cost, Dispatch, Incarnation, Input, Introduction, LengthClass, MembershipSettings,
@@ -86,8 +85,6 @@
     pub faults: ExchangeFaults,
     /// When zone 0 is cut off from the others, in microseconds.
     pub partition_us: Option<(u64, u64)>,
-    /// Heartbeats are quadratic in the routers; a large cluster does without.
-    pub heartbeats: bool,
     pub warm_up_us: u64,
     pub end_us: u64,
 }
@@ -209,6 +206,7 @@
                 incarnation: Incarnation(1),
             },
             zone: zone_ids[zones[at]],
+            peer_address: "127.0.0.1:9".parse().expect("it is an address"),
             caller_address: "127.0.0.1:9".parse().expect("it is an address"),
         };
         let introductions: Vec<Introduction> = (0..setup.routers).map(introduction).collect();
@@ -218,7 +216,7 @@
             Policy::Random | Policy::LeastConnections => 0,
         };
         for own in introductions.iter().take(node_count) {
-            nodes.push(node(&setup, *own, &introductions, &catalogue));
+            nodes.push(node(*own, &introductions, &catalogue));
         }
         let endpoint_count = setup.endpoints.iter().sum();
         Self {
@@ -590,23 +588,10 @@
     bytes.len() as u64
 }
 
-fn node(
-    setup: &Setup,
-    own: Introduction,
-    all: &[Introduction],
-    catalogue: &Arc<Catalogue>,
-) -> Node {
-    let quiet = Duration::from_secs(1_000_000);
-    let membership = match setup.heartbeats {
-        true => MembershipSettings::default(),
-        false => MembershipSettings {
-            heartbeat_interval: quiet,
-            lost_after: quiet,
-        },
-    };
+fn node(own: Introduction, all: &[Introduction], catalogue: &Arc<Catalogue>) -> Node {
     let settings = NodeSettings {
         own,
-        membership,
+        membership: MembershipSettings::default(),
         scheduler: SchedulerSettings::default(),
     };
     let mut node = Node::new(settings, Timestamp(0));
--- a/crates/daisynotch_core/tests/forwarding.rs
+++ b/crates/daisynotch_core/tests/forwarding.rs
@@ -47,6 +47,7 @@
     Introduction {
         peer,
         zone: zone(zone_name),
+        peer_address: "127.0.0.1:9".parse().expect("it is an address"),
         caller_address: "127.0.0.1:9".parse().expect("it is an address"),
     }
 }
