Pass a ticket on once

A router cut off from all others schedules every shard. With slots free in each that no ticket could get, its shards asked one another for the same ticket without end, within one step of the clock: the test of a router that hears nobody did not finish in 60 seconds. A lower bound on the time between two requests for tickets would only have slowed it down.

A shard passes on only tickets that an entry asked it for, and counts only those as waiting towards the others; an answer without tickets ends the asking until the other shard speaks again.

--- a/crates/daisynotch_core/src/message.rs
+++ b/crates/daisynotch_core/src/message.rs
@@ -186,13 +186,11 @@
     pub buffer: u32,
 }
 
-/// A ticket that another shard's scheduler took.
+/// A ticket for which an entry asked the sender.
 #[daisynotch_macros::message]
 pub struct ForwardedTicket {
     /// The entry that holds the request.
     pub entry: Peer,
-    /// The router that the entry asked, when it isn't the sender.
-    pub asked: Option<RouterId>,
     /// The ticket, with the time that it has waited so far.
     pub ticket: Ticket,
 }
--- a/crates/daisynotch_core/src/scheduler.rs
+++ b/crates/daisynotch_core/src/scheduler.rs
@@ -144,6 +144,8 @@
     slots: EndpointSlots,
     lengths: LengthJudge,
     waiting: HashMap<TicketKey, Waiting>,
+    /// Those of them that another shard passed on; they are not passed on again.
+    forwarded_count: usize,
     granted: HashMap<TicketKey, Granted>,
 }
 
@@ -164,6 +166,7 @@
             slots: EndpointSlots::default(),
             lengths: LengthJudge::default(),
             waiting: HashMap::new(),
+            forwarded_count: 0,
             granted: HashMap::new(),
         };
         scheduler.configure(catalogue);
@@ -227,6 +230,7 @@
                 received_at: now,
                 asked,
             };
+            self.forwarded_count += usize::from(asked.is_some());
             self.waiting.insert(key, waiting);
         }
         Actions::new()
@@ -235,7 +239,7 @@
     /// Forgets a ticket that is no longer wanted.
     pub fn on_withdraw(&mut self, entry: Peer, seq: TicketSeq) {
         let key = TicketKey { entry, seq };
-        if let Some(waiting) = self.waiting.remove(&key) {
+        if let Some(waiting) = self.take_waiting(key) {
             self.queue.remove(waiting.ticket.team, key);
         }
     }
@@ -434,8 +438,7 @@
 
     fn grant(&mut self, key: TicketKey, endpoint: EndpointId, now: Timestamp) -> SchedulerAction {
         let waiting = self
-            .waiting
-            .remove(&key)
+            .take_waiting(key)
             .expect("the queue holds waiting tickets");
         let ticket = waiting.ticket;
         let charged = self.queue.pop(ticket.team, key, ticket.hint);
@@ -464,6 +467,12 @@
         action
     }
 
+    fn take_waiting(&mut self, key: TicketKey) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&key)?;
+        self.forwarded_count -= usize::from(waiting.asked.is_some());
+        Some(waiting)
+    }
+
     fn address(&self, to: Peer, asked: Option<RouterId>, grant: Grant) -> SchedulerAction {
         let Some(asked) = asked else {
             return SchedulerAction::Grant { to, grant };
--- a/crates/daisynotch_core/src/scheduler/exchange.rs
+++ b/crates/daisynotch_core/src/scheduler/exchange.rs
@@ -153,11 +153,10 @@
     /// Gives the messages that are due: service at an interval, a new backlog sooner.
     pub(super) fn tick(
         &mut self,
-        waiting_count: usize,
+        waiting: u32,
         waiting_teams: impl Iterator<Item = (TeamId, usize)>,
         now: Timestamp,
     ) -> Vec<Service> {
-        let waiting = u32::try_from(waiting_count).unwrap_or(u32::MAX);
         if self.peers.is_empty() {
             return Vec::new();
         }
--- a/crates/daisynotch_core/src/scheduler/sharing.rs
+++ b/crates/daisynotch_core/src/scheduler/sharing.rs
@@ -28,13 +28,17 @@
     }
 
     /// Passes tickets to a shard that asks for them; keeps enough for its own slots.
+    ///
+    /// A ticket is passed on once, so that it can't go round between shards which
+    /// all have no slot for it.
     pub fn on_want(&mut self, want: &Want, now: Timestamp) -> Actions {
-        let waiting = self.waiting_u32();
-        let at_once = want.idle.min(waiting);
-        let spare = (waiting - at_once).saturating_sub(self.buffer_target());
+        let own = self.own_waiting();
+        let at_once = want.idle.min(own);
+        let spare = (own - at_once).saturating_sub(self.buffer_target());
         let mut tickets = Vec::new();
         for _ in 0..at_once + want.buffer.min(spare) {
-            let Some(key) = self.queue.peek() else {
+            let is_own = |key: &TicketKey| self.waiting[key].asked.is_none();
+            let Some(key) = self.queue.first_where(is_own) else {
                 break;
             };
             tickets.push(self.take_out(key, now));
@@ -45,7 +49,7 @@
                 zone: want.to,
             },
             from: self.shard.zone,
-            left: self.waiting_u32(),
+            left: self.own_waiting(),
             tickets,
         };
         let to = forward.shard;
@@ -57,12 +61,16 @@
 
     /// Takes in tickets that another shard passed on.
     pub fn on_forward(&mut self, from: Peer, forward: &Forward, now: Timestamp) -> Actions {
-        self.exchange.on_forwarded(from, forward.from, forward.left);
+        let left = match forward.tickets.is_empty() {
+            true => 0,
+            false => forward.left,
+        };
+        self.exchange.on_forwarded(from, forward.from, left);
         let mut repeated = Actions::new();
         for forwarded in &forward.tickets {
-            let asked = forwarded.asked.unwrap_or(from.router);
+            let asked = Some(from.router);
             let ticket = forwarded.ticket.clone();
-            repeated.extend(self.accept(forwarded.entry, Some(asked), ticket, now));
+            repeated.extend(self.accept(forwarded.entry, asked, ticket, now));
         }
         repeated.extend(self.fill(now));
         repeated
@@ -70,7 +78,7 @@
 
     /// Gives the service messages that are due.
     pub(super) fn tell_service(&mut self, now: Timestamp) -> Actions {
-        let waiting = self.waiting.len();
+        let waiting = self.own_waiting();
         let teams = self.queue.waiting_teams();
         let messages = self.exchange.tick(waiting, teams, now);
         let share = |service: Service| SchedulerAction::Share {
@@ -85,7 +93,7 @@
 
     /// Asks another shard for tickets when few wait here.
     pub(super) fn ask_for_tickets(&mut self, now: Timestamp) -> Option<SchedulerAction> {
-        let waiting = self.waiting_u32();
+        let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
         let buffer = self.buffer_target().saturating_sub(waiting);
         if buffer == 0 {
             return None;
@@ -102,23 +110,23 @@
         let Waiting {
             mut ticket,
             received_at,
-            asked,
+            ..
         } = self
-            .waiting
-            .remove(&key)
+            .take_waiting(key)
             .expect("the queue holds waiting tickets");
         self.queue.remove(ticket.team, key);
         let waited = waited(ticket.waited_ms, received_at, now);
         ticket.waited_ms = u32::try_from(waited.as_millis()).unwrap_or(u32::MAX);
         ForwardedTicket {
             entry: key.entry,
-            asked,
             ticket,
         }
     }
 
-    fn waiting_u32(&self) -> u32 {
-        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    /// Gives the waiting tickets that no other shard passed on.
+    fn own_waiting(&self) -> u32 {
+        let own = self.waiting.len() - self.forwarded_count;
+        u32::try_from(own).unwrap_or(u32::MAX)
     }
 
     fn buffer_target(&self) -> u32 {
--- a/crates/daisynotch_core/tests/forwarding.rs
+++ b/crates/daisynotch_core/tests/forwarding.rs
@@ -194,3 +194,15 @@
     assert_eq!(again.tickets.len(), 1);
     assert_eq!(again.tickets[0].ticket.waited_ms, 2_100);
 }
+
+#[test]
+fn a_ticket_is_passed_on_once() {
+    let mut fixture = Fixture::new();
+    let own = fixture.take_ticket(300);
+    let mut foreign = own.clone();
+    foreign.shard = fixture.shard("fatick");
+    foreign.from = zone("nioro");
+    foreign.tickets[0].entry = OTHER;
+    fixture.hear(PeerMessage::Forward(foreign), 400);
+    assert!(fixture.take_ticket(500).tickets.is_empty());
+}
