--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -10,9 +10,10 @@
 use crate::catalogue::Catalogue;
 use crate::cost::Cost;
 use crate::message::{
-    Grant, LengthClass, PeerMessage, PrefixFingerprint, Progress, Release, ReleaseReason, Running,
-    ShardId, Ticket, TicketSeq,
+    Grant, LengthClass, Peer, PeerMessage, PrefixFingerprint, Progress, Release, ReleaseReason,
+    Running, ShardId, Ticket, TicketSeq,
 };
+use crate::seeded_fault::{SeededFault, is_seeded};
 use crate::time::Timestamp;
 use crate::{EndpointId, PoolId, RouterId, TeamId, ZoneId};
 
@@ -109,11 +110,11 @@
 enum State {
     Waiting {
         /// The scheduler that was asked and when, once one was.
-        asked: Option<(RouterId, Timestamp)>,
+        asked: Option<(Peer, Timestamp)>,
         resend_at: Timestamp,
     },
     Running {
-        scheduler: RouterId,
+        scheduler: Peer,
         endpoint: EndpointId,
         cost: Cost,
     },
@@ -206,7 +207,7 @@
     pub fn send_due(
         &mut self,
         request: RequestId,
-        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+        scheduler_of: impl Fn(ShardId) -> Option<Peer>,
         now: Timestamp,
     ) -> Option<EntryEvent> {
         let open = self.requests.get_mut(&request)?;
@@ -220,18 +221,34 @@
             *resend_at = now + TICKET_REJECTED_RESEND_AFTER;
             return None;
         };
-        if asked.is_none_or(|(router, _)| router != to) {
+        *resend_at = now + TICKET_RESEND_AFTER;
+        if asked.is_none_or(|(peer, _)| peer != to) {
             *asked = Some((to, now));
+            if !is_seeded(SeededFault::KeepTicketNumber) {
+                self.renumber(request);
+            }
         }
-        *resend_at = now + TICKET_RESEND_AFTER;
-        let message = PeerMessage::Ticket(ticket_of(open));
+        let message = PeerMessage::Ticket(ticket_of(&self.requests[&request]));
+        let to = to.router;
         Some(EntryEvent::Send { to, message })
     }
 
+    /// Gives a request a new ticket for the scheduler that is asked now.
+    ///
+    /// A grant's validity counts from the ticket's first sending, so a number is
+    /// never sent to one scheduler, then to another, then to the first again.
+    fn renumber(&mut self, request: RequestId) {
+        let ticket = self.mint_ticket(request);
+        if let Some(open) = self.requests.get_mut(&request) {
+            self.tickets.remove(&open.ticket);
+            open.ticket = ticket;
+        }
+    }
+
     /// Resends everything whose scheduler is no longer the one that was asked.
     pub fn rehome(
         &mut self,
-        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+        scheduler_of: impl Fn(ShardId) -> Option<Peer>,
         now: Timestamp,
     ) -> Vec<EntryEvent> {
         let mut requests: Vec<RequestId> = self.requests.keys().copied().collect();
@@ -244,7 +261,7 @@
             };
             match &mut open.state {
                 State::Waiting { asked, resend_at } => {
-                    if asked.is_some_and(|(router, _)| router != to) {
+                    if asked.is_some_and(|(peer, _)| peer != to) {
                         *resend_at = now;
                     }
                     events.extend(self.send_due(request, |_| Some(to), now));
@@ -252,6 +269,7 @@
                 State::Running { scheduler, .. } if *scheduler != to => {
                     *scheduler = to;
                     let message = PeerMessage::Running(running_of(open));
+                    let to = to.router;
                     events.push(EntryEvent::Send { to, message });
                 }
                 State::Running { .. } => {}
@@ -261,7 +279,7 @@
     }
 
     /// Takes in a grant: dispatches, or gives the slot back.
-    pub fn on_grant(&mut self, from: RouterId, grant: &Grant, now: Timestamp) -> EntryEvent {
+    pub fn on_grant(&mut self, from: Peer, grant: &Grant, now: Timestamp) -> EntryEvent {
         let request = self.tickets.get(&grant.seq).copied();
         if let Some(request) = request
             && self.may_use(request, from, grant, now)
@@ -272,9 +290,10 @@
             && self.runs_under(request, from, grant)
         {
             let message = PeerMessage::Running(running_of(&self.requests[&request]));
-            return EntryEvent::Send { to: from, message };
+            let to = from.router;
+            return EntryEvent::Send { to, message };
         }
-        give_back(from, grant.seq, grant.endpoint)
+        give_back(from.router, grant.seq, grant.endpoint)
     }
 
     /// Answers a scheduler that asks what became of a grant.
@@ -298,7 +317,7 @@
     }
 
     /// Takes in that a router doesn't schedule what it was asked to.
-    pub fn on_not_scheduler(&mut self, from: RouterId, seqs: &[TicketSeq], now: Timestamp) {
+    pub fn on_not_scheduler(&mut self, from: Peer, seqs: &[TicketSeq], now: Timestamp) {
         for seq in seqs {
             let Some(open) = self
                 .tickets
@@ -308,7 +327,7 @@
                 continue;
             };
             if let State::Waiting { asked, resend_at } = &mut open.state
-                && asked.is_some_and(|(router, _)| router == from)
+                && asked.is_some_and(|(peer, _)| peer == from)
             {
                 *asked = None;
                 *resend_at = now + TICKET_REJECTED_RESEND_AFTER;
@@ -342,7 +361,7 @@
             token_gap_us,
         });
         Some(EntryEvent::Send {
-            to: *scheduler,
+            to: scheduler.router,
             message,
         })
     }
@@ -378,10 +397,16 @@
         };
         let message = PeerMessage::Release(release);
         let mut events = vec![EntryEvent::Send {
-            to: scheduler,
+            to: scheduler.router,
             message,
         }];
         match reason {
+            ReleaseReason::Unreachable if is_seeded(SeededFault::ForgetUnreachable) => {
+                self.forget(request);
+            }
+            ReleaseReason::Failed if is_seeded(SeededFault::RetryAfterFailure) => {
+                events.extend(self.try_again(request, endpoint, now));
+            }
             ReleaseReason::Unreachable => events.extend(self.try_again(request, endpoint, now)),
             ReleaseReason::Done | ReleaseReason::Failed | ReleaseReason::Unused => {
                 self.forget(request);
@@ -401,13 +426,16 @@
             seq: open.ticket,
         };
         self.forget(request);
-        asked.map(|(to, _)| EntryEvent::Send { to, message })
+        asked.map(|(peer, _)| EntryEvent::Send {
+            to: peer.router,
+            message,
+        })
     }
 
     /// Refuses requests that waited too long and sends tickets that are due.
     pub fn tick(
         &mut self,
-        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+        scheduler_of: impl Fn(ShardId) -> Option<Peer>,
         now: Timestamp,
     ) -> Vec<EntryEvent> {
         let mut events = Vec::new();
@@ -448,19 +476,20 @@
         ticket
     }
 
-    fn may_use(&self, request: RequestId, from: RouterId, grant: &Grant, now: Timestamp) -> bool {
+    fn may_use(&self, request: RequestId, from: Peer, grant: &Grant, now: Timestamp) -> bool {
         let State::Waiting {
             asked: Some((asked, sent_at)),
             ..
         } = self.requests[&request].state
         else {
-            return false;
+            return is_seeded(SeededFault::DispatchWhileRunning);
         };
         let valid = Duration::from_millis(grant.valid_after_sent_ms);
-        asked == from && now.since(sent_at) < valid
+        let is_valid = now.since(sent_at) < valid || is_seeded(SeededFault::IgnoreValidity);
+        asked == from && is_valid
     }
 
-    fn runs_under(&self, request: RequestId, from: RouterId, grant: &Grant) -> bool {
+    fn runs_under(&self, request: RequestId, from: Peer, grant: &Grant) -> bool {
         matches!(
             self.requests[&request].state,
             State::Running { scheduler, endpoint, .. }
@@ -468,7 +497,7 @@
         )
     }
 
-    fn start(&mut self, request: RequestId, scheduler: RouterId, grant: &Grant) -> Dispatch {
+    fn start(&mut self, request: RequestId, scheduler: Peer, grant: &Grant) -> Dispatch {
         self.leave_queue(request);
         let open = self
             .requests
@@ -493,10 +522,8 @@
         avoid: EndpointId,
         now: Timestamp,
     ) -> Option<EntryEvent> {
-        let ticket = self.mint_ticket(request);
+        self.renumber(request);
         let open = self.requests.get_mut(&request)?;
-        self.tickets.remove(&open.ticket);
-        open.ticket = ticket;
         if open.attempts >= DISPATCH_ATTEMPTS_MAX || open.queue_deadline <= now {
             let refusal = refusal(RefusalReason::Unreachable);
             self.forget(request);
@@ -519,7 +546,9 @@
         if !matches!(open.state, State::Waiting { .. }) {
             return;
         }
-        self.deadlines.remove(&(open.queue_deadline, request));
+        if !is_seeded(SeededFault::KeepDeadline) {
+            self.deadlines.remove(&(open.queue_deadline, request));
+        }
         if let Some(queued) = self.queued.get_mut(&open.spec.team) {
             *queued -= 1;
             if *queued == 0 {
--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -14,6 +14,7 @@
 mod node;
 mod placement;
 mod scheduler;
+pub mod seeded_fault;
 mod time;
 
 pub use catalogue::{Catalogue, EndpointView, PoolView, RequestLimits, RouteView, TeamView};
--- a/crates/daisynotch_core/src/membership.rs
+++ b/crates/daisynotch_core/src/membership.rs
@@ -152,6 +152,24 @@
         lost
     }
 
+    /// Gives the start of the router that schedules a shard.
+    ///
+    /// A router that restarted is another scheduler: it forgot what it granted.
+    pub fn scheduler_peer_of(&self, shard: ShardId) -> Option<Peer> {
+        let router = self.scheduler_of(shard)?;
+        let incarnation = self.members.get(&router)?.incarnation;
+        Some(Peer {
+            router,
+            incarnation,
+        })
+    }
+
+    /// Says whether a peer is the newest known start of a live router.
+    pub fn is_current(&self, peer: Peer) -> bool {
+        let member = self.members.get(&peer.router);
+        member.is_some_and(|member| member.incarnation == peer.incarnation)
+    }
+
     /// Gives the router that schedules a shard.
     ///
     /// Routers of the shard's zone come first; a zone without routers is served
--- a/crates/daisynotch_core/src/message.rs
+++ b/crates/daisynotch_core/src/message.rs
@@ -189,6 +189,24 @@
     Heartbeat(Heartbeat),
 }
 
+impl PeerMessage {
+    /// Says whether the receiver holds a slot or a place in a queue for the sender.
+    ///
+    /// From an entry that is gone, or was taken for lost, such a message is not
+    /// heard: nobody would give the slot back. An entry that lives sends it again.
+    pub fn takes_a_slot(&self) -> bool {
+        match self {
+            Self::Ticket(_) | Self::Running(_) | Self::Progress(_) => true,
+            Self::Withdraw { .. }
+            | Self::Grant(_)
+            | Self::NotScheduler { .. }
+            | Self::Release(_)
+            | Self::Query { .. }
+            | Self::Heartbeat(_) => false,
+        }
+    }
+}
+
 /// A router that a message came from.
 #[daisynotch_macros::value]
 #[derive(Copy, Hash, PartialOrd, Ord)]
--- a/crates/daisynotch_core/src/node.rs
+++ b/crates/daisynotch_core/src/node.rs
@@ -14,6 +14,7 @@
 use crate::membership::{Introduction, Membership, MembershipSettings};
 use crate::message::{Heartbeat, Peer, PeerMessage, ReleaseReason, ShardId, TicketSeq};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerSettings};
+use crate::seeded_fault::{SeededFault, is_seeded};
 use crate::time::Timestamp;
 use crate::{EndpointId, RouterId};
 
@@ -227,6 +228,10 @@
     }
 
     fn on_message(&mut self, from: Peer, message: PeerMessage, now: Timestamp) {
+        let is_current = self.membership.is_current(from) || is_seeded(SeededFault::HearLostEntry);
+        if message.takes_a_slot() && !is_current {
+            return;
+        }
         match message {
             PeerMessage::Ticket(ticket) => {
                 let seqs = SmallVec::from_slice(&[ticket.seq]);
@@ -261,11 +266,11 @@
                 }
             }
             PeerMessage::Grant(grant) => {
-                let event = self.entry.on_grant(from.router, &grant, now);
+                let event = self.entry.on_grant(from, &grant, now);
                 self.run_entry([event]);
             }
             PeerMessage::NotScheduler { seqs, .. } => {
-                self.entry.on_not_scheduler(from.router, &seqs, now);
+                self.entry.on_not_scheduler(from, &seqs, now);
             }
             PeerMessage::Query { endpoint, seq } => {
                 let event = self.entry.on_query(from.router, seq, endpoint);
@@ -331,7 +336,8 @@
     }
 
     fn on_configured(&mut self, catalogue: Arc<Catalogue>, now: Timestamp) {
-        if catalogue.revision <= self.catalogue.revision {
+        let is_older = catalogue.revision <= self.catalogue.revision;
+        if is_older && !is_seeded(SeededFault::AcceptOldRevision) {
             return;
         }
         self.catalogue = catalogue;
@@ -356,7 +362,7 @@
             .retain(|shard, _| membership.scheduler_of(*shard) == Some(own));
         let events = self
             .entry
-            .rehome(|shard| membership.scheduler_of(shard), now);
+            .rehome(|shard| membership.scheduler_peer_of(shard), now);
         self.run_entry(events);
     }
 
@@ -364,7 +370,9 @@
         self.drop_silent(now);
         self.send_heartbeats(now);
         let membership = &self.membership;
-        let events = self.entry.tick(|shard| membership.scheduler_of(shard), now);
+        let events = self
+            .entry
+            .tick(|shard| membership.scheduler_peer_of(shard), now);
         self.run_entry(events);
         let shards: Vec<ShardId> = self.schedulers.keys().copied().collect();
         for shard in shards {
@@ -415,7 +423,7 @@
         let membership = &self.membership;
         let event = self
             .entry
-            .send_due(request, |shard| membership.scheduler_of(shard), now);
+            .send_due(request, |shard| membership.scheduler_peer_of(shard), now);
         self.run_entry(event);
     }
 
--- a/crates/daisynotch_core/src/node/tests.rs
+++ b/crates/daisynotch_core/src/node/tests.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use super::*;
-use crate::message::{Incarnation, LengthClass};
+use crate::message::{Grant, Incarnation, LengthClass};
 use crate::{Catalogue, PoolId, Revision, TeamId, ZoneId};
 
 const OBJECTS: &str = r#"
@@ -114,3 +114,112 @@
         assert!(node.admit(spec, Timestamp(0)).0.is_err());
     }
 }
+
+/// Connects a router to another and gives what it says then.
+fn connect(node: &mut Node, router: u64, incarnation: u64, now: Timestamp) -> Vec<Output> {
+    let mut introduction = settings(router).own;
+    introduction.peer.incarnation = Incarnation(incarnation);
+    node.handle(Input::Connected(introduction), now)
+}
+
+fn tickets(outputs: &[Output]) -> Vec<TicketSeq> {
+    let ticket = |output: &Output| match output {
+        Output::Send {
+            message: PeerMessage::Ticket(ticket),
+            ..
+        } => Some(ticket.seq),
+        _ => None,
+    };
+    outputs.iter().filter_map(ticket).collect()
+}
+
+fn grant_of(router: u64, incarnation: u64, seq: TicketSeq) -> Input {
+    let catalogue = catalogue();
+    Input::Message {
+        from: Peer {
+            router: RouterId(router),
+            incarnation: Incarnation(incarnation),
+        },
+        message: PeerMessage::Grant(Grant {
+            seq,
+            endpoint: *catalogue.endpoints.keys().next().expect("there is one"),
+            valid_after_sent_ms: 1_000,
+        }),
+    }
+}
+
+/// Gives a router that asks another one, which schedules the only shard.
+fn entry_and_scheduler() -> (Node, u64) {
+    let catalogue = catalogue();
+    let pool = *catalogue.pools.keys().next().expect("there is a pool");
+    let shard = catalogue.shards_of(pool)[0];
+    let scheduler = crate::rendezvous(shard, [1, 2].map(RouterId).into_iter());
+    let scheduler = scheduler.expect("there are candidates").0;
+    (configured(3 - scheduler), scheduler)
+}
+
+#[test]
+fn a_scheduler_that_restarted_is_asked_again_and_told_of_running_work() {
+    let (mut node, scheduler) = entry_and_scheduler();
+    connect(&mut node, scheduler, 1, Timestamp(0));
+    let (_, outputs) = node.admit(spec(&catalogue()), Timestamp(0));
+    let first = tickets(&outputs);
+    let outputs = node.handle(grant_of(scheduler, 1, first[0]), Timestamp(1));
+    assert_eq!(dispatches(&outputs).len(), 1);
+    let (_, _) = node.admit(spec(&catalogue()), Timestamp(2));
+    let outputs = connect(&mut node, scheduler, 2, Timestamp(3));
+    assert_eq!(tickets(&outputs).len(), 1, "{outputs:?}");
+    let tells = |output: &Output| matches!(output, Output::Send { message: PeerMessage::Running(running), .. } if running.seq == first[0]);
+    assert!(outputs.iter().any(tells), "{outputs:?}");
+}
+
+#[test]
+fn a_grant_for_an_earlier_asking_is_not_used() {
+    let (mut node, scheduler) = entry_and_scheduler();
+    connect(&mut node, scheduler, 1, Timestamp(0));
+    let (_, outputs) = node.admit(spec(&catalogue()), Timestamp(0));
+    let first = tickets(&outputs)[0];
+    let lost_at = Timestamp(0) + Duration::from_millis(2_001);
+    let outputs = node.handle(Input::Tick, lost_at);
+    assert_eq!(
+        dispatches(&outputs).len(),
+        1,
+        "it schedules the shard itself now"
+    );
+    let request = dispatches(&outputs)[0].request;
+    node.handle(finished(request, ReleaseReason::Unreachable), lost_at);
+    connect(&mut node, scheduler, 1, lost_at);
+    let outputs = node.handle(grant_of(scheduler, 1, first), lost_at);
+    assert!(dispatches(&outputs).is_empty(), "{outputs:?}");
+}
+
+#[test]
+fn a_ticket_of_an_entry_that_is_gone_is_not_heard() {
+    let (_, scheduler) = entry_and_scheduler();
+    let entry = 3 - scheduler;
+    let mut node = configured(scheduler);
+    connect(&mut node, entry, 1, Timestamp(0));
+    connect(&mut node, entry, 2, Timestamp(0));
+    let catalogue = catalogue();
+    let pool = *catalogue.pools.keys().next().expect("there is a pool");
+    let message = PeerMessage::Ticket(crate::Ticket {
+        seq: TicketSeq(0),
+        shard: catalogue.shards_of(pool)[0],
+        team: spec(&catalogue).team,
+        hint: Cost(10),
+        class: LengthClass::Short,
+        prefix: None,
+        avoid: None,
+    });
+    let from = Peer {
+        router: RouterId(entry),
+        incarnation: Incarnation(1),
+    };
+    node.handle(Input::Message { from, message }, Timestamp(1));
+    let held: usize = node
+        .schedulers()
+        .values()
+        .map(Scheduler::granted_count)
+        .sum();
+    assert_eq!(held, 0);
+}
--- a/crates/daisynotch_core/src/scheduler.rs
+++ b/crates/daisynotch_core/src/scheduler.rs
@@ -17,6 +17,7 @@
 use crate::message::{
     Grant, LengthClass, Peer, Progress, Release, ReleaseReason, Running, ShardId, Ticket, TicketSeq,
 };
+use crate::seeded_fault::{SeededFault, is_seeded};
 use crate::time::Timestamp;
 use crate::{EndpointId, TeamId};
 
@@ -101,6 +102,15 @@
     reclaim_at: Option<Timestamp>,
 }
 
+impl Granted {
+    /// Notes that the entry lives and the work runs.
+    fn note_alive(&mut self, now: Timestamp) {
+        self.heard_at = now;
+        self.grant = None;
+        self.reclaim_at = None;
+    }
+}
+
 /// The scheduler of one shard.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -196,6 +206,9 @@
         };
         let held = self.granted.get(&key);
         if held.is_none_or(|granted| granted.endpoint != release.endpoint) {
+            if is_seeded(SeededFault::FreeTwice) {
+                self.slots.release(release.endpoint, LengthClass::Short);
+            }
             return Actions::new();
         }
         let granted = self.granted.remove(&key).expect("it was found above");
@@ -218,8 +231,7 @@
         let Some(granted) = self.granted.get_mut(&key) else {
             return;
         };
-        granted.heard_at = now;
-        granted.grant = None;
+        granted.note_alive(now);
         if progress.cost > granted.charged {
             let more = progress.cost.difference(granted.charged);
             self.queue.correct(granted.team, more);
@@ -235,8 +247,7 @@
         };
         self.on_withdraw(entry, running.seq);
         if let Some(granted) = self.granted.get_mut(&key) {
-            granted.heard_at = now;
-            granted.grant = None;
+            granted.note_alive(now);
             return;
         }
         self.slots.take(running.endpoint, running.class);
@@ -295,6 +306,9 @@
     }
 
     fn query_silent(&mut self, now: Timestamp) -> Actions {
+        if is_seeded(SeededFault::NoQuery) {
+            return Actions::new();
+        }
         let query_after = self.settings.query_after;
         let mut silent: Vec<(TicketKey, EndpointId)> = Vec::new();
         for (key, granted) in &mut self.granted {
--- a/crates/daisynotch_core/src/scheduler/tests.rs
+++ b/crates/daisynotch_core/src/scheduler/tests.rs
@@ -101,3 +101,21 @@
     scheduler.tick(Timestamp(0) + Duration::from_millis(3_000));
     assert_eq!(scheduler.granted_count(), 0);
 }
+
+#[test]
+fn the_slots_of_an_entry_that_comes_back_are_kept() {
+    let mut scheduler = scheduler();
+    let granted = scheduler.on_ticket(entry(), ticket(1), Timestamp(0));
+    scheduler.on_entry_lost(entry(), Timestamp(0));
+    let running = Running {
+        seq: TicketSeq(1),
+        endpoint: release_of(&granted[0]).endpoint,
+        team: TeamId(1),
+        class: LengthClass::Short,
+        cost: Cost(5),
+    };
+    let back_at = Timestamp(0) + Duration::from_millis(2_000);
+    scheduler.on_running(entry(), &running, back_at);
+    scheduler.tick(Timestamp(0) + Duration::from_millis(3_000));
+    assert_eq!(scheduler.granted_count(), 1);
+}
