--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -228,7 +228,7 @@
                 self.renumber(request);
             }
         }
-        let message = PeerMessage::Ticket(ticket_of(&self.requests[&request]));
+        let message = PeerMessage::Ticket(ticket_of(&self.requests[&request], now));
         let to = to.router;
         Some(EntryEvent::Send { to, message })
     }
@@ -572,7 +572,14 @@
     }
 }
 
-fn ticket_of(open: &OpenRequest) -> Ticket {
+fn ticket_of(open: &OpenRequest, now: Timestamp) -> Ticket {
+    let waited = match open.state {
+        State::Waiting {
+            asked: Some((_, asked_at)),
+            ..
+        } => now.since(asked_at),
+        State::Waiting { asked: None, .. } | State::Running { .. } => Duration::ZERO,
+    };
     Ticket {
         seq: open.ticket,
         shard: open.shard,
@@ -581,6 +588,7 @@
         class: open.spec.class,
         prefix: open.spec.prefix,
         avoid: open.avoid,
+        waited_ms: u32::try_from(waited.as_millis()).unwrap_or(u32::MAX),
     }
 }
 
