--- a/crates/daisynotch_core/src/seeded_fault.rs
+++ b/crates/daisynotch_core/src/seeded_fault.rs
@@ -2,7 +2,7 @@
 //!
 //! Each breaks one invariant of `docs/design/protocol-specification.md`. They exist
 //! only with the cargo feature `seeded_faults`, which nothing but the tests of this
-//! crate enables; without it [`is_seeded`] is constantly false and costs nothing.
+//! crate enables; without it no fault can be seeded and the checks cost nothing.
 //! The choice is kept for each thread, so that tests can run side by side.
 
 /// A fault in the core, kept to show that the model check finds it.
