--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -408,7 +408,10 @@
                 events.extend(self.try_again(request, endpoint, now));
             }
             ReleaseReason::Unreachable => events.extend(self.try_again(request, endpoint, now)),
-            ReleaseReason::Done | ReleaseReason::Failed | ReleaseReason::Unused => {
+            ReleaseReason::Done
+            | ReleaseReason::Failed
+            | ReleaseReason::Unused
+            | ReleaseReason::Cancelled => {
                 self.forget(request);
             }
         }
