--- a/crates/daisynotch_core/src/scheduler.rs
+++ b/crates/daisynotch_core/src/scheduler.rs
@@ -157,6 +157,11 @@
         self.queue.configure(catalogue);
     }
 
+    /// Grants nothing until a time.
+    pub fn hold_until(&mut self, until: Timestamp) {
+        self.grants_from = self.grants_from.max(until);
+    }
+
     /// Says whether an endpoint is, or lately was, one of the shard's.
     pub fn knows(&self, endpoint: EndpointId) -> bool {
         self.slots.knows(endpoint)
--- a/crates/daisynotch_core/tests/model_check/scenario.rs
+++ b/crates/daisynotch_core/tests/model_check/scenario.rs
@@ -63,6 +63,7 @@
             },
             zone: ZoneId::from(&zone),
             caller_address: "127.0.0.1:9".parse().expect("it is an address"),
+            peer_address: "127.0.0.1:9".parse().expect("it is an address"),
         }
     }
 
