--- a/crates/daisynotch_core/src/entry/hedge.rs
+++ b/crates/daisynotch_core/src/entry/hedge.rs
@@ -10,10 +10,12 @@
 use super::{
     Dispatch, Entry, EntryEvent, OpenRequest, RequestId, State, give_back, running_of, ticket_of,
 };
+use crate::EndpointId;
 use crate::cost::Cost;
-use crate::message::{Grant, PeerMessage, Progress, Release, ReleaseReason, ShardId, TicketSeq};
+use crate::message::{
+    Grant, Peer, PeerMessage, Progress, Release, ReleaseReason, ShardId, TicketSeq,
+};
 use crate::time::Timestamp;
-use crate::{EndpointId, RouterId};
 
 /// A second attempt costs as many credits as this many dispatches earn with one each.
 const DISPATCHES_PER_HEDGE: u32 = 34;
@@ -52,9 +54,9 @@
 struct Hedge {
     ticket: TicketSeq,
     shard: ShardId,
-    asked: RouterId,
+    asked: Peer,
     asked_at: Timestamp,
-    running: Option<(RouterId, EndpointId)>,
+    running: Option<(Peer, EndpointId)>,
 }
 
 /// The second attempts of one entry.
@@ -69,7 +71,7 @@
     /// Reports late first tokens, and asks for second attempts.
     pub(super) fn on_late(
         &mut self,
-        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+        scheduler_of: impl Fn(ShardId) -> Option<Peer>,
         now: Timestamp,
     ) -> Vec<EntryEvent> {
         let mut events = Vec::new();
@@ -104,7 +106,7 @@
         };
         let message = PeerMessage::Progress(progress);
         Some(EntryEvent::Send {
-            to: scheduler,
+            to: scheduler.router,
             message,
         })
     }
@@ -112,7 +114,7 @@
     fn hedge(
         &mut self,
         request: RequestId,
-        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+        scheduler_of: impl Fn(ShardId) -> Option<Peer>,
         now: Timestamp,
     ) -> Option<EntryEvent> {
         let open = self.requests.get(&request)?;
@@ -131,7 +133,7 @@
         }
         let seq = TicketSeq(self.next_ticket);
         self.next_ticket += 1;
-        let mut ticket = ticket_of(&self.requests[&request], Duration::ZERO);
+        let mut ticket = ticket_of(&self.requests[&request], now);
         ticket.seq = seq;
         ticket.avoid = Some(endpoint);
         let hedge = Hedge {
@@ -144,13 +146,16 @@
         self.hedges.by_request.insert(request, hedge);
         self.hedges.tickets.insert(seq, request);
         let message = PeerMessage::Ticket(ticket);
-        Some(EntryEvent::Send { to, message })
+        Some(EntryEvent::Send {
+            to: to.router,
+            message,
+        })
     }
 
     /// Takes in a grant of a second attempt; gives nothing when it is none.
     pub(super) fn on_hedge_grant(
         &mut self,
-        from: RouterId,
+        from: Peer,
         grant: &Grant,
         now: Timestamp,
     ) -> Option<EntryEvent> {
@@ -165,7 +170,7 @@
         let is_elsewhere =
             matches!(open.state, State::Running { endpoint, .. } if endpoint != grant.endpoint);
         if !is_valid || !is_elsewhere || hedge.running.is_some() {
-            return Some(give_back(from, grant.seq, grant.endpoint));
+            return Some(give_back(from.router, grant.seq, grant.endpoint));
         }
         hedge.running = Some((from, grant.endpoint));
         Some(EntryEvent::Dispatch(Dispatch {
@@ -178,7 +183,7 @@
     /// Answers a scheduler that asks after a second attempt; gives nothing when it is none.
     pub(super) fn on_hedge_query(
         &self,
-        from: RouterId,
+        from: Peer,
         seq: TicketSeq,
         endpoint: EndpointId,
     ) -> Option<EntryEvent> {
@@ -189,7 +194,7 @@
             .is_some_and(|(_, runs_on)| runs_on == endpoint);
         Some(match runs {
             true => running_hedge(&self.requests[request], hedge, from, endpoint),
-            false => give_back(from, seq, endpoint),
+            false => give_back(from.router, seq, endpoint),
         })
     }
 
@@ -249,7 +254,7 @@
         Some(match hedge.running {
             Some((to, endpoint)) => release(to, hedge.ticket, endpoint, ReleaseReason::Cancelled),
             None => EntryEvent::Send {
-                to: hedge.asked,
+                to: hedge.asked.router,
                 message: PeerMessage::Withdraw {
                     shard: hedge.shard,
                     seq: hedge.ticket,
@@ -261,7 +266,7 @@
     /// Tells new schedulers of running second attempts; waiting ones stay with the old.
     pub(super) fn rehome_hedges(
         &mut self,
-        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+        scheduler_of: impl Fn(ShardId) -> Option<Peer>,
     ) -> Vec<EntryEvent> {
         let mut events = Vec::new();
         let mut requests: Vec<RequestId> = self.hedges.by_request.keys().copied().collect();
@@ -286,26 +291,19 @@
     }
 }
 
-fn running_hedge(
-    open: &OpenRequest,
-    hedge: &Hedge,
-    to: RouterId,
-    endpoint: EndpointId,
-) -> EntryEvent {
+fn running_hedge(open: &OpenRequest, hedge: &Hedge, to: Peer, endpoint: EndpointId) -> EntryEvent {
     let mut running = running_of(open);
     running.seq = hedge.ticket;
     running.endpoint = endpoint;
     running.cost = Cost::default();
     let message = PeerMessage::Running(running);
-    EntryEvent::Send { to, message }
+    EntryEvent::Send {
+        to: to.router,
+        message,
+    }
 }
 
-fn release(
-    to: RouterId,
-    seq: TicketSeq,
-    endpoint: EndpointId,
-    reason: ReleaseReason,
-) -> EntryEvent {
+fn release(to: Peer, seq: TicketSeq, endpoint: EndpointId, reason: ReleaseReason) -> EntryEvent {
     let release = Release {
         seq,
         endpoint,
@@ -315,7 +313,10 @@
         token_gap_us: None,
     };
     let message = PeerMessage::Release(release);
-    EntryEvent::Send { to, message }
+    EntryEvent::Send {
+        to: to.router,
+        message,
+    }
 }
 
 #[cfg(test)]
--- a/crates/daisynotch_core/src/entry/hedge/tests.rs
+++ b/crates/daisynotch_core/src/entry/hedge/tests.rs
@@ -1,10 +1,13 @@
 use super::*;
 use crate::catalogue::Catalogue;
 use crate::entry::RequestSpec;
-use crate::message::LengthClass;
-use crate::{PoolId, Revision, TeamId, ZoneId};
+use crate::message::{Incarnation, LengthClass};
+use crate::{PoolId, Revision, RouterId, TeamId, ZoneId};
 
-const SCHEDULER: RouterId = RouterId(7);
+const SCHEDULER: Peer = Peer {
+    router: RouterId(7),
+    incarnation: Incarnation(1),
+};
 
 fn at(time_ms: u64) -> Timestamp {
     Timestamp(time_ms * 1_000)
--- a/crates/daisynotch_core/src/node.rs
+++ b/crates/daisynotch_core/src/node.rs
@@ -21,6 +21,7 @@
 };
 use crate::message::{Heartbeat, Peer, PeerMessage, ReleaseReason, ShardId, TicketSeq};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerSettings};
+use crate::seeded_fault::{SeededFault, is_seeded};
 use crate::time::Timestamp;
 use crate::{EndpointId, RouterId};
 
@@ -308,6 +309,10 @@
     }
 
     fn on_message(&mut self, from: Peer, message: PeerMessage, now: Timestamp) {
+        let is_current = self.membership.is_current(from) || is_seeded(SeededFault::HearLostEntry);
+        if message.takes_a_slot() && !is_current {
+            return;
+        }
         match message {
             PeerMessage::Ticket(ticket) => {
                 let seqs = SmallVec::from_slice(&[ticket.seq]);
@@ -342,14 +347,14 @@
                 }
             }
             PeerMessage::Grant(grant) => {
-                let event = self.entry.on_grant(from.router, &grant, now);
+                let event = self.entry.on_grant(from, &grant, now);
                 self.run_entry([event]);
             }
             PeerMessage::NotScheduler { seqs, .. } => {
-                self.entry.on_not_scheduler(from.router, &seqs, now);
+                self.entry.on_not_scheduler(from, &seqs, now);
             }
             PeerMessage::Query { endpoint, seq } => {
-                let event = self.entry.on_query(from.router, seq, endpoint);
+                let event = self.entry.on_query(from, seq, endpoint);
                 self.run_entry([event]);
             }
             PeerMessage::Heartbeat(heartbeat) => {
@@ -365,11 +370,19 @@
                 let action = self.follower.on_piece(from.router, &piece, now);
                 self.run_configuration(action);
             }
-            PeerMessage::Service(_) | PeerMessage::Want(_) | PeerMessage::Forward(_) => {
+            PeerMessage::Service(_) | PeerMessage::Want(_) => {
                 self.on_sharing(from, &message, now);
             }
+            PeerMessage::Forward(mut forward) => {
+                // From an entry that is gone, nobody would give the slots back.
+                let membership = &self.membership;
+                forward
+                    .tickets
+                    .retain(|forwarded| membership.is_current(forwarded.entry));
+                self.on_sharing(from, &PeerMessage::Forward(forward), now);
+            }
             PeerMessage::ForwardedGrant(grant) => {
-                let event = self.entry.on_forwarded_grant(from.router, &grant, now);
+                let event = self.entry.on_forwarded_grant(from, &grant, now);
                 self.run_entry([event]);
             }
         }
@@ -492,7 +505,8 @@
     }
 
     fn on_configured(&mut self, catalogue: Arc<Catalogue>, now: Timestamp) {
-        if catalogue.revision <= self.catalogue.revision {
+        let is_older = catalogue.revision <= self.catalogue.revision;
+        if is_older && !is_seeded(SeededFault::AcceptOldRevision) {
             self.follower.on_configured(self.catalogue.revision, now);
             return;
         }
@@ -521,7 +535,7 @@
             .retain(|shard, _| membership.scheduler_of(*shard) == Some(own));
         let events = self
             .entry
-            .rehome(|shard| membership.scheduler_of(shard), now);
+            .rehome(|shard| membership.scheduler_peer_of(shard), now);
         self.run_entry(events);
     }
 
@@ -531,7 +545,9 @@
         self.run_changes(&changes, now);
         self.send_heartbeats(now);
         let membership = &self.membership;
-        let events = self.entry.tick(|shard| membership.scheduler_of(shard), now);
+        let events = self
+            .entry
+            .tick(|shard| membership.scheduler_peer_of(shard), now);
         self.run_entry(events);
         let shards: Vec<ShardId> = self.schedulers.keys().copied().collect();
         for shard in shards {
@@ -582,7 +598,7 @@
         let membership = &self.membership;
         let event = self
             .entry
-            .send_due(request, |shard| membership.scheduler_of(shard), now);
+            .send_due(request, |shard| membership.scheduler_peer_of(shard), now);
         self.run_entry(event);
     }
 
