--- a/crates/daisynotch_core/src/entry/hedge/tests.rs
+++ b/crates/daisynotch_core/src/entry/hedge/tests.rs
@@ -9,6 +9,11 @@
     incarnation: Incarnation(1),
 };
 
+/// The ticket of the first attempt: a ticket is numbered when a scheduler is asked.
+const FIRST: u64 = 1;
+/// The ticket of the second attempt.
+const SECOND: u64 = 2;
+
 fn at(time_ms: u64) -> Timestamp {
     Timestamp(time_ms * 1_000)
 }
@@ -38,7 +43,7 @@
         .admit(spec, &catalogue, at(0))
         .expect("it is admitted");
     entry.send_due(request, |_| Some(SCHEDULER), at(0));
-    let granted = entry.on_grant(SCHEDULER, &grant(0, 1), at(0));
+    let granted = entry.on_grant(SCHEDULER, &grant(FIRST, 1), at(0));
     assert!(matches!(granted, EntryEvent::Dispatch(_)));
     entry.on_sent(request, at(0));
     (entry, request)
@@ -94,10 +99,10 @@
 
 #[test]
 fn the_first_attempt_to_answer_wins_and_the_other_is_released() {
-    for (winner, loser_endpoint) in [(0, 2), (1, 1)] {
+    for (winner, loser_endpoint) in [(FIRST, 2), (SECOND, 1)] {
         let (mut entry, request) = sent(true);
         late(&mut entry);
-        entry.on_grant(SCHEDULER, &grant(1, 2), at(321));
+        entry.on_grant(SCHEDULER, &grant(SECOND, 2), at(321));
         let messages = messages(entry.on_answered(request, TicketSeq(winner)));
         assert!(
             matches!(
@@ -118,12 +123,12 @@
 fn a_second_attempt_that_still_waits_is_withdrawn() {
     let (mut entry, request) = sent(true);
     late(&mut entry);
-    let messages = messages(entry.on_answered(request, TicketSeq(0)));
+    let messages = messages(entry.on_answered(request, TicketSeq(FIRST)));
     assert!(
         matches!(messages[..], [PeerMessage::Withdraw { .. }]),
         "{messages:?}"
     );
-    let crossed = entry.on_grant(SCHEDULER, &grant(1, 2), at(321));
+    let crossed = entry.on_grant(SCHEDULER, &grant(SECOND, 2), at(321));
     assert!(matches!(
         &messages_of(crossed)[..],
         [PeerMessage::Release(_)]
@@ -135,16 +140,16 @@
     let (mut entry, _) = sent(false);
     assert!(matches!(late(&mut entry)[..], [PeerMessage::Progress(_)]));
     let (mut entry, request) = sent(true);
-    entry.on_answered(request, TicketSeq(0));
+    entry.on_answered(request, TicketSeq(FIRST));
     assert!(matches!(late(&mut entry)[..], [PeerMessage::Progress(_)]));
 }
 
 #[test]
 fn when_one_attempt_fails_the_other_goes_on() {
-    for (failed, left) in [(0, 2), (1, 1)] {
+    for (failed, left) in [(FIRST, 2), (SECOND, 1)] {
         let (mut entry, request) = sent(true);
         late(&mut entry);
-        entry.on_grant(SCHEDULER, &grant(1, 2), at(321));
+        entry.on_grant(SCHEDULER, &grant(SECOND, 2), at(321));
         let reason = ReleaseReason::Unreachable;
         assert!(
             entry
