Fuzz settings, objects, callers' headers and bodies, and the platform's answers

Change: any text and edited valid text for settings, objects, chat requests, credentials, and answers of the key-value service and the host list.

--- a/crates/daisynotch_platform/src/host_list.rs
+++ b/crates/daisynotch_platform/src/host_list.rs
@@ -128,3 +128,6 @@
         })
         .collect()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daisynotch_platform/src/key_value.rs
+++ b/crates/daisynotch_platform/src/key_value.rs
@@ -417,3 +417,6 @@
         Write::Delete(key) => RequestOp::RequestDeleteRange { key: encode(key) },
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daisynotch_router/src/api/chat.rs
+++ b/crates/daisynotch_router/src/api/chat.rs
@@ -65,3 +65,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daisynotch_router/src/api/inbound.rs
+++ b/crates/daisynotch_router/src/api/inbound.rs
@@ -72,3 +72,6 @@
         headers.remove(name);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daisynotch_router/src/settings.rs
+++ b/crates/daisynotch_router/src/settings.rs
@@ -170,3 +170,6 @@
 fn default_key_value_timeout_ms() -> u64 {
     2_000
 }
+
+#[cfg(test)]
+mod tests;
