--- a/crates/daisynotch_core/tests/sessions/transcript.rs
+++ b/crates/daisynotch_core/tests/sessions/transcript.rs
@@ -160,7 +160,8 @@
                 };
                 self.input(message.to, input);
             }
-            if self.now.0 / 1_000 % TICK_MS == 0 {
+            let now_ms = self.now.0 / 1_000;
+            if now_ms.is_multiple_of(TICK_MS) {
                 for router in [1, 2].map(RouterId) {
                     self.input(router, Input::Tick);
                 }
