--- a/crates/daisynotch_core/src/scheduler.rs
+++ b/crates/daisynotch_core/src/scheduler.rs
@@ -25,8 +25,9 @@
     ForwardedGrant, Grant, LengthClass, Peer, PeerMessage, Progress, Release, ReleaseReason,
     Running, ShardId, Ticket, TicketSeq,
 };
+use crate::seeded_fault::{SeededFault, is_seeded};
 use crate::time::Timestamp;
-use crate::{EndpointId, RouterId, TeamId};
+use crate::{EndpointId, TeamId};
 
 use exchange::Exchange;
 use length::LengthJudge;
@@ -115,7 +116,7 @@
     ticket: Ticket,
     received_at: Timestamp,
     /// The router that the entry asked, when the ticket was passed on from there.
-    asked: Option<RouterId>,
+    asked: Option<Peer>,
 }
 
 #[derive(Debug, Clone)]
@@ -133,6 +134,15 @@
     reclaim_at: Option<Timestamp>,
 }
 
+impl Granted {
+    /// Notes that the entry lives and the work runs.
+    fn note_alive(&mut self, now: Timestamp) {
+        self.heard_at = now;
+        self.grant = None;
+        self.reclaim_at = None;
+    }
+}
+
 /// The scheduler of one shard.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -212,7 +222,7 @@
     fn accept(
         &mut self,
         entry: Peer,
-        asked: Option<RouterId>,
+        asked: Option<Peer>,
         ticket: Ticket,
         now: Timestamp,
     ) -> Actions {
@@ -252,6 +262,9 @@
         };
         let held = self.granted.get(&key);
         if held.is_none_or(|granted| granted.endpoint != release.endpoint) {
+            if is_seeded(SeededFault::FreeTwice) {
+                self.slots.release(release.endpoint, LengthClass::Short);
+            }
             return Actions::new();
         }
         let granted = self.granted.remove(&key).expect("it was found above");
@@ -291,8 +304,7 @@
         let Some(granted) = self.granted.get_mut(&key) else {
             return;
         };
-        granted.heard_at = now;
-        granted.grant = None;
+        granted.note_alive(now);
         if progress.cost > granted.charged {
             let more = progress.cost.difference(granted.charged);
             self.queue.correct(granted.team, more);
@@ -319,10 +331,7 @@
         };
         self.on_withdraw(entry, running.seq);
         if let Some(granted) = self.granted.get_mut(&key) {
-            granted.heard_at = now;
-            granted.grant = None;
-            // The entry lives after all.
-            granted.reclaim_at = None;
+            granted.note_alive(now);
             return;
         }
         self.slots.take(running.endpoint, running.class);
@@ -383,6 +392,9 @@
     }
 
     fn query_silent(&mut self, now: Timestamp) -> Actions {
+        if is_seeded(SeededFault::NoQuery) {
+            return Actions::new();
+        }
         let query_after = self.settings.query_after;
         let mut silent: Vec<(TicketKey, EndpointId)> = Vec::new();
         for (key, granted) in &mut self.granted {
@@ -473,7 +485,7 @@
         Some(waiting)
     }
 
-    fn address(&self, to: Peer, asked: Option<RouterId>, grant: Grant) -> SchedulerAction {
+    fn address(&self, to: Peer, asked: Option<Peer>, grant: Grant) -> SchedulerAction {
         let Some(asked) = asked else {
             return SchedulerAction::Grant { to, grant };
         };
--- a/crates/daisynotch_core/tests/forwarding.rs
+++ b/crates/daisynotch_core/tests/forwarding.rs
@@ -27,7 +27,10 @@
     address = "127.0.0.1:9"
 "#;
 
-const ASKED: RouterId = RouterId(1);
+const ASKED: Peer = Peer {
+    router: RouterId(1),
+    incarnation: Incarnation(1),
+};
 const OTHER: Peer = Peer {
     router: RouterId(2),
     incarnation: Incarnation(1),
@@ -60,12 +63,8 @@
     fn new() -> Self {
         let objects = OBJECTS.parse().expect("the objects can be read");
         let catalogue = Arc::new(Catalogue::new(Revision(1), &objects));
-        let own = Peer {
-            router: ASKED,
-            incarnation: Incarnation(1),
-        };
         let settings = NodeSettings {
-            own: introduction(own, "fatick"),
+            own: introduction(ASKED, "fatick"),
             membership: MembershipSettings::default(),
             scheduler: SchedulerSettings {
                 takeover_grace: Duration::ZERO,
@@ -129,7 +128,7 @@
         }
     }
 
-    fn grant(&self, forward: &Forward, asked: RouterId, valid_ms: u64) -> PeerMessage {
+    fn grant(&self, forward: &Forward, asked: Peer, valid_ms: u64) -> PeerMessage {
         let endpoint = EndpointId::from(&"conseil-2".parse().expect("it is a name"));
         PeerMessage::ForwardedGrant(ForwardedGrant {
             asked,
@@ -180,7 +179,7 @@
 fn a_grant_for_a_ticket_that_another_router_was_asked_for_is_handed_back() {
     let mut fixture = Fixture::new();
     let forward = fixture.take_ticket(300);
-    let grant = fixture.grant(&forward, OTHER.router, 1_300);
+    let grant = fixture.grant(&forward, OTHER, 1_300);
     let answers = fixture.hear(grant, 400);
     assert!(is_handed_back(&answers), "{answers:?}");
 }
