--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -21,7 +21,9 @@
 mod time;
 
 pub use backoff::{Backoff, BackoffSettings, jittered};
-pub use catalogue::{Catalogue, EndpointView, PoolView, RequestLimits, RouteView, TeamView};
+pub use catalogue::{
+    Catalogue, EndpointView, PoolView, RequestLimits, RouteView, ShareKey, TeamView,
+};
 pub use cost::Cost;
 pub use daisynotch_objects::{
     EndpointId, PoolId, PoolKind, Revision, RouterId, RouterName, TeamId, ZoneId, ZoneName,
@@ -36,9 +38,10 @@
     Changes, Introduction, Member, Membership, MembershipChange, MembershipSettings, OwnState,
 };
 pub use message::{
-    Grant, Heartbeat, Incarnation, LengthClass, MemberState, MemberVersion, Peer, PeerMessage,
-    PrefixFingerprint, Progress, Release, ReleaseReason, Rumor, Running, ShardId, Ticket,
-    TicketSeq, ViewDigest,
+    Forward, ForwardedGrant, ForwardedTicket, Grant, Heartbeat, Incarnation, LengthClass,
+    MemberState, MemberVersion, Peer, PeerMessage, PrefixFingerprint, Progress, Release,
+    ReleaseReason, Rumor, Running, Service, ShardId, TeamService, Ticket, TicketSeq, ViewDigest,
+    Want,
 };
 pub use node::{Input, Node, NodeSettings, Output};
 pub use placement::rendezvous;
--- a/crates/daisynotch_core/src/scheduler/slots.rs
+++ b/crates/daisynotch_core/src/scheduler/slots.rs
@@ -100,6 +100,20 @@
         self.endpoints.contains_key(&id)
     }
 
+    /// Gives the slots of endpoints that take new work.
+    pub(super) fn total(&self) -> u32 {
+        let staying = self.endpoints.values().filter(|slots| !slots.leaving);
+        staying.map(|slots| slots.limit.get()).sum()
+    }
+
+    /// Gives the slots that new work could take at once.
+    pub(super) fn free(&self) -> u32 {
+        let staying = self.endpoints.values().filter(|slots| !slots.leaving);
+        staying
+            .map(|slots| slots.limit.get().saturating_sub(slots.taken))
+            .sum()
+    }
+
     /// Chooses an endpoint with a free slot: a good one, one that has the prefix, the least loaded.
     pub(super) fn choose(
         &self,
