--- a/crates/daisynotch_core/src/message.rs
+++ b/crates/daisynotch_core/src/message.rs
@@ -213,7 +213,7 @@
 #[daisynotch_macros::message]
 pub struct ForwardedGrant {
     /// The router that the entry asked.
-    pub asked: RouterId,
+    pub asked: Peer,
     /// The shard that grants.
     pub shard: ShardId,
     /// The grant; its expiry counts from when the entry asked that router.
--- a/crates/daisynotch_core/src/scheduler.rs
+++ b/crates/daisynotch_core/src/scheduler.rs
@@ -27,7 +27,7 @@
 };
 use crate::seeded_fault::{SeededFault, is_seeded};
 use crate::time::Timestamp;
-use crate::{EndpointId, RouterId, TeamId};
+use crate::{EndpointId, TeamId};
 
 use endpoint_health::Fitness;
 use exchange::Exchange;
@@ -117,7 +117,7 @@
     ticket: Ticket,
     received_at: Timestamp,
     /// The router that the entry asked, when the ticket was passed on from there.
-    asked: Option<RouterId>,
+    asked: Option<Peer>,
 }
 
 #[derive(Debug, Clone)]
@@ -224,7 +224,7 @@
     fn accept(
         &mut self,
         entry: Peer,
-        asked: Option<RouterId>,
+        asked: Option<Peer>,
         ticket: Ticket,
         now: Timestamp,
     ) -> Actions {
@@ -502,7 +502,7 @@
         Some(waiting)
     }
 
-    fn address(&self, to: Peer, asked: Option<RouterId>, grant: Grant) -> SchedulerAction {
+    fn address(&self, to: Peer, asked: Option<Peer>, grant: Grant) -> SchedulerAction {
         let Some(asked) = asked else {
             return SchedulerAction::Grant { to, grant };
         };
--- a/crates/daisynotch_core/src/scheduler/sharing.rs
+++ b/crates/daisynotch_core/src/scheduler/sharing.rs
@@ -68,7 +68,7 @@
         self.exchange.on_forwarded(from, forward.from, left);
         let mut repeated = Actions::new();
         for forwarded in &forward.tickets {
-            let asked = Some(from.router);
+            let asked = Some(from);
             let ticket = forwarded.ticket.clone();
             repeated.extend(self.accept(forwarded.entry, asked, ticket, now));
         }
