--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -305,8 +305,10 @@
                 ..
             } = open.state
             {
+                let to = to.router;
                 events.push(EntryEvent::Send { to, message });
             }
+            self.renumber(request);
             let open = self.requests.get_mut(&request).expect("it was just listed");
             open.shard = shard;
             open.state = State::Waiting {
