--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -327,6 +327,7 @@
                 let to = asked.router;
                 events.push(EntryEvent::Send { to, message });
             }
+            self.renumber(request);
             let open = self.requests.get_mut(&request).expect("it was just listed");
             open.shard = shard;
             open.state = State::Waiting {
@@ -406,7 +407,7 @@
         let grant = &forwarded.grant;
         let request = self.tickets.get(&grant.seq).copied();
         if let Some(request) = request
-            && self.may_use(request, |asked| asked.router == forwarded.asked, grant, now)
+            && self.may_use(request, |asked| asked == forwarded.asked, grant, now)
             && let Some(open) = self.requests.get_mut(&request)
         {
             open.shard = forwarded.shard;
