--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -18,6 +18,7 @@
 mod node;
 mod placement;
 mod scheduler;
+pub mod seeded_fault;
 mod time;
 
 pub use backoff::{Backoff, BackoffSettings, jittered};
