--- a/crates/daisynotch_core/src/message.rs
+++ b/crates/daisynotch_core/src/message.rs
@@ -300,7 +300,9 @@
             | Self::NotScheduler { .. }
             | Self::Release(_)
             | Self::Query { .. }
-            | Self::Heartbeat(_) => false,
+            | Self::Heartbeat(_)
+            | Self::ConfigurationRequest(_)
+            | Self::ConfigurationPiece(_) => false,
         }
     }
 }
