--- a/crates/daisynotch_core/src/entry/hedge.rs
+++ b/crates/daisynotch_core/src/entry/hedge.rs
@@ -11,7 +11,9 @@
     Dispatch, Entry, EntryEvent, OpenRequest, RequestId, State, give_back, running_of, ticket_of,
 };
 use crate::cost::Cost;
-use crate::message::{Grant, PeerMessage, Progress, Release, ReleaseReason, ShardId, TicketSeq};
+use crate::message::{
+    Grant, Peer, PeerMessage, Progress, Release, ReleaseReason, ShardId, TicketSeq,
+};
 use crate::time::Timestamp;
 use crate::{EndpointId, RouterId};
 
@@ -52,9 +54,9 @@
 struct Hedge {
     ticket: TicketSeq,
     shard: ShardId,
-    asked: RouterId,
+    asked: Peer,
     asked_at: Timestamp,
-    running: Option<(RouterId, EndpointId)>,
+    running: Option<(Peer, EndpointId)>,
 }
 
 /// The second attempts of one entry.
@@ -69,7 +71,7 @@
     /// Reports late first tokens, and asks for second attempts.
     pub(super) fn on_late(
         &mut self,
-        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+        scheduler_of: impl Fn(ShardId) -> Option<Peer>,
         now: Timestamp,
     ) -> Vec<EntryEvent> {
         let mut events = Vec::new();
@@ -104,7 +106,7 @@
         };
         let message = PeerMessage::Progress(progress);
         Some(EntryEvent::Send {
-            to: scheduler,
+            to: scheduler.router,
             message,
         })
     }
@@ -112,7 +114,7 @@
     fn hedge(
         &mut self,
         request: RequestId,
-        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+        scheduler_of: impl Fn(ShardId) -> Option<Peer>,
         now: Timestamp,
     ) -> Option<EntryEvent> {
         let open = self.requests.get(&request)?;
@@ -131,7 +133,7 @@
         }
         let seq = TicketSeq(self.next_ticket);
         self.next_ticket += 1;
-        let mut ticket = ticket_of(&self.requests[&request], Duration::ZERO);
+        let mut ticket = ticket_of(&self.requests[&request], now);
         ticket.seq = seq;
         ticket.avoid = Some(endpoint);
         let hedge = Hedge {
@@ -144,13 +146,16 @@
         self.hedges.by_request.insert(request, hedge);
         self.hedges.tickets.insert(seq, request);
         let message = PeerMessage::Ticket(ticket);
-        Some(EntryEvent::Send { to, message })
+        Some(EntryEvent::Send {
+            to: to.router,
+            message,
+        })
     }
 
     /// Takes in a grant of a second attempt; gives nothing when it is none.
     pub(super) fn on_hedge_grant(
         &mut self,
-        from: RouterId,
+        from: Peer,
         grant: &Grant,
         now: Timestamp,
     ) -> Option<EntryEvent> {
@@ -158,14 +163,14 @@
         let open = &self.requests[&request];
         let hedge = self.hedges.by_request.get_mut(&request)?;
         if hedge.running == Some((from, grant.endpoint)) {
-            return Some(running_hedge(open, hedge, from, grant.endpoint));
+            return Some(running_hedge(open, hedge, from.router, grant.endpoint));
         }
         let valid = Duration::from_millis(grant.valid_after_sent_ms);
         let is_valid = now.since(hedge.asked_at) < valid;
         let is_elsewhere =
             matches!(open.state, State::Running { endpoint, .. } if endpoint != grant.endpoint);
         if !is_valid || !is_elsewhere || hedge.running.is_some() {
-            return Some(give_back(from, grant.seq, grant.endpoint));
+            return Some(give_back(from.router, grant.seq, grant.endpoint));
         }
         hedge.running = Some((from, grant.endpoint));
         Some(EntryEvent::Dispatch(Dispatch {
@@ -219,7 +224,7 @@
         }
         let hedge = self.take_hedge(request)?;
         let (to, endpoint) = hedge.running?;
-        Some(release(to, hedge.ticket, endpoint, reason))
+        Some(release(to.router, hedge.ticket, endpoint, reason))
     }
 
     /// Makes the running second attempt the request's only one.
@@ -235,7 +240,7 @@
         else {
             return None;
         };
-        let event = release(*scheduler, open.ticket, *endpoint, reason);
+        let event = release(scheduler.router, open.ticket, *endpoint, reason);
         (*scheduler, *endpoint) = (by, on);
         self.tickets.remove(&open.ticket);
         self.tickets.insert(hedge.ticket, request);
@@ -247,9 +252,11 @@
     pub(super) fn cancel_hedge(&mut self, request: RequestId) -> Option<EntryEvent> {
         let hedge = self.take_hedge(request)?;
         Some(match hedge.running {
-            Some((to, endpoint)) => release(to, hedge.ticket, endpoint, ReleaseReason::Cancelled),
+            Some((to, endpoint)) => {
+                release(to.router, hedge.ticket, endpoint, ReleaseReason::Cancelled)
+            }
             None => EntryEvent::Send {
-                to: hedge.asked,
+                to: hedge.asked.router,
                 message: PeerMessage::Withdraw {
                     shard: hedge.shard,
                     seq: hedge.ticket,
@@ -261,7 +268,7 @@
     /// Tells new schedulers of running second attempts; waiting ones stay with the old.
     pub(super) fn rehome_hedges(
         &mut self,
-        scheduler_of: impl Fn(ShardId) -> Option<RouterId>,
+        scheduler_of: impl Fn(ShardId) -> Option<Peer>,
     ) -> Vec<EntryEvent> {
         let mut events = Vec::new();
         let mut requests: Vec<RequestId> = self.hedges.by_request.keys().copied().collect();
@@ -273,12 +280,28 @@
                 && by != to
             {
                 hedge.running = Some((to, on));
-                events.push(running_hedge(&self.requests[&request], hedge, to, on));
+                events.push(running_hedge(
+                    &self.requests[&request],
+                    hedge,
+                    to.router,
+                    on,
+                ));
             }
         }
         events
     }
 
+    /// Tells schedulers again of the running second attempts that they may have lost.
+    pub(super) fn resend_hedges(&self, is_due: impl Fn(RouterId) -> bool) -> Vec<EntryEvent> {
+        let mut hedges: Vec<_> = self.hedges.by_request.iter().collect();
+        hedges.sort_unstable_by_key(|(request, _)| **request);
+        let running = hedges.into_iter().filter_map(|(request, hedge)| {
+            let (by, on) = hedge.running.filter(|(by, _)| is_due(by.router))?;
+            Some(running_hedge(&self.requests[request], hedge, by.router, on))
+        });
+        running.collect()
+    }
+
     fn take_hedge(&mut self, request: RequestId) -> Option<Hedge> {
         let hedge = self.hedges.by_request.remove(&request)?;
         self.hedges.tickets.remove(&hedge.ticket);
--- a/crates/daisynotch_core/src/entry/hedge/tests.rs
+++ b/crates/daisynotch_core/src/entry/hedge/tests.rs
@@ -1,15 +1,22 @@
 use super::*;
 use crate::catalogue::Catalogue;
 use crate::entry::RequestSpec;
-use crate::message::LengthClass;
+use crate::message::{Incarnation, LengthClass};
 use crate::{PoolId, Revision, TeamId, ZoneId};
 
-const SCHEDULER: RouterId = RouterId(7);
+const SCHEDULER: Peer = Peer {
+    router: RouterId(7),
+    incarnation: Incarnation(1),
+};
 
 fn at(time_ms: u64) -> Timestamp {
     Timestamp(time_ms * 1_000)
 }
 
+/// The tickets of the first attempt and of the second.
+const FIRST: u64 = 1;
+const SECOND: u64 = 2;
+
 /// Starts a request at endpoint 1 whose first token is awaited.
 fn sent(idempotent: bool) -> (Entry, RequestId) {
     let objects = r#"
@@ -35,7 +42,7 @@
         .admit(spec, &catalogue, at(0))
         .expect("it is admitted");
     entry.send_due(request, |_| Some(SCHEDULER), at(0));
-    let granted = entry.on_grant(SCHEDULER, &grant(0, 1), at(0));
+    let granted = entry.on_grant(SCHEDULER, &grant(FIRST, 1), at(0));
     assert!(matches!(granted, EntryEvent::Dispatch(_)));
     entry.on_sent(request, at(0));
     (entry, request)
@@ -91,10 +98,10 @@
 
 #[test]
 fn the_first_attempt_to_answer_wins_and_the_other_is_released() {
-    for (winner, loser_endpoint) in [(0, 2), (1, 1)] {
+    for (winner, loser_endpoint) in [(FIRST, 2), (SECOND, 1)] {
         let (mut entry, request) = sent(true);
         late(&mut entry);
-        entry.on_grant(SCHEDULER, &grant(1, 2), at(321));
+        entry.on_grant(SCHEDULER, &grant(SECOND, 2), at(321));
         let messages = messages(entry.on_answered(request, TicketSeq(winner)));
         assert!(
             matches!(
@@ -115,12 +122,12 @@
 fn a_second_attempt_that_still_waits_is_withdrawn() {
     let (mut entry, request) = sent(true);
     late(&mut entry);
-    let messages = messages(entry.on_answered(request, TicketSeq(0)));
+    let messages = messages(entry.on_answered(request, TicketSeq(FIRST)));
     assert!(
         matches!(messages[..], [PeerMessage::Withdraw { .. }]),
         "{messages:?}"
     );
-    let crossed = entry.on_grant(SCHEDULER, &grant(1, 2), at(321));
+    let crossed = entry.on_grant(SCHEDULER, &grant(SECOND, 2), at(321));
     assert!(matches!(
         &messages_of(crossed)[..],
         [PeerMessage::Release(_)]
@@ -132,16 +139,16 @@
     let (mut entry, _) = sent(false);
     assert!(matches!(late(&mut entry)[..], [PeerMessage::Progress(_)]));
     let (mut entry, request) = sent(true);
-    entry.on_answered(request, TicketSeq(0));
+    entry.on_answered(request, TicketSeq(FIRST));
     assert!(matches!(late(&mut entry)[..], [PeerMessage::Progress(_)]));
 }
 
 #[test]
 fn when_one_attempt_fails_the_other_goes_on() {
-    for (failed, left) in [(0, 2), (1, 1)] {
+    for (failed, left) in [(FIRST, 2), (SECOND, 1)] {
         let (mut entry, request) = sent(true);
         late(&mut entry);
-        entry.on_grant(SCHEDULER, &grant(1, 2), at(321));
+        entry.on_grant(SCHEDULER, &grant(SECOND, 2), at(321));
         let reason = ReleaseReason::Unreachable;
         assert!(
             entry
@@ -167,3 +174,15 @@
     }
     assert!(hedges <= 300, "{hedges}");
 }
+
+#[test]
+fn a_running_second_attempt_is_told_to_a_new_scheduler() {
+    let (mut entry, _) = sent(true);
+    late(&mut entry);
+    entry.on_grant(SCHEDULER, &grant(SECOND, 2), at(321));
+    let told = messages(entry.resend_to(SCHEDULER.router, at(322)));
+    assert!(
+        matches!(&told[..], [PeerMessage::Running(_), PeerMessage::Running(second)] if second.endpoint == EndpointId(2)),
+        "{told:?}"
+    );
+}
--- a/crates/daisynotch_core/src/node.rs
+++ b/crates/daisynotch_core/src/node.rs
@@ -18,6 +18,7 @@
 };
 use crate::message::{Heartbeat, Peer, PeerMessage, ReleaseReason, ShardId, TicketSeq};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerSettings};
+use crate::seeded_fault::{SeededFault, is_seeded};
 use crate::time::Timestamp;
 use crate::{EndpointId, RouterId};
 
@@ -270,6 +271,10 @@
     }
 
     fn on_message(&mut self, from: Peer, message: PeerMessage, now: Timestamp) {
+        let is_current = self.membership.is_current(from) || is_seeded(SeededFault::HearLostEntry);
+        if message.takes_a_slot() && !is_current {
+            return;
+        }
         match message {
             PeerMessage::Ticket(ticket) => {
                 let seqs = SmallVec::from_slice(&[ticket.seq]);
@@ -304,11 +309,11 @@
                 }
             }
             PeerMessage::Grant(grant) => {
-                let event = self.entry.on_grant(from.router, &grant, now);
+                let event = self.entry.on_grant(from, &grant, now);
                 self.run_entry([event]);
             }
             PeerMessage::NotScheduler { seqs, .. } => {
-                self.entry.on_not_scheduler(from.router, &seqs, now);
+                self.entry.on_not_scheduler(from, &seqs, now);
             }
             PeerMessage::Query { endpoint, seq } => {
                 let event = self.entry.on_query(from.router, seq, endpoint);
@@ -411,7 +416,8 @@
     }
 
     fn on_configured(&mut self, catalogue: Arc<Catalogue>, now: Timestamp) {
-        if catalogue.revision <= self.catalogue.revision {
+        let is_older = catalogue.revision <= self.catalogue.revision;
+        if is_older && !is_seeded(SeededFault::AcceptOldRevision) {
             return;
         }
         self.catalogue = catalogue;
@@ -436,7 +442,7 @@
             .retain(|shard, _| membership.scheduler_of(*shard) == Some(own));
         let events = self
             .entry
-            .rehome(|shard| membership.scheduler_of(shard), now);
+            .rehome(|shard| membership.scheduler_peer_of(shard), now);
         self.run_entry(events);
     }
 
@@ -445,7 +451,9 @@
         self.run_changes(&changes, now);
         self.send_heartbeats(now);
         let membership = &self.membership;
-        let events = self.entry.tick(|shard| membership.scheduler_of(shard), now);
+        let events = self
+            .entry
+            .tick(|shard| membership.scheduler_peer_of(shard), now);
         self.run_entry(events);
         let shards: Vec<ShardId> = self.schedulers.keys().copied().collect();
         for shard in shards {
@@ -470,7 +478,7 @@
         let membership = &self.membership;
         let event = self
             .entry
-            .send_due(request, |shard| membership.scheduler_of(shard), now);
+            .send_due(request, |shard| membership.scheduler_peer_of(shard), now);
         self.run_entry(event);
     }
 
