--- a/crates/daisynotch_core/src/scheduler.rs
+++ b/crates/daisynotch_core/src/scheduler.rs
@@ -5,13 +5,16 @@
 //! order, `docs/design/slots.md` how many requests an endpoint gets at once.
 
 mod endpoint_health;
+mod exchange;
 mod length;
 mod prefixes;
 mod queue;
+mod sharing;
 mod slot_limit;
 mod slots;
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -19,15 +22,18 @@
 use crate::catalogue::Catalogue;
 use crate::cost::Cost;
 use crate::message::{
-    Grant, LengthClass, Peer, Progress, Release, ReleaseReason, Running, ShardId, Ticket, TicketSeq,
+    ForwardedGrant, Grant, LengthClass, Peer, PeerMessage, Progress, Release, ReleaseReason,
+    Running, ShardId, Ticket, TicketSeq,
 };
 use crate::seeded_fault::{SeededFault, is_seeded};
 use crate::time::Timestamp;
 use crate::{EndpointId, TeamId};
 
 use endpoint_health::Fitness;
+use exchange::Exchange;
 use length::LengthJudge;
 use queue::FairQueue;
+use sharing::waited;
 use slots::{EndpointSlots, LongShare, Seen};
 
 /// How a scheduler judges.
@@ -42,6 +48,8 @@
     pub query_after: Duration,
     /// How long the slots of a lost entry stay taken.
     pub lost_entry_hold: Duration,
+    /// How far a team of weight 1 is moved from the others to repay service of the past.
+    pub repayment_max: Cost,
 }
 
 impl Default for SchedulerSettings {
@@ -51,6 +59,7 @@
             grant_validity: Duration::from_millis(1_000),
             query_after: Duration::from_millis(5_000),
             lost_entry_hold: Duration::from_millis(3_000),
+            repayment_max: Cost(65_536),
         }
     }
 }
@@ -84,6 +93,20 @@
         /// The endpoint whose slot is held.
         endpoint: EndpointId,
     },
+    /// Send a message to the scheduler of another shard of the pool.
+    Share {
+        /// The shard.
+        to: ShardId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Send a grant to an entry that asked another router for it.
+    ForwardedGrant {
+        /// The entry.
+        to: Peer,
+        /// The grant.
+        grant: ForwardedGrant,
+    },
 }
 
 /// Actions of one step; most steps have one or none.
@@ -93,6 +116,8 @@
 struct Waiting {
     ticket: Ticket,
     received_at: Timestamp,
+    /// The router that the entry asked, when the ticket was passed on from there.
+    asked: Option<Peer>,
 }
 
 #[derive(Debug, Clone)]
@@ -101,9 +126,11 @@
     team: TeamId,
     class: LengthClass,
     granted_at: Timestamp,
+    /// What the entry thought it would cost; none when another scheduler granted it.
+    hint: Option<Cost>,
     charged: Cost,
     /// The grant as it was sent, so that a doubled ticket gets the same answer.
-    grant: Option<Grant>,
+    grant: Option<SchedulerAction>,
     heard_at: Timestamp,
     /// When the slot is free though nobody gave it back.
     reclaim_at: Option<Timestamp>,
@@ -125,9 +152,12 @@
     settings: SchedulerSettings,
     grants_from: Timestamp,
     queue: FairQueue,
+    exchange: Exchange,
     slots: EndpointSlots,
     lengths: LengthJudge,
     waiting: HashMap<TicketKey, Waiting>,
+    /// Those of them that another shard passed on; they are not passed on again.
+    forwarded_count: usize,
     granted: HashMap<TicketKey, Granted>,
 }
 
@@ -136,17 +166,19 @@
     pub fn new(
         shard: ShardId,
         settings: SchedulerSettings,
-        catalogue: &Catalogue,
+        catalogue: &Arc<Catalogue>,
         now: Timestamp,
     ) -> Self {
         let mut scheduler = Self {
             shard,
             settings,
             grants_from: now + settings.takeover_grace,
-            queue: FairQueue::default(),
+            queue: FairQueue::new(settings.repayment_max, Arc::clone(catalogue)),
+            exchange: Exchange::new(shard, now),
             slots: EndpointSlots::default(),
             lengths: LengthJudge::default(),
             waiting: HashMap::new(),
+            forwarded_count: 0,
             granted: HashMap::new(),
         };
         scheduler.configure(catalogue);
@@ -154,9 +186,11 @@
     }
 
     /// Takes in a new revision of the objects.
-    pub fn configure(&mut self, catalogue: &Catalogue) {
+    pub fn configure(&mut self, catalogue: &Arc<Catalogue>) {
         self.slots.configure(self.shard, catalogue);
-        self.queue.configure(catalogue);
+        self.queue.configure(Arc::clone(catalogue));
+        self.exchange
+            .set_peers(&catalogue.shards_of(self.shard.pool));
     }
 
     /// Grants nothing until a time.
@@ -181,33 +215,43 @@
 
     /// Takes in a ticket; one that is known already changes nothing.
     pub fn on_ticket(&mut self, entry: Peer, ticket: Ticket, now: Timestamp) -> Actions {
+        let mut actions = self.accept(entry, None, ticket, now);
+        actions.extend(self.fill(now));
+        actions
+    }
+
+    /// Puts a ticket into the queue, or repeats the grant that it has already.
+    fn accept(
+        &mut self,
+        entry: Peer,
+        asked: Option<Peer>,
+        ticket: Ticket,
+        now: Timestamp,
+    ) -> Actions {
         let key = TicketKey {
             entry,
             seq: ticket.seq,
         };
         if let Some(granted) = self.granted.get(&key) {
-            let grant = granted.grant.clone();
-            let repeat = grant.map(|grant| SchedulerAction::Grant { to: entry, grant });
-            return repeat.into_iter().collect();
+            return granted.grant.clone().into_iter().collect();
         }
         if !self.waiting.contains_key(&key) {
             self.queue.push(ticket.team, key);
-            let received_at = now;
-            self.waiting.insert(
-                key,
-                Waiting {
-                    ticket,
-                    received_at,
-                },
-            );
+            let waiting = Waiting {
+                ticket,
+                received_at: now,
+                asked,
+            };
+            self.forwarded_count += usize::from(asked.is_some());
+            self.waiting.insert(key, waiting);
         }
-        self.fill(now)
+        Actions::new()
     }
 
     /// Forgets a ticket that is no longer wanted.
     pub fn on_withdraw(&mut self, entry: Peer, seq: TicketSeq) {
         let key = TicketKey { entry, seq };
-        if let Some(waiting) = self.waiting.remove(&key) {
+        if let Some(waiting) = self.take_waiting(key) {
             self.queue.remove(waiting.ticket.team, key);
         }
     }
@@ -226,14 +270,20 @@
             return Actions::new();
         }
         let granted = self.granted.remove(&key).expect("it was found above");
+        if release.reason == ReleaseReason::Done
+            && let Some(hint) = granted.hint
+        {
+            self.queue.learn(granted.team, hint, release.cost);
+        }
         let cost = match release.reason {
             ReleaseReason::Done | ReleaseReason::Failed => release.cost,
             ReleaseReason::Unreachable | ReleaseReason::Unused | ReleaseReason::Cancelled => {
                 Cost::default()
             }
         };
-        self.queue
-            .correct(granted.team, cost.difference(granted.charged));
+        let difference = cost.difference(granted.charged);
+        self.queue.correct(granted.team, difference);
+        self.exchange.count(granted.team, difference, now);
         let seen = Seen {
             first_token_ms: release.first_token_ms,
             token_gap_us: release.token_gap_us,
@@ -265,6 +315,7 @@
         if progress.cost > granted.charged {
             let more = progress.cost.difference(granted.charged);
             self.queue.correct(granted.team, more);
+            self.exchange.count(granted.team, more, now);
             granted.charged = progress.cost;
         }
         let class = self.lengths.class_of(granted.class, progress.cost);
@@ -298,6 +349,7 @@
             team: running.team,
             class: running.class,
             granted_at: now,
+            hint: None,
             charged: running.cost,
             grant: None,
             heard_at: now,
@@ -328,6 +380,7 @@
         self.reclaim(now);
         let mut actions = self.query_silent(now);
         actions.extend(self.fill(now));
+        actions.extend(self.tell_service(now));
         actions
     }
 
@@ -380,6 +433,7 @@
             }
         }
         self.fill_within(Fitness::Slow, &mut actions, now);
+        actions.extend(self.ask_for_tickets(now));
         actions
     }
 
@@ -412,33 +466,53 @@
 
     fn grant(&mut self, key: TicketKey, endpoint: EndpointId, now: Timestamp) -> SchedulerAction {
         let waiting = self
-            .waiting
-            .remove(&key)
+            .take_waiting(key)
             .expect("the queue holds waiting tickets");
         let ticket = waiting.ticket;
-        self.queue.pop(ticket.team, key, ticket.hint);
+        let charged = self.queue.pop(ticket.team, key, ticket.hint);
+        self.exchange
+            .count(ticket.team, charged.difference(Cost::default()), now);
         self.slots.grant(endpoint, &ticket, now);
-        let waited_before = Duration::from_millis(u64::from(ticket.waited_ms));
-        let waited = waited_before + now.since(waiting.received_at);
+        let waited = waited(ticket.waited_ms, waiting.received_at, now);
         let valid = waited + self.settings.grant_validity;
         let grant = Grant {
             seq: key.seq,
             endpoint,
             valid_after_sent_ms: u64::try_from(valid.as_millis()).unwrap_or(u64::MAX),
         };
+        let action = self.address(key.entry, waiting.asked, grant);
         let granted = Granted {
             endpoint,
             team: ticket.team,
             class: ticket.class,
             granted_at: now,
-            charged: ticket.hint,
-            grant: Some(grant.clone()),
+            hint: Some(ticket.hint),
+            charged,
+            grant: Some(action.clone()),
             heard_at: now,
             reclaim_at: None,
         };
         self.granted.insert(key, granted);
-        let to = key.entry;
-        SchedulerAction::Grant { to, grant }
+        action
+    }
+
+    fn take_waiting(&mut self, key: TicketKey) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&key)?;
+        self.forwarded_count -= usize::from(waiting.asked.is_some());
+        Some(waiting)
+    }
+
+    fn address(&self, to: Peer, asked: Option<Peer>, grant: Grant) -> SchedulerAction {
+        let Some(asked) = asked else {
+            return SchedulerAction::Grant { to, grant };
+        };
+        let shard = self.shard;
+        let grant = ForwardedGrant {
+            asked,
+            shard,
+            grant,
+        };
+        SchedulerAction::ForwardedGrant { to, grant }
     }
 }
 
