--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -370,6 +370,7 @@
                 State::Running { .. } => {}
             }
         }
+        events.extend(self.resend_hedges(is_due));
         events
     }
 
--- a/crates/daisynotch_core/src/entry/hedge.rs
+++ b/crates/daisynotch_core/src/entry/hedge.rs
@@ -10,12 +10,12 @@
 use super::{
     Dispatch, Entry, EntryEvent, OpenRequest, RequestId, State, give_back, running_of, ticket_of,
 };
-use crate::EndpointId;
 use crate::cost::Cost;
 use crate::message::{
     Grant, Peer, PeerMessage, Progress, Release, ReleaseReason, ShardId, TicketSeq,
 };
 use crate::time::Timestamp;
+use crate::{EndpointId, RouterId};
 
 /// A second attempt costs as many credits as this many dispatches earn with one each.
 const DISPATCHES_PER_HEDGE: u32 = 34;
@@ -163,7 +163,7 @@
         let open = &self.requests[&request];
         let hedge = self.hedges.by_request.get_mut(&request)?;
         if hedge.running == Some((from, grant.endpoint)) {
-            return Some(running_hedge(open, hedge, from, grant.endpoint));
+            return Some(running_hedge(open, hedge, from.router, grant.endpoint));
         }
         let valid = Duration::from_millis(grant.valid_after_sent_ms);
         let is_valid = now.since(hedge.asked_at) < valid;
@@ -183,7 +183,7 @@
     /// Answers a scheduler that asks after a second attempt; gives nothing when it is none.
     pub(super) fn on_hedge_query(
         &self,
-        from: Peer,
+        from: RouterId,
         seq: TicketSeq,
         endpoint: EndpointId,
     ) -> Option<EntryEvent> {
@@ -194,7 +194,7 @@
             .is_some_and(|(_, runs_on)| runs_on == endpoint);
         Some(match runs {
             true => running_hedge(&self.requests[request], hedge, from, endpoint),
-            false => give_back(from.router, seq, endpoint),
+            false => give_back(from, seq, endpoint),
         })
     }
 
@@ -224,7 +224,7 @@
         }
         let hedge = self.take_hedge(request)?;
         let (to, endpoint) = hedge.running?;
-        Some(release(to, hedge.ticket, endpoint, reason))
+        Some(release(to.router, hedge.ticket, endpoint, reason))
     }
 
     /// Makes the running second attempt the request's only one.
@@ -240,7 +240,7 @@
         else {
             return None;
         };
-        let event = release(*scheduler, open.ticket, *endpoint, reason);
+        let event = release(scheduler.router, open.ticket, *endpoint, reason);
         (*scheduler, *endpoint) = (by, on);
         self.tickets.remove(&open.ticket);
         self.tickets.insert(hedge.ticket, request);
@@ -252,7 +252,9 @@
     pub(super) fn cancel_hedge(&mut self, request: RequestId) -> Option<EntryEvent> {
         let hedge = self.take_hedge(request)?;
         Some(match hedge.running {
-            Some((to, endpoint)) => release(to, hedge.ticket, endpoint, ReleaseReason::Cancelled),
+            Some((to, endpoint)) => {
+                release(to.router, hedge.ticket, endpoint, ReleaseReason::Cancelled)
+            }
             None => EntryEvent::Send {
                 to: hedge.asked.router,
                 message: PeerMessage::Withdraw {
@@ -278,12 +280,28 @@
                 && by != to
             {
                 hedge.running = Some((to, on));
-                events.push(running_hedge(&self.requests[&request], hedge, to, on));
+                events.push(running_hedge(
+                    &self.requests[&request],
+                    hedge,
+                    to.router,
+                    on,
+                ));
             }
         }
         events
     }
 
+    /// Tells schedulers again of the running second attempts that they may have lost.
+    pub(super) fn resend_hedges(&self, is_due: impl Fn(RouterId) -> bool) -> Vec<EntryEvent> {
+        let mut hedges: Vec<_> = self.hedges.by_request.iter().collect();
+        hedges.sort_unstable_by_key(|(request, _)| **request);
+        let running = hedges.into_iter().filter_map(|(request, hedge)| {
+            let (by, on) = hedge.running.filter(|(by, _)| is_due(by.router))?;
+            Some(running_hedge(&self.requests[request], hedge, by.router, on))
+        });
+        running.collect()
+    }
+
     fn take_hedge(&mut self, request: RequestId) -> Option<Hedge> {
         let hedge = self.hedges.by_request.remove(&request)?;
         self.hedges.tickets.remove(&hedge.ticket);
@@ -291,19 +309,26 @@
     }
 }
 
-fn running_hedge(open: &OpenRequest, hedge: &Hedge, to: Peer, endpoint: EndpointId) -> EntryEvent {
+fn running_hedge(
+    open: &OpenRequest,
+    hedge: &Hedge,
+    to: RouterId,
+    endpoint: EndpointId,
+) -> EntryEvent {
     let mut running = running_of(open);
     running.seq = hedge.ticket;
     running.endpoint = endpoint;
     running.cost = Cost::default();
     let message = PeerMessage::Running(running);
-    EntryEvent::Send {
-        to: to.router,
-        message,
-    }
+    EntryEvent::Send { to, message }
 }
 
-fn release(to: Peer, seq: TicketSeq, endpoint: EndpointId, reason: ReleaseReason) -> EntryEvent {
+fn release(
+    to: RouterId,
+    seq: TicketSeq,
+    endpoint: EndpointId,
+    reason: ReleaseReason,
+) -> EntryEvent {
     let release = Release {
         seq,
         endpoint,
@@ -313,10 +338,7 @@
         token_gap_us: None,
     };
     let message = PeerMessage::Release(release);
-    EntryEvent::Send {
-        to: to.router,
-        message,
-    }
+    EntryEvent::Send { to, message }
 }
 
 #[cfg(test)]
--- a/crates/daisynotch_core/src/entry/hedge/tests.rs
+++ b/crates/daisynotch_core/src/entry/hedge/tests.rs
@@ -2,22 +2,21 @@
 use crate::catalogue::Catalogue;
 use crate::entry::RequestSpec;
 use crate::message::{Incarnation, LengthClass};
-use crate::{PoolId, Revision, RouterId, TeamId, ZoneId};
+use crate::{PoolId, Revision, TeamId, ZoneId};
 
 const SCHEDULER: Peer = Peer {
     router: RouterId(7),
     incarnation: Incarnation(1),
 };
 
-/// The ticket of the first attempt: a ticket is numbered when a scheduler is asked.
-const FIRST: u64 = 1;
-/// The ticket of the second attempt.
-const SECOND: u64 = 2;
-
 fn at(time_ms: u64) -> Timestamp {
     Timestamp(time_ms * 1_000)
 }
 
+/// The tickets of the first attempt and of the second.
+const FIRST: u64 = 1;
+const SECOND: u64 = 2;
+
 /// Starts a request at endpoint 1 whose first token is awaited.
 fn sent(idempotent: bool) -> (Entry, RequestId) {
     let objects = r#"
@@ -175,3 +174,15 @@
     }
     assert!(hedges <= 300, "{hedges}");
 }
+
+#[test]
+fn a_running_second_attempt_is_told_to_a_new_scheduler() {
+    let (mut entry, _) = sent(true);
+    late(&mut entry);
+    entry.on_grant(SCHEDULER, &grant(SECOND, 2), at(321));
+    let told = messages(entry.resend_to(SCHEDULER.router, at(322)));
+    assert!(
+        matches!(&told[..], [PeerMessage::Running(_), PeerMessage::Running(second)] if second.endpoint == EndpointId(2)),
+        "{told:?}"
+    );
+}
