Keep limits of teams and shares, and refuse early with spread times

Only the queue bound of a team was kept; `concurrent_requests`, `rate_per_s` and all limits of a share were read and ignored. A team that flooded waited in full queues until the timeout, and every refusal named one second.

Each live router keeps its even part of the concurrent requests (beyond it, requests wait without a ticket) and of the rate (a token bucket of one second); queue bounds hold at each router, for the team and for its share. With eight or more waiting, a request whose expected wait is longer than its timeout is refused at once. The time to come back follows from the pace of the queue or the bucket and is spread by a factor of 1 to 2 from a seed. Retries of work that did not run are at most a tenth of the dispatches, with ten saved up.

--- a/crates/daisynotch_core/src/catalogue.rs
+++ b/crates/daisynotch_core/src/catalogue.rs
@@ -56,8 +56,10 @@
     pub share: Option<ShareName>,
     /// The team's weight within its share.
     pub weight: u32,
-    /// The team's own limits.
+    /// The team's own limits; its queue timeout is no longer than its share's.
     pub limits: RequestLimits,
+    /// The limits of its share's teams together.
+    pub share_limits: Limits,
 }
 
 /// An endpoint as decisions see it.
@@ -188,13 +190,17 @@
                 .share
                 .as_ref()
                 .and_then(|share| objects.share.get(share));
+            let share_limits = share.and_then(|share| share.limits.as_ref());
+            let share_limits = share_limits.and_then(|name| objects.limits.get(name));
+            let share_limits = share_limits.cloned().unwrap_or_default();
             let view = TeamView {
                 name: name.clone(),
                 share_key: share_key(id, team.share.as_ref()),
                 share_weight: share.map_or(team.weight, |share| share.weight),
                 share: team.share.clone(),
                 weight: team.weight,
-                limits: request_limits(objects, team.limits.as_ref()),
+                limits: request_limits(objects, team.limits.as_ref(), &share_limits),
+                share_limits,
             };
             self.teams.insert(id, view);
             for credential in &team.credentials {
@@ -269,16 +275,17 @@
     }
 }
 
-fn request_limits(objects: &Objects, name: Option<&LimitsName>) -> RequestLimits {
+fn request_limits(objects: &Objects, name: Option<&LimitsName>, share: &Limits) -> RequestLimits {
     let none = Limits::default();
     let limits = name
         .and_then(|name| objects.limits.get(name))
         .unwrap_or(&none);
-    let queue_timeout_ms = limits.queue_timeout_ms.unwrap_or(DEFAULT_QUEUE_TIMEOUT_MS);
+    let timeouts_ms = [limits.queue_timeout_ms, share.queue_timeout_ms];
+    let queue_timeout_ms = timeouts_ms.into_iter().flatten().min();
     RequestLimits {
         concurrent_requests: limits.concurrent_requests,
         queued_requests: limits.queued_requests.unwrap_or(DEFAULT_QUEUED_REQUESTS),
         rate_per_s: limits.rate_per_s,
-        queue_timeout: Duration::from_millis(queue_timeout_ms),
+        queue_timeout: Duration::from_millis(queue_timeout_ms.unwrap_or(DEFAULT_QUEUE_TIMEOUT_MS)),
     }
 }
--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -4,6 +4,8 @@
 //! each at most once at a time, however many grants arrive. See
 //! `docs/design/tickets.md`.
 
+mod limits;
+
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -17,14 +19,14 @@
 use crate::time::Timestamp;
 use crate::{EndpointId, PoolId, RouterId, TeamId, ZoneId};
 
+use limits::{Holders, RetryBudget, RetrySpread, Start, TeamLimits, holders_of};
+
 /// How long an unanswered ticket waits before it is sent again.
 const TICKET_RESEND_AFTER: Duration = Duration::from_millis(2_000);
 /// How long a ticket that no scheduler took waits before it is sent again.
 const TICKET_REJECTED_RESEND_AFTER: Duration = Duration::from_millis(200);
 /// How often a request that did not run is tried at another endpoint.
 const DISPATCH_ATTEMPTS_MAX: u32 = 3;
-/// The shortest time that a refused caller is told to wait.
-const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
 
 /// A large odd factor that scatters consecutive request numbers over a pool's endpoints.
 const SPREAD_STEP: u64 = 0x9E37_79B9_7F4A_7C15;
@@ -54,8 +56,10 @@
 #[daisynotch_macros::value]
 #[derive(Copy, Hash)]
 pub enum RefusalReason {
-    /// The team has as many requests waiting here as it may.
+    /// The team or its share has as many requests waiting here as it may, or would time out.
     QueueFull,
+    /// The team or its share has sent as many requests a second as it may.
+    RateLimited,
     /// No slot came free within the time that the team's limits allow.
     QueueTimeout,
     /// The pool has no endpoint that takes new work.
@@ -132,6 +136,8 @@
     attempts: u32,
     avoid: Option<EndpointId>,
     queue_deadline: Timestamp,
+    /// The team and share whose limits the request counts for.
+    holders: Holders,
 }
 
 /// The open requests of one router.
@@ -143,12 +149,14 @@
     requests: HashMap<RequestId, OpenRequest>,
     tickets: HashMap<TicketSeq, RequestId>,
     deadlines: BTreeSet<(Timestamp, RequestId)>,
-    queued: HashMap<TeamId, u32>,
+    limits: TeamLimits,
+    retry_budget: RetryBudget,
+    retry_spread: RetrySpread,
 }
 
 impl Entry {
-    /// Starts without requests.
-    pub fn new(zone: ZoneId) -> Self {
+    /// Starts without requests; the seed spreads the times at which refused callers come back.
+    pub fn new(zone: ZoneId, seed: u64) -> Self {
         Self {
             zone,
             next_request: 0,
@@ -156,7 +164,9 @@
             requests: HashMap::new(),
             tickets: HashMap::new(),
             deadlines: BTreeSet::new(),
-            queued: HashMap::new(),
+            limits: TeamLimits::default(),
+            retry_budget: RetryBudget::default(),
+            retry_spread: RetrySpread::new(seed),
         }
     }
 
@@ -177,38 +187,71 @@
         catalogue: &Catalogue,
         now: Timestamp,
     ) -> Result<RequestId, Refusal> {
-        let team = catalogue.teams.get(&spec.team);
-        let team = team.ok_or(refusal(RefusalReason::Unknown))?;
-        let queued = self.queued.get(&spec.team).copied().unwrap_or(0);
-        if queued >= team.limits.queued_requests {
-            return Err(refusal(RefusalReason::QueueFull));
-        }
-        let shard = match queued {
-            0 => self.home_shard(spec.pool, catalogue)?,
-            _ => self.spread_shard(spec.pool, catalogue)?,
-        };
         let request = RequestId(self.next_request);
+        let (shard, start) = self.check(request, &spec, catalogue, now)?;
         self.next_request += 1;
+        let team = &catalogue.teams[&spec.team];
         let queue_deadline = now + team.limits.queue_timeout;
         let ticket = self.mint_ticket(request);
-        *self.queued.entry(spec.team).or_default() += 1;
         self.deadlines.insert((queue_deadline, request));
+        let holders = holders_of(spec.team, team);
+        let resend_at = match start {
+            Start::Now => now,
+            Start::Held => Timestamp(u64::MAX),
+        };
         let open = OpenRequest {
             spec,
             shard,
             ticket,
             state: State::Waiting {
                 asked: None,
-                resend_at: now,
+                resend_at,
             },
             attempts: 0,
             avoid: None,
             queue_deadline,
+            holders,
         };
         self.requests.insert(request, open);
         Ok(request)
     }
 
+    /// Sets how many routers share the limits that hold for the fleet.
+    pub fn set_routers(&mut self, routers: usize) {
+        self.limits.set_routers(routers);
+    }
+
+    /// Checks a request against the objects and the limits; gives where it waits and from when.
+    fn check(
+        &mut self,
+        request: RequestId,
+        spec: &RequestSpec,
+        catalogue: &Catalogue,
+        now: Timestamp,
+    ) -> Result<(ShardId, Start), Refusal> {
+        let Some(team) = catalogue.teams.get(&spec.team) else {
+            return Err(self.refusal(RefusalReason::Unknown, Duration::ZERO));
+        };
+        let shard = match self.limits.queued(spec.team) {
+            0 => self.home_shard(spec.pool, catalogue),
+            _ => self.spread_shard(spec.pool, catalogue),
+        };
+        let Some(shard) = shard else {
+            return Err(self.refusal(RefusalReason::NoEndpoint, Duration::ZERO));
+        };
+        let start = self.limits.admit(request, spec.team, team, now);
+        let start = start.map_err(|refused| self.refusal(refused.reason, refused.retry_after))?;
+        Ok((shard, start))
+    }
+
+    fn refusal(&mut self, reason: RefusalReason, retry_after: Duration) -> Refusal {
+        let retry_after = self.retry_spread.spread(retry_after);
+        Refusal {
+            reason,
+            retry_after,
+        }
+    }
+
     /// Sends the tickets that are due, to the schedulers that `scheduler_of` names.
     pub fn send_due(
         &mut self,
@@ -325,7 +368,7 @@
         if let Some(request) = request
             && self.may_use(request, from, grant, now)
         {
-            return EntryEvent::Dispatch(self.start(request, from, grant));
+            return EntryEvent::Dispatch(self.start(request, from, grant, now));
         }
         if let Some(request) = request
             && self.runs_under(request, from, grant)
@@ -354,7 +397,7 @@
             && let Some(open) = self.requests.get_mut(&request)
         {
             open.shard = forwarded.shard;
-            return EntryEvent::Dispatch(self.start(request, from, grant));
+            return EntryEvent::Dispatch(self.start(request, from, grant, now));
         }
         self.on_grant(from, grant, now)
     }
@@ -512,6 +555,7 @@
             self.deadlines.pop_first();
             events.extend(self.expire(request));
         }
+        self.release_held(now);
         let mut waiting: Vec<RequestId> = self.deadlines.iter().map(|(_, id)| *id).collect();
         waiting.sort_unstable();
         for request in waiting {
@@ -520,23 +564,35 @@
         events
     }
 
+    /// Lets held requests ask for a slot where others of their team and share have ended.
+    fn release_held(&mut self, now: Timestamp) {
+        self.limits.expire(now);
+        let requests = &self.requests;
+        let holders = |request| requests.get(&request).map(|open| open.holders.clone());
+        for request in self.limits.release_held(holders) {
+            let open = self.requests.get_mut(&request);
+            if let Some(State::Waiting { resend_at, .. }) = open.map(|open| &mut open.state) {
+                *resend_at = now;
+            }
+        }
+    }
+
     fn expire(&mut self, request: RequestId) -> Vec<EntryEvent> {
         let withdrawal = self.on_caller_left(request);
-        let refusal = refusal(RefusalReason::QueueTimeout);
+        let refusal = self.refusal(RefusalReason::QueueTimeout, Duration::ZERO);
         let refuse = EntryEvent::Refuse { request, refusal };
         withdrawal.into_iter().chain([refuse]).collect()
     }
 
     /// Chooses the shard that a request waits in: this zone's, or else the pool's first.
-    fn home_shard(&self, pool: PoolId, catalogue: &Catalogue) -> Result<ShardId, Refusal> {
+    fn home_shard(&self, pool: PoolId, catalogue: &Catalogue) -> Option<ShardId> {
         let shards = catalogue.shards_of(pool);
         let local = shards.iter().find(|shard| shard.zone == self.zone);
-        let chosen = local.or(shards.first()).copied();
-        chosen.ok_or(refusal(RefusalReason::NoEndpoint))
+        local.or(shards.first()).copied()
     }
 
     /// Chooses a shard by its endpoints, so that a backlog waits in every shard of the pool.
-    fn spread_shard(&self, pool: PoolId, catalogue: &Catalogue) -> Result<ShardId, Refusal> {
+    fn spread_shard(&self, pool: PoolId, catalogue: &Catalogue) -> Option<ShardId> {
         let view = catalogue.pools.get(&pool);
         let shards = view.map(|view| &view.shards).into_iter().flatten();
         let total: usize = shards.clone().map(|(_, endpoints)| endpoints.len()).sum();
@@ -548,7 +604,7 @@
         for (zone, endpoints) in shards {
             let count = endpoints.len() as u64;
             if place < count {
-                return Ok(ShardId { pool, zone: *zone });
+                return Some(ShardId { pool, zone: *zone });
             }
             place -= count;
         }
@@ -583,12 +639,20 @@
         )
     }
 
-    fn start(&mut self, request: RequestId, scheduler: Peer, grant: &Grant) -> Dispatch {
+    fn start(
+        &mut self,
+        request: RequestId,
+        scheduler: Peer,
+        grant: &Grant,
+        now: Timestamp,
+    ) -> Dispatch {
         self.leave_queue(request);
         let open = self
             .requests
             .get_mut(&request)
             .expect("the ticket names an open request");
+        self.limits.on_dispatch(&open.holders, now);
+        self.retry_budget.on_dispatch();
         open.attempts += 1;
         open.state = State::Running {
             scheduler,
@@ -610,8 +674,9 @@
     ) -> Option<EntryEvent> {
         self.renumber(request);
         let open = self.requests.get_mut(&request)?;
-        if open.attempts >= DISPATCH_ATTEMPTS_MAX || open.queue_deadline <= now {
-            let refusal = refusal(RefusalReason::Unreachable);
+        let is_over = open.attempts >= DISPATCH_ATTEMPTS_MAX || open.queue_deadline <= now;
+        if is_over || !self.retry_budget.take() {
+            let refusal = self.refusal(RefusalReason::Unreachable, Duration::ZERO);
             self.forget(request);
             return Some(EntryEvent::Refuse { request, refusal });
         }
@@ -620,7 +685,7 @@
             asked: None,
             resend_at: now,
         };
-        *self.queued.entry(open.spec.team).or_default() += 1;
+        self.limits.requeue(&open.holders, now);
         self.deadlines.insert((open.queue_deadline, request));
         None
     }
@@ -635,29 +700,19 @@
         if !is_seeded(SeededFault::KeepDeadline) {
             self.deadlines.remove(&(open.queue_deadline, request));
         }
-        if let Some(queued) = self.queued.get_mut(&open.spec.team) {
-            *queued -= 1;
-            if *queued == 0 {
-                self.queued.remove(&open.spec.team);
-            }
-        }
+        self.limits
+            .leave_queue(request, open.spec.team, &open.holders);
     }
 
     fn forget(&mut self, request: RequestId) {
         self.leave_queue(request);
         if let Some(open) = self.requests.remove(&request) {
+            self.limits.end(&open.holders);
             self.tickets.remove(&open.ticket);
         }
     }
 }
 
-fn refusal(reason: RefusalReason) -> Refusal {
-    Refusal {
-        reason,
-        retry_after: RETRY_AFTER_MIN,
-    }
-}
-
 fn ticket_of(open: &OpenRequest, now: Timestamp) -> Ticket {
     let waited = match open.state {
         State::Waiting {
--- a/crates/daisynotch_core/src/node.rs
+++ b/crates/daisynotch_core/src/node.rs
@@ -123,7 +123,7 @@
         Self {
             catalogue: Arc::default(),
             membership,
-            entry: Entry::new(settings.own.zone),
+            entry: Entry::new(settings.own.zone, seed_of(settings.own.peer)),
             schedulers: BTreeMap::new(),
             local: VecDeque::new(),
             outputs: Vec::new(),
@@ -457,6 +457,7 @@
         let changes = self.membership.tick(now);
         self.run_changes(&changes, now);
         self.send_heartbeats(now);
+        self.entry.set_routers(self.membership.members().len());
         let membership = &self.membership;
         let events = self
             .entry
@@ -531,6 +532,11 @@
     }
 }
 
+/// Gives a seed that differs between routers and their starts.
+fn seed_of(peer: Peer) -> u64 {
+    peer.router.0 ^ peer.incarnation.0
+}
+
 /// Gives the shard that a message between shards is meant for.
 fn shard_of_sharing(message: &PeerMessage) -> Option<ShardId> {
     match message {
--- a/crates/daisynotch_router/src/api/answer.rs
+++ b/crates/daisynotch_router/src/api/answer.rs
@@ -123,6 +123,11 @@
                 "queue_full",
                 "the team has as many requests waiting as its limits allow",
             ),
+            RefusalReason::RateLimited => (
+                StatusCode::TOO_MANY_REQUESTS,
+                "rate_limited",
+                "the team or its share has sent as many requests a second as its limits allow",
+            ),
             RefusalReason::QueueTimeout => (
                 StatusCode::SERVICE_UNAVAILABLE,
                 "queue_timeout",
