--- a/crates/daisynotch_core/src/entry/hedge.rs
+++ b/crates/daisynotch_core/src/entry/hedge.rs
@@ -183,7 +183,7 @@
     /// Answers a scheduler that asks after a second attempt; gives nothing when it is none.
     pub(super) fn on_hedge_query(
         &self,
-        from: RouterId,
+        from: Peer,
         seq: TicketSeq,
         endpoint: EndpointId,
     ) -> Option<EntryEvent> {
@@ -193,8 +193,8 @@
             .running
             .is_some_and(|(_, runs_on)| runs_on == endpoint);
         Some(match runs {
-            true => running_hedge(&self.requests[request], hedge, from, endpoint),
-            false => give_back(from, seq, endpoint),
+            true => running_hedge(&self.requests[request], hedge, from.router, endpoint),
+            false => give_back(from.router, seq, endpoint),
         })
     }
 
