--- a/crates/daisynotch_core/src/entry/hedge/tests.rs
+++ b/crates/daisynotch_core/src/entry/hedge/tests.rs
@@ -29,7 +29,7 @@
         address = "127.0.0.1:9"
     "#;
     let catalogue = Catalogue::new(Revision(1), &objects.parse().expect("it can be read"));
-    let mut entry = Entry::new(ZoneId(1));
+    let mut entry = Entry::new(ZoneId(1), 1);
     let spec = RequestSpec {
         team: TeamId::from(&"kaolack-1".parse().expect("it is a name")),
         pool: PoolId::from(&"conseil-lm".parse().expect("it is a name")),
