--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -22,7 +22,9 @@
 mod time;
 
 pub use backoff::{Backoff, BackoffSettings, jittered};
-pub use catalogue::{Catalogue, EndpointView, PoolView, RequestLimits, RouteView, TeamView};
+pub use catalogue::{
+    Catalogue, EndpointView, PoolView, RequestLimits, RouteView, ShareKey, TeamView,
+};
 pub use configuration::{
     ConfigurationAction, ConfigurationState, EditPayload, Follower, FollowerSettings,
     RELAYS_PER_ZONE, Replica, ServiceRead, is_relay,
@@ -41,9 +43,10 @@
     Changes, Introduction, Member, Membership, MembershipChange, MembershipSettings, OwnState,
 };
 pub use message::{
-    ConfigurationPiece, ConfigurationRequest, Grant, Heartbeat, Incarnation, LengthClass,
-    MemberState, MemberVersion, Peer, PeerMessage, PrefixFingerprint, Progress, Release,
-    ReleaseReason, Rumor, Running, ShardId, Ticket, TicketSeq, ViewDigest,
+    ConfigurationPiece, ConfigurationRequest, Forward, ForwardedGrant, ForwardedTicket, Grant,
+    Heartbeat, Incarnation, LengthClass, MemberState, MemberVersion, Peer, PeerMessage,
+    PrefixFingerprint, Progress, Release, ReleaseReason, Rumor, Running, Service, ShardId,
+    TeamService, Ticket, TicketSeq, ViewDigest, Want,
 };
 pub use node::{Input, Node, NodeSettings, Output};
 pub use placement::rendezvous;
--- a/crates/daisynotch_core/src/message.rs
+++ b/crates/daisynotch_core/src/message.rs
@@ -146,6 +146,80 @@
     pub cost: Cost,
 }
 
+/// What one scheduler has charged a team since the scheduler started; both sums only grow.
+#[daisynotch_macros::message]
+#[derive(Copy)]
+pub struct TeamService {
+    /// The team.
+    pub team: TeamId,
+    /// What was charged at grants and after.
+    pub charged: Cost,
+    /// What was given back of it, as hints were too large or grants went unused.
+    pub refunded: Cost,
+}
+
+/// Tells another shard of the pool what was served here and how much waits.
+#[daisynotch_macros::message]
+pub struct Service {
+    /// The shard that tells.
+    pub shard: ShardId,
+    /// The zone of the shard that is told.
+    pub to: ZoneId,
+    /// When the telling scheduler started, on its router's own clock.
+    pub started_us: u64,
+    /// Tickets that wait there.
+    pub waiting: u32,
+    /// Teams that wait there and whose service moved.
+    pub served: SmallVec<[TeamService; 2]>,
+}
+
+/// Asks another shard of the pool for tickets that wait there.
+#[daisynotch_macros::message]
+#[derive(Copy)]
+pub struct Want {
+    /// The shard that is asked.
+    pub shard: ShardId,
+    /// The zone of the shard that asks.
+    pub to: ZoneId,
+    /// Tickets that would get a slot at once.
+    pub idle: u32,
+    /// Tickets that would wait there for the next slots.
+    pub buffer: u32,
+}
+
+/// A ticket for which an entry asked the sender.
+#[daisynotch_macros::message]
+pub struct ForwardedTicket {
+    /// The entry that holds the request.
+    pub entry: Peer,
+    /// The ticket, with the time that it has waited so far.
+    pub ticket: Ticket,
+}
+
+/// Passes waiting tickets to another shard of the pool.
+#[daisynotch_macros::message]
+pub struct Forward {
+    /// The shard that gets them.
+    pub shard: ShardId,
+    /// The zone of the shard that gave them.
+    pub from: ZoneId,
+    /// The tickets.
+    pub tickets: Vec<ForwardedTicket>,
+    /// Tickets that wait still where these came from.
+    pub left: u32,
+}
+
+/// Gives a slot for a ticket that its entry sent to another router.
+#[daisynotch_macros::message]
+pub struct ForwardedGrant {
+    /// The router that the entry asked.
+    pub asked: Peer,
+    /// The shard that grants.
+    pub shard: ShardId,
+    /// The grant; its expiry counts from when the entry asked that router.
+    pub grant: Grant,
+}
+
 /// Numbers what one router incarnation says of itself.
 #[daisynotch_macros::number]
 pub struct MemberVersion(pub u32);
@@ -281,6 +355,14 @@
     },
     /// Router to router.
     Heartbeat(Heartbeat),
+    /// Scheduler to scheduler: service given and tickets waiting.
+    Service(Service),
+    /// Scheduler to scheduler: asks for tickets.
+    Want(Want),
+    /// Scheduler to scheduler: passes tickets on.
+    Forward(Forward),
+    /// Scheduler to entry: gives a slot for a ticket that was passed on.
+    ForwardedGrant(ForwardedGrant),
     /// Router to router: asks for newer objects.
     ConfigurationRequest(ConfigurationRequest),
     /// Router to router: a piece of newer objects.
@@ -301,6 +383,10 @@
             | Self::Release(_)
             | Self::Query { .. }
             | Self::Heartbeat(_)
+            | Self::Service(_)
+            | Self::Want(_)
+            | Self::Forward(_)
+            | Self::ForwardedGrant(_)
             | Self::ConfigurationRequest(_)
             | Self::ConfigurationPiece(_) => false,
         }
