--- a/crates/daisynotch_core/src/message.rs
+++ b/crates/daisynotch_core/src/message.rs
@@ -355,10 +355,6 @@
     },
     /// Router to router.
     Heartbeat(Heartbeat),
-    /// Router to router: asks for newer objects.
-    ConfigurationRequest(ConfigurationRequest),
-    /// Router to router: a piece of newer objects.
-    ConfigurationPiece(ConfigurationPiece),
     /// Scheduler to scheduler: service given and tickets waiting.
     Service(Service),
     /// Scheduler to scheduler: asks for tickets.
@@ -367,6 +363,10 @@
     Forward(Forward),
     /// Scheduler to entry: gives a slot for a ticket that was passed on.
     ForwardedGrant(ForwardedGrant),
+    /// Router to router: asks for newer objects.
+    ConfigurationRequest(ConfigurationRequest),
+    /// Router to router: a piece of newer objects.
+    ConfigurationPiece(ConfigurationPiece),
 }
 
 impl PeerMessage {
@@ -383,12 +383,12 @@
             | Self::Release(_)
             | Self::Query { .. }
             | Self::Heartbeat(_)
-            | Self::ConfigurationRequest(_)
-            | Self::ConfigurationPiece(_)
             | Self::Service(_)
             | Self::Want(_)
             | Self::Forward(_)
-            | Self::ForwardedGrant(_) => false,
+            | Self::ForwardedGrant(_)
+            | Self::ConfigurationRequest(_)
+            | Self::ConfigurationPiece(_) => false,
         }
     }
 }
