Report on service-level burn

Cause: service levels could be written and nothing measured them.

Change: a report over samples of the routers' counters, kept in a file: error budget left, burn rates over one and six hours, as a table, JSON and one page with curves. A router that doesn't answer is named as missing and counts for nothing; a counter that went down counts from zero; without requests there is no rate.

Ruled out: windows kept in every router (memory for 20,000 teams, lost on restart).

Not done: sizes at 20,000 teams are not measured and the page was not looked at in a browser, since none was at hand.

--- a/crates/daisynotch/src/args.rs
+++ b/crates/daisynotch/src/args.rs
@@ -11,6 +11,7 @@
 use crate::commands::demo::DemoOptions;
 use crate::commands::edit_source::EditSource;
 use crate::commands::get::Selection;
+use crate::commands::report::BurnOptions;
 use crate::commands::standin::StandinKind;
 
 /// The exit code for a wrong command line or objects with errors.
@@ -33,6 +34,8 @@
     history --key-value ADDRESS      print the latest changes
     status --router ADDRESS          print what a router knows
     drain --router ADDRESS           make a router finish its requests and end
+    report burn --router ADDRESS... --key-value ADDRESS
+                                     print error budgets and burn rates
     credential TOKEN                 print a token's digest for the objects
     demo                             run a small fleet in this process
     standin KIND --listen ADDRESS    run a fake `key-value`, `engine` or `bookings`
@@ -48,6 +51,8 @@
                                      the newest revision
     --author NAME                    apply: who makes the change; $USER if not given
     --summary TEXT                   apply: what the change is for
+    --samples FILE                   report: a file of samples to keep and extend
+    --html FILE                      report: write a page with the curves
     --seconds N                      demo: how long callers send requests
     --seed N                         demo: the seed of the callers' choices
     -h, --help                       print this text
@@ -88,6 +93,7 @@
     Status {
         router: SocketAddr,
     },
+    ReportBurn(BurnOptions),
     Drain {
         router: SocketAddr,
     },
@@ -117,6 +123,10 @@
     UnknownCommand(String),
     #[error("unknown arguments {0:?}: see `daisynotch --help`")]
     UnknownArguments(Vec<std::ffi::OsString>),
+    #[error("unknown report `{0}`: `daisynotch report burn` is the only one")]
+    UnknownReport(String),
+    #[error("no router is given: name each with `--router ADDRESS`")]
+    NoRouter,
     #[error("no objects are given: name a FILE, or use `--delete KIND/NAME`")]
     NoObjects,
     #[error("`--prune` deletes what FILE does not name already: leave out `--delete`")]
@@ -161,6 +171,7 @@
             Some("status") => Command::Status {
                 router: raw.value_from_str("--router")?,
             },
+            Some("report") => Command::ReportBurn(burn_options(&mut raw)?),
             Some("drain") => Command::Drain {
                 router: raw.value_from_str("--router")?,
             },
@@ -217,5 +228,22 @@
     })
 }
 
+fn burn_options(raw: &mut Raw) -> Result<BurnOptions, UsageError> {
+    let routers: Vec<SocketAddr> = raw.values_from_str("--router")?;
+    let options = BurnOptions {
+        routers,
+        key_value: raw.value_from_str("--key-value")?,
+        samples: raw.opt_value_from_str("--samples")?,
+        html: raw.opt_value_from_str("--html")?,
+    };
+    if options.routers.is_empty() {
+        return Err(UsageError::NoRouter);
+    }
+    match raw.subcommand()?.as_deref() {
+        Some("burn") => Ok(options),
+        other => Err(UsageError::UnknownReport(other.unwrap_or("").to_owned())),
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/daisynotch/src/args/tests.rs
+++ b/crates/daisynotch/src/args/tests.rs
@@ -24,6 +24,8 @@
         history --key-value ADDRESS      print the latest changes
         status --router ADDRESS          print what a router knows
         drain --router ADDRESS           make a router finish its requests and end
+        report burn --router ADDRESS... --key-value ADDRESS
+                                         print error budgets and burn rates
         credential TOKEN                 print a token's digest for the objects
         demo                             run a small fleet in this process
         standin KIND --listen ADDRESS    run a fake `key-value`, `engine` or `bookings`
@@ -39,6 +41,8 @@
                                          the newest revision
         --author NAME                    apply: who makes the change; $USER if not given
         --summary TEXT                   apply: what the change is for
+        --samples FILE                   report: a file of samples to keep and extend
+        --html FILE                      report: write a page with the curves
         --seconds N                      demo: how long callers send requests
         --seed N                         demo: the seed of the callers' choices
         -h, --help                       print this text
--- a/crates/daisynotch/src/commands.rs
+++ b/crates/daisynotch/src/commands.rs
@@ -9,6 +9,7 @@
 pub(crate) mod edit_source;
 pub(crate) mod get;
 pub(crate) mod history;
+pub(crate) mod report;
 pub(crate) mod standin;
 pub(crate) mod status;
 
--- a/crates/daisynotch/src/main.rs
+++ b/crates/daisynotch/src/main.rs
@@ -50,6 +50,7 @@
         } => commands::get::run(selection.as_ref(), key_value, printer).await?,
         Command::History { key_value } => commands::history::run(key_value, printer).await?,
         Command::Status { router } => commands::status::run(router, printer).await?,
+        Command::ReportBurn(options) => commands::report::run(&options, printer).await?,
         Command::Drain { router } => commands::drain::run(router, printer).await?,
         Command::Standin { kind, listen } => {
             commands::standin::run(kind, listen, printer).await?;
--- a/crates/daisynotch/tests/commands.rs
+++ b/crates/daisynotch/tests/commands.rs
@@ -183,3 +183,31 @@
     assert_eq!(history[0]["author"], "awa");
     assert_eq!(history[0]["objects"][0]["name"], "kaolack-2");
 }
+
+/// A router that does not answer is missing in the table and on the page, not zero.
+#[tokio::test]
+async fn a_burn_report_names_missing_routers() {
+    let key_value = KeyValueStandin::start().await.expect("a port is free");
+    let files = Files::new("burn");
+    let page = files.write("burn.html", "");
+    let samples = files.write("burn.jsonl", "");
+    let arguments = [
+        "report",
+        "burn",
+        "--router",
+        "127.0.0.1:1",
+        "--html",
+        &page,
+        "--samples",
+        &samples,
+    ];
+    for runs in 1..=2 {
+        let (code, text) = run(key_value.address(), &arguments).await;
+        assert_eq!(code, 0, "{text}");
+        assert!(text.contains("router 127.0.0.1:1 is missing"), "{text}");
+        let kept = std::fs::read_to_string(&samples).expect("the samples are kept");
+        assert_eq!(kept.lines().count(), runs, "{kept}");
+    }
+    let page = std::fs::read_to_string(&page).expect("the page is written");
+    assert!(page.contains("Router 127.0.0.1:1 is missing"), "{page}");
+}
