--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -677,14 +677,21 @@
     fn spread_shard(&self, pool: PoolId, catalogue: &Catalogue) -> Option<ShardId> {
         let view = catalogue.pools.get(&pool);
         let shards = view.map(|view| &view.shards).into_iter().flatten();
-        let total: usize = shards.clone().map(|(_, endpoints)| endpoints.len()).sum();
-        let total = total as u64;
+        let staying = |endpoints: &[EndpointId]| {
+            let endpoints = endpoints.iter();
+            let staying = endpoints.filter(|id| !catalogue.endpoints[id].leaving);
+            staying.count() as u64
+        };
+        let total: u64 = shards
+            .clone()
+            .map(|(_, endpoints)| staying(endpoints))
+            .sum();
         if total == 0 {
             return self.home_shard(pool, catalogue);
         }
         let mut place = (self.next_request.wrapping_mul(SPREAD_STEP) >> 32) % total;
         for (zone, endpoints) in shards {
-            let count = endpoints.len() as u64;
+            let count = staying(endpoints);
             if place < count {
                 return Some(ShardId { pool, zone: *zone });
             }
