Hedge in the daemon, and report first tokens and gaps as they are

Cause: the core's second attempts were never made, since the daemon did not tell it when a request went out or began to answer. Whole answers reported their full length as the time to the first token, which shrank an endpoint's slots wrongly; a stream's first token was timed from its head, and its gap was the mean since its start. Change: a dispatch races up to two attempts, and a streamed answer begins with its first token; the other attempt is dropped and so cancelled. Reports go out at the first token and carry the gap since the last report. When the first attempt could not be reached while a second was on its way, the second goes on. A whole answer that stops half-way is bounded by the idle time-out.

--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -559,6 +559,10 @@
         token_gap_us: Option<u32>,
         now: Timestamp,
     ) -> Vec<EntryEvent> {
+        if reason == ReleaseReason::Unreachable && self.has_running_hedge(request) {
+            // Its dispatch is on the way to the daemon, which did not know of it yet.
+            return self.promote_hedge(request, reason).into_iter().collect();
+        }
         let Some(open) = self.requests.get(&request) else {
             return Vec::new();
         };
--- a/crates/daisynotch_core/src/entry/hedge.rs
+++ b/crates/daisynotch_core/src/entry/hedge.rs
@@ -87,6 +87,12 @@
         self.hedges.by_request.contains_key(&request)
     }
 
+    /// Says whether a second attempt was dispatched.
+    pub(super) fn has_running_hedge(&self, request: RequestId) -> bool {
+        let hedge = self.hedges.by_request.get(&request);
+        hedge.is_some_and(|hedge| hedge.running.is_some())
+    }
+
     fn report_late(&self, request: RequestId) -> Option<EntryEvent> {
         let open = self.requests.get(&request)?;
         let State::Running {
@@ -228,7 +234,11 @@
     }
 
     /// Makes the running second attempt the request's only one.
-    fn promote_hedge(&mut self, request: RequestId, reason: ReleaseReason) -> Option<EntryEvent> {
+    pub(super) fn promote_hedge(
+        &mut self,
+        request: RequestId,
+        reason: ReleaseReason,
+    ) -> Option<EntryEvent> {
         let hedge = self.take_hedge(request)?;
         let (by, on) = hedge.running?;
         let open = self.requests.get_mut(&request)?;
--- a/crates/daisynotch_router/src/api/inference.rs
+++ b/crates/daisynotch_router/src/api/inference.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use daisynotch_core::{Catalogue, Cost, PoolView, ReleaseReason, RequestSpec, RouteView};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use hyper::header::{ACCEPT_ENCODING, CONTENT_TYPE};
 use serde::Deserialize;
 use tokio::time::Instant;
@@ -16,9 +15,9 @@
 use super::answer::ApiError;
 use super::chat::ChatRequest;
 use super::inbound::{read_body, strip_own_headers, team_of};
-use crate::dispatch::{self, OpenRequest, Outbound, Usage};
+use crate::dispatch::{self, Answer, OpenRequest, Outbound, Usage};
 use crate::event_stream::EventStreamWatcher;
-use crate::relay::{AnswerKind, RelayBody, RequestLabels};
+use crate::relay::{AnswerKind, GapWindow, RelayBody, RequestLabels};
 
 /// The longest answer that is held before it is passed on whole.
 const WHOLE_ANSWER_MAX_BYTES: usize = 32 * 1024 * 1024;
@@ -72,6 +71,7 @@
         head,
         body,
         idempotent: true,
+        awaits_first_token: chat.stream,
         refusal_statuses: true,
         first_byte_timeout: pool.first_byte_timeout,
     };
@@ -103,46 +103,36 @@
     labels: RequestLabels,
 ) -> Result<Response, ApiError> {
     let admitted = app.core.admit(spec).await?;
-    let (open, response) = dispatch::run(&app.core, &app.client, admitted, outbound).await?;
-    let dispatched_at = Instant::now();
+    let answer = dispatch::run(&app.core, &app.client, admitted, outbound).await?;
     if !streamed {
-        return whole(app, open, response, dispatched_at, &labels).await;
+        return whole(app, answer, pool.idle_timeout, &labels).await;
     }
-    let is_events = response
-        .headers()
+    let is_events = answer
+        .head
+        .headers
         .get(CONTENT_TYPE)
         .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
-    if response.status().is_success() && !is_events {
+    if answer.head.status.is_success() && !is_events {
         let message = "the endpoint did not answer with an event stream";
-        return Err(failed(open, message));
+        return Err(failed(answer.open, message));
     }
     let kind = if is_events {
         AnswerKind::Events(EventStreamWatcher::default())
     } else {
         AnswerKind::Plain
     };
-    Ok(relay(
-        app,
-        open,
-        response,
-        kind,
-        pool.idle_timeout,
-        dispatched_at,
-        labels,
-    ))
+    Ok(relay(app, answer, kind, pool.idle_timeout, labels))
 }
 
 /// Passes an answer on while it comes in.
 pub(super) fn relay(
     app: &Arc<App>,
-    open: OpenRequest,
-    response: hyper::Response<Incoming>,
+    answer: Answer,
     kind: AnswerKind,
     idle_timeout: Duration,
-    dispatched_at: Instant,
     labels: RequestLabels,
 ) -> Response {
-    let (mut head, incoming) = response.into_parts();
+    let mut head = answer.head;
     let length = head.headers.get(hyper::header::CONTENT_LENGTH).cloned();
     strip_own_headers(&mut head.headers);
     if let Some(length) = length
@@ -151,14 +141,15 @@
         head.headers.insert(hyper::header::CONTENT_LENGTH, length);
     }
     let body = RelayBody {
-        incoming,
-        open,
+        first: answer.first,
+        incoming: answer.incoming,
+        open: answer.open,
         kind,
         idle_timeout,
         idle: Box::pin(tokio::time::sleep(idle_timeout)),
-        dispatched_at,
+        dispatched_at: answer.dispatched_at,
         first_byte_at: None,
-        reported_at: dispatched_at,
+        window: GapWindow::start(),
         metrics: Arc::clone(&app.metrics),
         labels,
         failure: None,
@@ -169,18 +160,17 @@
 
 async fn whole(
     app: &Arc<App>,
-    mut open: OpenRequest,
-    response: hyper::Response<Incoming>,
-    dispatched_at: Instant,
+    answer: Answer,
+    idle_timeout: Duration,
     labels: &RequestLabels,
 ) -> Result<Response, ApiError> {
-    let (mut head, incoming) = response.into_parts();
-    let collected = Limited::new(incoming, WHOLE_ANSWER_MAX_BYTES)
-        .collect()
-        .await;
-    let body = match collected {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return Err(failed(open, &format!("the answer broke off: {error}"))),
+    let mut head = answer.head;
+    let mut open = answer.open;
+    let collected = Limited::new(answer.incoming, WHOLE_ANSWER_MAX_BYTES).collect();
+    let body = match tokio::time::timeout(idle_timeout, collected).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => return Err(failed(open, &format!("the answer broke off: {error}"))),
+        Err(_) => return Err(failed(open, "the endpoint was silent for too long")),
     };
     let cost = match whole_cost(&body) {
         Some(cost) => cost,
@@ -189,10 +179,10 @@
         }
         None => Cost::default(),
     };
-    let first_token_ms = u32::try_from(dispatched_at.elapsed().as_millis()).ok();
+    // The whole answer came at once: when its first token was made is not known.
     open.note(Usage {
         cost,
-        first_token_ms,
+        first_token_ms: None,
         token_gap_us: None,
     });
     open.finish(ReleaseReason::Done);
--- a/crates/daisynotch_router/src/api/keyed.rs
+++ b/crates/daisynotch_router/src/api/keyed.rs
@@ -24,7 +24,7 @@
 use super::inbound::strip_own_headers;
 use super::plain::PlainCall;
 use crate::clock::Clock;
-use crate::dispatch::{self, NoResponse, OpenRequest};
+use crate::dispatch::{self, Answer, NoResponse};
 
 /// The header that carries a key.
 pub(super) const KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
@@ -265,7 +265,7 @@
     let admitted = app.core.admit(call.spec.clone()).await;
     let admitted = admitted.map_err(|refusal| run.refused(refusal))?;
     let dispatched = dispatch::run(&app.core, &app.client, admitted, &call.outbound).await;
-    let (open, response) = match dispatched {
+    let dispatched = match dispatched {
         Ok(dispatched) => dispatched,
         Err(NoResponse::Refused(refusal)) => return Err(run.refused(refusal)),
         Err(error @ NoResponse::Unknown(_)) => {
@@ -273,7 +273,7 @@
             return Err(error.into());
         }
     };
-    let answer = collect(response, open, call.idle_timeout).await?;
+    let answer = collect(dispatched, call.idle_timeout).await?;
     let size_bytes = answer.size_bytes();
     let stored = answer.clone();
     run.end(KeyOutcome::Done {
@@ -284,12 +284,13 @@
 }
 
 /// Reads an answer to its end; when it breaks off, the record's outcome is unknown.
-async fn collect(
-    response: hyper::Response<Incoming>,
-    mut open: OpenRequest,
-    idle_timeout: Duration,
-) -> Result<StoredAnswer, ApiError> {
-    let (mut head, mut incoming) = response.into_parts();
+async fn collect(dispatched: Answer, idle_timeout: Duration) -> Result<StoredAnswer, ApiError> {
+    let Answer {
+        mut open,
+        mut head,
+        mut incoming,
+        ..
+    } = dispatched;
     let mut body = BytesMut::new();
     let problem = loop {
         match tokio::time::timeout(idle_timeout, incoming.frame()).await {
--- a/crates/daisynotch_router/src/api/plain.rs
+++ b/crates/daisynotch_router/src/api/plain.rs
@@ -102,6 +102,7 @@
         head,
         body,
         idempotent,
+        awaits_first_token: false,
         refusal_statuses: false,
         first_byte_timeout: pool.first_byte_timeout,
     };
@@ -140,17 +141,9 @@
         let admitted = app.core.admit(call.spec.clone()).await?;
         Ok(dispatch::run(&app.core, &app.client, admitted, &call.outbound).await?)
     };
-    let (open, response) = answer
+    let answer = answer
         .await
         .inspect_err(|error: &ApiError| call.count(app, error.label()))?;
-    let dispatched_at = Instant::now();
-    Ok(relay(
-        app,
-        open,
-        response,
-        AnswerKind::Plain,
-        call.idle_timeout,
-        dispatched_at,
-        call.labels,
-    ))
+    let kind = AnswerKind::Plain;
+    Ok(relay(app, answer, kind, call.idle_timeout, call.labels))
 }
--- a/crates/daisynotch_router/src/relay.rs
+++ b/crates/daisynotch_router/src/relay.rs
@@ -48,8 +48,38 @@
     pub(crate) arrived_at: Instant,
 }
 
+/// The tokens since the last report, whose gaps say how fast the endpoint is now.
+#[derive(Debug)]
+pub(crate) struct GapWindow {
+    started_at: Instant,
+    events_before: u64,
+}
+
+impl GapWindow {
+    /// Starts before the first token.
+    pub(crate) fn start() -> Self {
+        Self::since(Instant::now(), 0)
+    }
+
+    fn since(started_at: Instant, events_before: u64) -> Self {
+        Self {
+            started_at,
+            events_before,
+        }
+    }
+
+    /// Gives the mean gap between the tokens of the window, when there were any.
+    fn gap_us(&self, now: Instant, events: u64) -> Option<u32> {
+        let window_us = (now - self.started_at).as_micros() as u64;
+        let gap_us = window_us.checked_div(events.saturating_sub(self.events_before));
+        gap_us.and_then(|gap_us| u32::try_from(gap_us).ok())
+    }
+}
+
 /// An answer on its way; dropping it before its end cancels the work.
 pub(crate) struct RelayBody {
+    /// Bytes that came while the attempt was waited for.
+    pub(crate) first: Option<Bytes>,
     pub(crate) incoming: Incoming,
     pub(crate) open: OpenRequest,
     pub(crate) kind: AnswerKind,
@@ -57,7 +87,7 @@
     pub(crate) idle: Pin<Box<Sleep>>,
     pub(crate) dispatched_at: Instant,
     pub(crate) first_byte_at: Option<Instant>,
-    pub(crate) reported_at: Instant,
+    pub(crate) window: GapWindow,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) labels: RequestLabels,
     /// The error that ends the body after the caller was told of it in an event.
@@ -68,48 +98,62 @@
 impl RelayBody {
     fn on_data(&mut self, bytes: &Bytes) {
         let now = Instant::now();
-        if self.first_byte_at.is_none() {
-            self.first_byte_at = Some(now);
-            let since_arrival_s = (now - self.labels.arrived_at).as_secs_f64();
-            let labels = [self.labels.route.as_str(), self.labels.team.as_str()];
-            self.metrics
-                .first_token
-                .with_label_values(&labels)
-                .observe(since_arrival_s);
-        }
         if let AnswerKind::Events(watcher) = &mut self.kind {
             watcher.observe(bytes);
         }
         self.idle.as_mut().reset(now + self.idle_timeout);
-        let usage = self.usage(now);
-        if now - self.reported_at >= REPORT_INTERVAL {
-            self.reported_at = now;
-            self.open.report(usage);
+        if self.first_byte_at.is_none() {
+            self.on_first_byte(now);
+        } else if now - self.window.started_at >= REPORT_INTERVAL {
+            self.report(now);
         } else {
+            let usage = self.usage(now);
             self.open.note(usage);
         }
     }
 
+    fn on_first_byte(&mut self, now: Instant) {
+        self.first_byte_at = Some(now);
+        let since_arrival_s = (now - self.labels.arrived_at).as_secs_f64();
+        let labels = [self.labels.route.as_str(), self.labels.team.as_str()];
+        self.metrics
+            .first_token
+            .with_label_values(&labels)
+            .observe(since_arrival_s);
+        self.report(now);
+    }
+
+    /// Tells the core how the work goes on, and starts a new window.
+    fn report(&mut self, now: Instant) {
+        let usage = self.usage(now);
+        self.window = GapWindow::since(now, self.events());
+        self.open.report(usage);
+    }
+
+    fn events(&self) -> u64 {
+        match &self.kind {
+            AnswerKind::Events(watcher) => watcher.events(),
+            AnswerKind::Plain => 0,
+        }
+    }
+
     fn usage(&self, now: Instant) -> Usage {
         let Some(first_byte_at) = self.first_byte_at else {
             return Usage::default();
         };
         let first_token = first_byte_at - self.dispatched_at;
-        let first_token_ms = u32::try_from(first_token.as_millis()).ok();
         match &self.kind {
-            AnswerKind::Events(watcher) => {
-                let gaps = watcher.events().saturating_sub(1);
-                let streaming_us = (now - first_byte_at).as_micros() as u64;
-                let token_gap_us = streaming_us.checked_div(gaps);
-                Usage {
-                    cost: Cost(watcher.events()),
-                    first_token_ms,
-                    token_gap_us: token_gap_us.and_then(|gap| u32::try_from(gap).ok()),
-                }
-            }
+            AnswerKind::Events(watcher) => Usage {
+                cost: Cost(watcher.events()),
+                first_token_ms: u32::try_from(first_token.as_millis()).ok(),
+                token_gap_us: (now > first_byte_at)
+                    .then(|| self.window.gap_us(now, watcher.events()))
+                    .flatten(),
+            },
+            // A plain service's time to the first byte says nothing of its slots.
             AnswerKind::Plain => Usage {
                 cost: Cost((now - self.dispatched_at).as_millis() as u64),
-                first_token_ms,
+                first_token_ms: None,
                 token_gap_us: None,
             },
         }
@@ -180,6 +224,10 @@
         if this.is_done {
             return Poll::Ready(None);
         }
+        if let Some(bytes) = this.first.take() {
+            this.on_data(&bytes);
+            return Poll::Ready(Some(Ok(Frame::data(bytes))));
+        }
         let Poll::Ready(frame) = Pin::new(&mut this.incoming).poll_frame(context) else {
             ready!(this.idle.as_mut().poll(context));
             return Poll::Ready(this.fail(RelayError::Idle));
--- a/crates/daisynotch_standins/src/engine.rs
+++ b/crates/daisynotch_standins/src/engine.rs
@@ -255,7 +255,8 @@
             } else {
                 settings.token_gap
             };
-            tokio::time::sleep(pause * slowdown).await;
+            let crowding = answer.crowding(settings.batch);
+            tokio::time::sleep((pause * slowdown).mul_f64(crowding)).await;
             answer.sent += 1;
             answer.shared.tokens.fetch_add(1, Ordering::Relaxed);
             let event = format!(
