Ask an engine once for an answer that it gives as a whole

Cause: an idempotent request on a kept connection without a first byte for 3 s was sent again on a fresh one. An engine that answers as a whole is silent until its last token, so each such answer of over 3 s would have been made twice. Change: the caller of the client says which connection a request may use; for whole answers silence alone is not suspect, and the pool's first-byte timeout bounds it. Seen: a slow whole answer runs once where the old rule ran it twice; the other four tests of the client hold as before.

--- a/crates/daisynotch_platform/src/endpoint.rs
+++ b/crates/daisynotch_platform/src/endpoint.rs
@@ -74,6 +74,19 @@
     },
 }
 
+/// Which connection a request may use.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub enum ConnectionUse {
+    /// One of its own, since the request may not run twice.
+    Fresh,
+    /// A kept one; when it is silent for long, the request goes out on a fresh one.
+    KeptUnlessSilent,
+    /// A kept one, however long the answer takes to begin: an engine that answers
+    /// as a whole is silent until its last token, and must not be asked twice.
+    Kept,
+}
+
 /// Sends requests to endpoints.
 #[derive(Debug, Clone)]
 pub struct EndpointClient {
@@ -124,15 +137,20 @@
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
-        idempotent: bool,
+        connection_use: ConnectionUse,
         first_byte_timeout: Duration,
     ) -> Result<Response<Incoming>, EndpointError> {
         direct_to(address, &mut request)?;
-        if !idempotent {
-            return self.send_fresh(address, request, first_byte_timeout).await;
-        }
+        let silent_after = match connection_use {
+            ConnectionUse::Fresh => {
+                return self.send_fresh(address, request, first_byte_timeout).await;
+            }
+            ConnectionUse::KeptUnlessSilent => self.kept_silent_after,
+            ConnectionUse::Kept => first_byte_timeout,
+        };
         let again = request.clone();
-        match self.send_pooled(address, request, first_byte_timeout).await {
+        let pooled = self.send_pooled(address, request, silent_after, first_byte_timeout);
+        match pooled.await {
             Pooled::Answer(answer) => Ok(answer),
             Pooled::Error(error) => Err(error),
             Pooled::Suspect => self.send_fresh(address, again, first_byte_timeout).await,
@@ -154,11 +172,12 @@
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        silent_after: Duration,
         timeout: Duration,
     ) -> Pooled {
         let connection = capture_connection(&mut request);
         let mut answer = std::pin::pin!(self.pooled.request(request));
-        let first = self.kept_silent_after.min(timeout);
+        let first = silent_after.min(timeout);
         let mut ended = tokio::time::timeout(first, &mut answer).await;
         let near_end = near_end(&connection);
         let is_kept = near_end.is_some_and(|near_end| self.lock_used().contains(&near_end));
--- a/crates/daisynotch_platform/src/lib.rs
+++ b/crates/daisynotch_platform/src/lib.rs
@@ -15,7 +15,7 @@
     Change, ChangeId, ChangeRecord, ConfigStore, Conflict, HISTORY_MAX, Head, Published,
     StoreError, StoredHead, StoredObjects,
 };
-pub use endpoint::{EndpointClient, EndpointError, EndpointSettings};
+pub use endpoint::{ConnectionUse, EndpointClient, EndpointError, EndpointSettings};
 pub use host_list::{HostListClient, HostListError};
 pub use key_value::{
     CallObserver, CallResult, Condition, KeyValueClient, KeyValueError, KeyValueUse, ModRevision,
--- a/crates/daisynotch_platform/tests/endpoint.rs
+++ b/crates/daisynotch_platform/tests/endpoint.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use daisynotch_platform::{EndpointClient, EndpointError, EndpointSettings};
+use daisynotch_platform::{ConnectionUse, EndpointClient, EndpointError, EndpointSettings};
 use daisynotch_standins::{PlainService, SilencingProxy};
 use http_body_util::Full;
 use hyper::Request;
@@ -65,7 +65,9 @@
             Fault::Silence => Duration::from_millis(100),
             Fault::Close | Fault::HalfAnswer => HANG_GUARD,
         };
-        let answer = client.send(address, booking(), false, timeout).await;
+        let answer = client
+            .send(address, booking(), ConnectionUse::Fresh, timeout)
+            .await;
         assert!(matches!(answer, Err(EndpointError::NoAnswer { .. })));
         assert_eq!(received.recv().await, Some(()));
         assert!(received.try_recv().is_err(), "it was sent twice");
@@ -79,7 +81,9 @@
     let address = listener.local_addr().expect("the socket is bound");
     drop(listener);
     let client = EndpointClient::new(EndpointSettings::default());
-    let answer = client.send(address, booking(), false, HANG_GUARD).await;
+    let answer = client
+        .send(address, booking(), ConnectionUse::Fresh, HANG_GUARD)
+        .await;
     assert!(matches!(answer, Err(EndpointError::Unreachable { .. })));
 }
 
@@ -101,10 +105,10 @@
 async fn send(
     client: &EndpointClient,
     address: SocketAddr,
-    idempotent: bool,
+    connection_use: ConnectionUse,
 ) -> Result<u16, EndpointError> {
     let answer = client
-        .send(address, booking(), idempotent, HANG_GUARD)
+        .send(address, booking(), connection_use, HANG_GUARD)
         .await?;
     let status = answer.status().as_u16();
     // The connection is kept only when the answer was read to its end.
@@ -117,9 +121,15 @@
 async fn an_idempotent_request_on_a_silent_kept_connection_goes_out_on_a_fresh_one() {
     let (service, proxy) = start_service().await;
     let client = impatient();
-    assert_eq!(send(&client, proxy.address(), true).await, Ok(201));
+    assert_eq!(
+        send(&client, proxy.address(), ConnectionUse::KeptUnlessSilent).await,
+        Ok(201)
+    );
     proxy.silence_open_connections();
-    assert_eq!(send(&client, proxy.address(), true).await, Ok(201));
+    assert_eq!(
+        send(&client, proxy.address(), ConnectionUse::KeptUnlessSilent).await,
+        Ok(201)
+    );
     assert_eq!(
         service.runs_of("farm-7"),
         2,
@@ -131,8 +141,27 @@
 async fn a_call_that_may_not_run_twice_never_meets_a_kept_connection() {
     let (service, proxy) = start_service().await;
     let client = impatient();
-    assert_eq!(send(&client, proxy.address(), true).await, Ok(201));
+    assert_eq!(
+        send(&client, proxy.address(), ConnectionUse::KeptUnlessSilent).await,
+        Ok(201)
+    );
     proxy.silence_open_connections();
-    assert_eq!(send(&client, proxy.address(), false).await, Ok(201));
+    assert_eq!(
+        send(&client, proxy.address(), ConnectionUse::Fresh).await,
+        Ok(201)
+    );
     assert_eq!(service.runs_of("farm-7"), 2);
 }
+
+#[tokio::test]
+async fn a_slow_answer_that_is_asked_for_as_a_whole_is_not_asked_for_twice() {
+    let duration = Duration::from_millis(300);
+    let service = PlainService::start("/bookings", duration).await;
+    let service = service.expect("the fake starts");
+    let client = impatient();
+    for runs in 1..=2 {
+        let sent = send(&client, service.address(), ConnectionUse::Kept).await;
+        assert_eq!(sent, Ok(201));
+        assert_eq!(service.runs_of("farm-7"), runs);
+    }
+}
--- a/crates/daisynotch_router/src/api/inference.rs
+++ b/crates/daisynotch_router/src/api/inference.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use daisynotch_core::{Catalogue, Cost, PoolView, ReleaseReason, RequestSpec, RouteView};
+use daisynotch_platform::ConnectionUse;
 use http_body_util::{BodyExt, Limited};
 use hyper::header::{ACCEPT_ENCODING, CONTENT_TYPE};
 use serde::Deserialize;
@@ -70,7 +71,11 @@
     let outbound = Outbound {
         head,
         body,
-        idempotent: true,
+        connection_use: if chat.stream {
+            ConnectionUse::KeptUnlessSilent
+        } else {
+            ConnectionUse::Kept
+        },
         awaits_first_token: chat.stream,
         refusal_statuses: true,
         first_byte_timeout: pool.first_byte_timeout,
--- a/crates/daisynotch_router/src/api/keyed.rs
+++ b/crates/daisynotch_router/src/api/keyed.rs
@@ -12,7 +12,7 @@
     ClaimSeq, IdempotencyKey, IdempotencyRecords, IdempotencySettings, KeyDecision, KeyOutcome,
     KeyPrefix, Peer, Refusal, ReleaseReason, RequestFingerprint, TeamId,
 };
-use daisynotch_platform::{ClaimStore, Claimed};
+use daisynotch_platform::{ClaimStore, Claimed, ConnectionUse};
 use http_body_util::{BodyExt, Full};
 use hyper::HeaderMap;
 use hyper::body::Incoming;
@@ -347,7 +347,7 @@
     let request = hyper::Request::from_parts(head, Full::new(call.outbound.body));
     let sent = app
         .client
-        .send(address, request, false, call.forward_timeout)
+        .send(address, request, ConnectionUse::Fresh, call.forward_timeout)
         .await;
     sent.map(pass_on).map_err(|error| {
         log::warn!("a call could not be passed on to its key's owner: {error}");
--- a/crates/daisynotch_router/src/api/plain.rs
+++ b/crates/daisynotch_router/src/api/plain.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use daisynotch_core::{Cost, IdempotencyKey, KeyError, LengthClass, RequestSpec};
+use daisynotch_platform::ConnectionUse;
 use hyper::HeaderMap;
 use hyper::header::{AUTHORIZATION, HeaderName, HeaderValue};
 use tokio::time::Instant;
@@ -101,7 +102,11 @@
     let outbound = Outbound {
         head,
         body,
-        idempotent,
+        connection_use: if idempotent {
+            ConnectionUse::KeptUnlessSilent
+        } else {
+            ConnectionUse::Fresh
+        },
         awaits_first_token: false,
         refusal_statuses: false,
         first_byte_timeout: pool.first_byte_timeout,
--- a/crates/daisynotch_router/src/dispatch.rs
+++ b/crates/daisynotch_router/src/dispatch.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use daisynotch_core::{Catalogue, Cost, Dispatch, Input, Refusal, ReleaseReason, RequestId};
-use daisynotch_platform::{EndpointClient, EndpointError};
+use daisynotch_platform::{ConnectionUse, EndpointClient, EndpointError};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use http_body_util::{BodyExt, Full};
@@ -127,7 +127,7 @@
 pub(crate) struct Outbound {
     pub(crate) head: hyper::http::request::Parts,
     pub(crate) body: Bytes,
-    pub(crate) idempotent: bool,
+    pub(crate) connection_use: ConnectionUse,
     /// Whether an answer begins with its first token, and not with its head.
     pub(crate) awaits_first_token: bool,
     /// Whether the endpoint's statuses 429 and 503 say that the work did not run.
@@ -290,7 +290,7 @@
     let request = Request::from_parts(outbound.head.clone(), body);
     let timeout = outbound.first_byte_timeout;
     let response = client
-        .send(address, request, outbound.idempotent, timeout)
+        .send(address, request, outbound.connection_use, timeout)
         .await?;
     let refuses = matches!(
         response.status(),
