--- /dev/null
+++ b/crates/daisynotch_core/src/direct.rs
@@ -0,0 +1,35 @@
+//! Dispatch by each router on its own, from load digests that routers exchange.
+//!
+//! There is no scheduler to ask and none to lose: a router places what its own
+//! callers send, on what it sent itself and what the other routers said lately.
+//! A digest may be lost, late or doubled; the next one replaces it.
+//! See `docs/design/direct-dispatch.md`.
+
+mod digest;
+mod dispatcher;
+mod endpoints;
+mod engine;
+mod event_framer;
+mod health;
+mod hosts;
+mod pace;
+mod part_cache;
+mod retry_budget;
+mod routes;
+mod shares;
+mod waiting;
+
+pub use digest::{Digest, EndpointDigest, HostIntroduction, HostPhase, PlacedParts, TeamDigest};
+pub use dispatcher::{
+    Dispatcher, DispatcherSettings, Ended, Grant, QueueId, RefuseReason, RequestSpec, RunId,
+    Verdict,
+};
+pub use endpoints::{EndpointChange, EndpointEntry, EndpointList, EndpointState};
+pub use event_framer::EventFramer;
+pub use hosts::{Host, HostTable};
+pub use part_cache::{Part, Parts};
+pub use retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use routes::{
+    CallerLimits, EngineLimits, Route, RouteKind, RouteTable, ServiceView, TeamEntry,
+};
+pub use shares::{ShareSettings, TeamShares};
--- /dev/null
+++ b/crates/daisynotch_core/src/direct/digest.rs
@@ -0,0 +1,103 @@
+//! What routers tell each other.
+//!
+//! One digest fits a datagram. It holds sums and not changes, apart from the latest
+//! placements, so that a lost one does no lasting harm.
+
+use std::net::SocketAddr;
+
+use daisynotch_objects::{EndpointId, RouterId, RouterName, ZoneName};
+
+use super::part_cache::Parts;
+use crate::message::Incarnation;
+
+/// Whether callers should be sent to a router.
+#[daisynotch_macros::message]
+#[derive(Copy)]
+pub enum HostPhase {
+    /// It has no configuration yet.
+    Starting,
+    /// It takes callers.
+    Serving,
+    /// It ends what it has and takes no new callers.
+    Leaving,
+}
+
+/// Who a router is and where it can be reached.
+#[daisynotch_macros::message]
+pub struct HostIntroduction {
+    /// Its name.
+    pub router: RouterName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Tells its starts apart; a later one is higher.
+    pub incarnation: Incarnation,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where digests and questions of other routers go.
+    pub peer_address: SocketAddr,
+    /// Whether callers should be sent there.
+    pub phase: HostPhase,
+}
+
+impl HostIntroduction {
+    /// Gives the router's identifier.
+    pub fn id(&self) -> RouterId {
+        RouterId::from(&self.router)
+    }
+}
+
+/// A router's own load on one endpoint.
+#[daisynotch_macros::message]
+pub struct EndpointDigest {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Prompt tokens of requests that have not begun to answer.
+    pub unread_tokens: u32,
+    /// Requests that were sent and have not ended.
+    pub running: u16,
+    /// Tokens that these may hold in its memory.
+    pub memory_tokens: u32,
+    /// Whether the router passes it over.
+    pub is_suspect: bool,
+}
+
+/// What a team asked and began in the latest window, at one router.
+#[daisynotch_macros::message]
+pub struct TeamDigest {
+    /// The team, as a hash of its name.
+    pub team: u32,
+    /// Tokens of requests that arrived.
+    pub asked_tokens: u32,
+    /// Tokens of requests that were sent to an endpoint.
+    pub begun_tokens: u32,
+}
+
+/// The prompt of a request that went to an endpoint since the last digest.
+#[daisynotch_macros::message]
+pub struct PlacedParts {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The parts of the prompt.
+    pub parts: Parts,
+}
+
+/// What one router knows that the others need.
+#[daisynotch_macros::message]
+pub struct Digest {
+    /// Who sends it.
+    pub host: HostIntroduction,
+    /// Counts the digests of this start, so that a late one is told from a new one.
+    pub seq: u64,
+    /// The version of its configuration.
+    pub configuration_version: u64,
+    /// The store's revision up to which it has seen the endpoints' entries.
+    pub endpoints_revision: u64,
+    /// Its load on endpoints.
+    pub endpoints: Vec<EndpointDigest>,
+    /// What its teams asked and began.
+    pub teams: Vec<TeamDigest>,
+    /// Prompts that it placed.
+    pub placed: Vec<PlacedParts>,
+    /// A few of the routers that it knows, by where they take digests.
+    pub known_hosts: Vec<SocketAddr>,
+}
--- /dev/null
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -0,0 +1,694 @@
+//! Decides for each request of this router's callers: send it where, keep it, or refuse it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use daisynotch_objects::EndpointId;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::digest::{Digest, EndpointDigest, PlacedParts, TeamDigest};
+use super::endpoints::{EndpointChange, EndpointEntry};
+use super::engine::EndpointLoad;
+use super::pace::EnginePace;
+use super::part_cache::Parts;
+use super::retry_budget::{RetryBudget, RetryBudgetSettings};
+use super::routes::{EngineLimits, RouteTable};
+use super::shares::{ShareSettings, TeamShares};
+use super::waiting::{Rank, Waiting};
+use crate::time::Timestamp;
+
+/// The reading that an engine may have before it when a request is sent: enough to
+/// bridge the age of digests, short enough that order is decided here.
+const ENGINE_BACKLOG_MAX_MS: f64 = 220.0;
+/// The same for requests beyond their team's share, which must not delay others.
+const ENGINE_BACKLOG_BEYOND_SHARE_MS: f64 = 60.0;
+/// The part of the objective that is planned with; the rest is for the way back.
+const OBJECTIVE_USED_PART: f64 = 0.85;
+/// How long a request that can no longer be on time is kept, as a part of the time
+/// until its deadline.
+const LATE_KEPT_PART: f64 = 0.2;
+/// How long a request beyond its team's share is kept, as a part of its objective.
+const BEYOND_SHARE_KEPT_PART: f64 = 0.12;
+/// What the choice between equal endpoints is spread over, so that all routers pick
+/// the same home for a prompt that none of them keeps.
+const HOME_SPREAD_MS: f64 = 15.0;
+/// What another availability zone costs for each kilobyte of the request.
+const FAR_MS_PER_KB: f64 = 0.15;
+/// What a share of failures of 1 adds to an endpoint's cost.
+const FAILURE_COST_MS: f64 = 400.0;
+/// The pause between single requests to an endpoint that is passed over.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
+/// The part of an engine's memory that running requests may fill.
+const MEMORY_USED_PART: f64 = 0.85;
+/// A plain service's time before its first answer was seen.
+const PLAIN_FIRST_MS: f64 = 30.0;
+/// What one more answer weighs in a plain service's usual time.
+const PLAIN_GAIN: f64 = 0.05;
+/// Bounds of the time after which a refused caller is told to come back.
+const RETRY_AFTER_RANGE_MS: (f64, f64) = (150.0, 2_000.0);
+
+/// Identifies a request that waits here.
+#[daisynotch_macros::number]
+pub struct QueueId(pub u64);
+
+/// Identifies a request that was sent to an endpoint.
+#[daisynotch_macros::number]
+pub struct RunId(pub u64);
+
+/// What the decisions on one request need.
+#[derive(Debug, Clone)]
+pub struct RequestSpec {
+    /// The service that may run it.
+    pub service: Arc<str>,
+    /// Its team, as a hash of the name; none on anonymous routes.
+    pub team: Option<u32>,
+    /// Its rank; 0 is the most urgent.
+    pub priority: u32,
+    /// The parts of its prompt.
+    pub parts: Parts,
+    /// Its prompt's length.
+    pub prompt_tokens: u32,
+    /// The expected length of its answer.
+    pub answer_tokens: u32,
+    /// The bytes to be sent.
+    pub body_bytes: usize,
+    /// When it arrived.
+    pub arrived_at: Timestamp,
+    /// The time within which its answer should begin.
+    pub objective: Duration,
+    /// When the caller, or the operator, gives up.
+    pub give_up_at: Timestamp,
+    /// Endpoints that are not to be tried again.
+    pub tried: SmallVec<[EndpointId; 2]>,
+    /// Whether its answer must come from another attempt that was under way.
+    pub is_repeat: bool,
+}
+
+impl RequestSpec {
+    /// Gives the tokens by which teams share: a generated token counts twice.
+    pub fn shared_tokens(&self) -> u64 {
+        u64::from(self.prompt_tokens) + 2 * u64::from(self.answer_tokens)
+    }
+}
+
+/// Permission to send a request.
+#[daisynotch_macros::value]
+pub struct Grant {
+    /// Names the run until it ends.
+    pub run: RunId,
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The endpoint's name, for its own check.
+    pub endpoint_name: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The time until the answer begins, as expected.
+    pub expected: Duration,
+    /// Prompt tokens that the endpoint is taken to keep already.
+    pub cached_tokens: u32,
+    /// Prompt tokens that stand before this request there.
+    pub tokens_ahead: u64,
+}
+
+/// Why a request is refused.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub enum RefuseReason {
+    /// No endpoint of the service is known.
+    NoEndpoint,
+    /// The team has had its share and there is no idle capacity.
+    BeyondShare,
+    /// It can't begin in time.
+    NoRoom,
+}
+
+impl RefuseReason {
+    /// Gives the word for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoEndpoint => "no_endpoint",
+            Self::BeyondShare => "beyond_share",
+            Self::NoRoom => "no_room",
+        }
+    }
+}
+
+/// The decision on a waiting request.
+#[daisynotch_macros::value]
+pub enum Verdict {
+    /// Send it.
+    Send(Grant),
+    /// Tell the caller that it did not run, and when to come back.
+    Refuse {
+        /// Why.
+        reason: RefuseReason,
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// How a run ended.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub enum Ended {
+    /// With a whole answer.
+    Done,
+    /// With an answer that says that the work failed.
+    ErrorAnswer,
+    /// The endpoint said that it did not run it.
+    Refused,
+    /// No connection could be made.
+    Unreachable,
+    /// The connection broke or gave bytes that are no answer.
+    Broken,
+    /// The caller left, or its time was over.
+    Cancelled,
+}
+
+/// The settings of the decisions.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct DispatcherSettings {
+    /// What teams share.
+    pub shares: ShareSettings,
+    /// How much may be sent once more.
+    pub retry_budget: RetryBudgetSettings,
+}
+
+#[derive(Debug)]
+struct Run {
+    endpoint: EndpointId,
+    service: Arc<str>,
+    unread_tokens: u64,
+    memory_tokens: u64,
+    /// Tokens before it and in it, when it was sent.
+    tokens_to_read: f64,
+    expected_ms: f64,
+    sent_at: Timestamp,
+    due_at: Timestamp,
+    has_begun: bool,
+}
+
+#[derive(Debug, Default)]
+struct ServicePace {
+    engine: EnginePace,
+    plain_ms: Option<f64>,
+}
+
+/// A candidate with what sending there would cost.
+struct Choice {
+    endpoint: EndpointId,
+    cost_ms: f64,
+    backlog_ms: f64,
+    expected_ms: f64,
+    cached_tokens: u32,
+    tokens_ahead: u64,
+}
+
+/// All decisions of one router.
+#[derive(Debug)]
+pub struct Dispatcher {
+    own_zone: Arc<str>,
+    engines: HashMap<Arc<str>, Option<EngineLimits>>,
+    endpoints: HashMap<EndpointId, EndpointLoad>,
+    by_service: HashMap<Arc<str>, Vec<EndpointId>>,
+    paces: HashMap<Arc<str>, ServicePace>,
+    shares: TeamShares,
+    budget: RetryBudget,
+    waiting: Vec<Waiting>,
+    runs: HashMap<RunId, Run>,
+    placed: Vec<PlacedParts>,
+    next_id: u64,
+    routers: usize,
+}
+
+impl Dispatcher {
+    /// Starts without endpoints.
+    pub fn new(own_zone: Arc<str>, settings: DispatcherSettings) -> Self {
+        Self {
+            own_zone,
+            engines: HashMap::new(),
+            endpoints: HashMap::new(),
+            by_service: HashMap::new(),
+            paces: HashMap::new(),
+            shares: TeamShares::new(settings.shares),
+            budget: RetryBudget::new(settings.retry_budget),
+            waiting: Vec::new(),
+            runs: HashMap::new(),
+            placed: Vec::new(),
+            next_id: 0,
+            routers: 1,
+        }
+    }
+
+    /// Takes a new configuration.
+    pub fn on_routes(&mut self, table: &RouteTable) {
+        self.shares.set_tokens_per_s(table.limits.shared_tokens_per_s);
+        let services: Vec<Arc<str>> = self.by_service.keys().cloned().collect();
+        self.engines.clear();
+        for name in services {
+            let engine = table.service(&name).and_then(|service| service.engine);
+            for id in &self.by_service[&name] {
+                if let Some(load) = self.endpoints.get_mut(id)
+                    && load.engine != engine
+                {
+                    *load = EndpointLoad::new(load.entry.clone(), engine);
+                }
+            }
+            self.engines.insert(name, engine);
+        }
+    }
+
+    /// Takes a change of the endpoints; `table` says what their services are.
+    pub fn on_endpoint(&mut self, change: EndpointChange, table: &RouteTable) {
+        match change {
+            EndpointChange::Usable(entry) => self.add_endpoint(entry, table),
+            EndpointChange::Closed(id) => self.remove_endpoint(id),
+        }
+    }
+
+    /// Takes the number of routers that share the retry budget.
+    pub fn set_routers(&mut self, routers: usize) {
+        self.routers = routers.max(1);
+    }
+
+    /// Notes a caller's request, for the shares and the budget.
+    pub fn on_request(&mut self, spec: &RequestSpec, now: Timestamp) {
+        self.budget.on_request(&spec.service, now);
+        if let Some(team) = spec.team {
+            self.shares.on_asked(team, spec.shared_tokens(), now);
+        }
+    }
+
+    /// Takes one repeat out of the budget, unless it is spent.
+    pub fn take_repeat(&mut self, service: &Arc<str>, now: Timestamp) -> bool {
+        self.budget.take(service, self.routers, now)
+    }
+
+    /// Lets a request wait; [`Self::pump`] decides on it.
+    pub fn submit(&mut self, spec: RequestSpec, now: Timestamp) -> QueueId {
+        let id = QueueId(self.next_id());
+        let queued_at = now;
+        self.waiting.push(Waiting { id, spec, queued_at });
+        id
+    }
+
+    /// Forgets a waiting request whose caller left.
+    pub fn withdraw(&mut self, id: QueueId) {
+        self.waiting.retain(|waiting| waiting.id != id);
+    }
+
+    /// Says whether requests wait.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Gives the number of requests that wait.
+    pub fn waiting_len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Gives the number of requests at endpoints.
+    pub fn running_len(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Decides on all requests that wait, in their order.
+    pub fn pump(&mut self, now: Timestamp) -> Vec<(QueueId, Verdict)> {
+        let mut verdicts = Vec::new();
+        let waiting = std::mem::take(&mut self.waiting);
+        let mut ranked: Vec<(Rank, Waiting)> = waiting
+            .into_iter()
+            .map(|waiting| (self.rank(&waiting.spec, now), waiting))
+            .collect();
+        ranked.sort_by(|(left, _), (right, _)| left.compare(right));
+        let mut tokens_waiting = 0;
+        for (_, waiting) in ranked {
+            // Earlier grants of this round may have used the rest of the share.
+            let rank = self.rank(&waiting.spec, now);
+            match self.decide(&waiting, rank, tokens_waiting, now) {
+                Some(verdict) => verdicts.push((waiting.id, verdict)),
+                None => {
+                    tokens_waiting += u64::from(waiting.spec.prompt_tokens);
+                    self.waiting.push(waiting);
+                }
+            }
+        }
+        verdicts
+    }
+
+    /// Notes bytes of an answer; the first ones say how long it took to begin.
+    pub fn on_bytes(&mut self, run: RunId, now: Timestamp) {
+        let Some(run) = self.runs.get_mut(&run) else {
+            return;
+        };
+        let Some(load) = self.endpoints.get_mut(&run.endpoint) else {
+            return;
+        };
+        load.health.on_heard(now);
+        if run.has_begun {
+            return;
+        }
+        run.has_begun = true;
+        load.own.unread_tokens = load.own.unread_tokens.saturating_sub(run.unread_tokens);
+        run.unread_tokens = 0;
+        let taken = now.since(run.sent_at);
+        load.slowdown.observe(taken.as_secs_f64() * 1e3, run.expected_ms);
+        let pace = self.paces.entry(Arc::clone(&run.service)).or_default();
+        if load.engine.is_some() {
+            pace.engine.observe(run.tokens_to_read, taken);
+        } else {
+            let taken_ms = taken.as_secs_f64() * 1e3;
+            let usual_ms = pace.plain_ms.get_or_insert(taken_ms);
+            *usual_ms += PLAIN_GAIN * (taken_ms - *usual_ms);
+        }
+        let endpoint = run.endpoint;
+        self.refresh_due(endpoint);
+    }
+
+    /// Ends a run.
+    pub fn on_ended(&mut self, run: RunId, ended: Ended, now: Timestamp) {
+        let Some(run) = self.runs.remove(&run) else {
+            return;
+        };
+        if let Some(load) = self.endpoints.get_mut(&run.endpoint) {
+            load.own.running = load.own.running.saturating_sub(1);
+            load.own.unread_tokens = load.own.unread_tokens.saturating_sub(run.unread_tokens);
+            load.own.memory_tokens = load.own.memory_tokens.saturating_sub(run.memory_tokens);
+            match ended {
+                Ended::Done => load.health.on_success(),
+                Ended::ErrorAnswer | Ended::Refused => load.health.on_error_answer(now),
+                Ended::Unreachable => load.health.on_broken(now, true),
+                Ended::Broken => load.health.on_broken(now, false),
+                Ended::Cancelled => {}
+            }
+        }
+        self.refresh_due(run.endpoint);
+    }
+
+    /// Says whether the endpoint of a run owes an answer for too long.
+    pub fn is_silent(&self, run: RunId, now: Timestamp) -> bool {
+        let run = self.runs.get(&run);
+        let load = run.and_then(|run| self.endpoints.get(&run.endpoint));
+        load.is_some_and(|load| load.health.is_silent(now))
+    }
+
+    /// Takes another router's digest.
+    pub fn on_digest(&mut self, digest: &Digest, now: Timestamp) {
+        let router = digest.host.id();
+        self.shares.on_peer(router, &digest.teams, now);
+        for (id, load) in &mut self.endpoints {
+            match digest.endpoints.iter().find(|named| named.endpoint == *id) {
+                Some(named) => load.on_peer(router, named, now),
+                None => load.forget_peer(router),
+            }
+        }
+        for placed in &digest.placed {
+            if let Some(load) = self.endpoints.get_mut(&placed.endpoint) {
+                load.cache.insert(&placed.parts);
+            }
+        }
+    }
+
+    /// Gives what the other routers need to know; placements are given once.
+    pub fn to_digest(
+        &mut self,
+        now: Timestamp,
+    ) -> (Vec<EndpointDigest>, Vec<TeamDigest>, Vec<PlacedParts>) {
+        let endpoints = self.endpoints.iter();
+        let endpoints = endpoints.filter_map(|(id, load)| load.to_digest(*id, now));
+        let endpoints = endpoints.collect();
+        let placed = std::mem::take(&mut self.placed);
+        (endpoints, self.shares.own_sums(now), placed)
+    }
+
+    fn next_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    fn add_endpoint(&mut self, entry: EndpointEntry, table: &RouteTable) {
+        let id = entry.id();
+        if let Some(load) = self.endpoints.get_mut(&id) {
+            let moved = load.entry.service != entry.service;
+            load.entry = entry;
+            if !moved {
+                return;
+            }
+            self.remove_endpoint(id);
+            return;
+        }
+        let engine = table.service(&entry.service).and_then(|service| service.engine);
+        let service = Arc::clone(&entry.service);
+        self.engines.insert(Arc::clone(&service), engine);
+        self.by_service.entry(service).or_default().push(id);
+        self.endpoints.insert(id, EndpointLoad::new(entry, engine));
+    }
+
+    fn remove_endpoint(&mut self, id: EndpointId) {
+        if let Some(load) = self.endpoints.remove(&id)
+            && let Some(of_service) = self.by_service.get_mut(&load.entry.service)
+        {
+            of_service.retain(|other| *other != id);
+        }
+    }
+
+    fn rank(&mut self, spec: &RequestSpec, now: Timestamp) -> Rank {
+        let is_beyond_share = spec
+            .team
+            .is_some_and(|team| self.shares.used_part(team, spec.shared_tokens(), now) > 1.0);
+        Rank {
+            is_late: self.is_late(spec, now),
+            is_beyond_share,
+            priority: spec.priority,
+            arrived_at: spec.arrived_at,
+        }
+    }
+
+    /// Says whether a request could not be on time even at an idle engine.
+    fn is_late(&self, spec: &RequestSpec, now: Timestamp) -> bool {
+        let waited = now.since(spec.arrived_at);
+        let base_ms = match self.paces.get(&spec.service) {
+            Some(pace) if self.is_engine(&spec.service) => pace.engine.base_ms(),
+            _ => 0.0,
+        };
+        waited.as_secs_f64() * 1e3 + base_ms > self.planned_ms(spec)
+    }
+
+    fn is_engine(&self, service: &str) -> bool {
+        self.engines.get(service).is_some_and(Option::is_some)
+    }
+
+    fn planned_ms(&self, spec: &RequestSpec) -> f64 {
+        spec.objective.as_secs_f64() * 1e3 * OBJECTIVE_USED_PART
+    }
+
+    /// Decides on one request; none means that it waits on.
+    fn decide(
+        &mut self,
+        waiting: &Waiting,
+        rank: Rank,
+        tokens_waiting: u64,
+        now: Timestamp,
+    ) -> Option<Verdict> {
+        let spec = &waiting.spec;
+        let refuse = |reason, after_ms: f64| {
+            let (low, high) = RETRY_AFTER_RANGE_MS;
+            // Spread by the identifier, so that those refused together return apart.
+            let spread = 1.0 + (waiting.id.0 % 16) as f64 / 16.0;
+            let after_ms = (after_ms * spread).clamp(low, high);
+            let retry_after = Duration::from_secs_f64(after_ms / 1e3);
+            Some(Verdict::Refuse {
+                reason,
+                retry_after,
+            })
+        };
+        let waited = now.since(waiting.queued_at);
+        let Some(choice) = self.choose(spec, now) else {
+            let kept = spec.objective.mul_f64(BEYOND_SHARE_KEPT_PART);
+            return if waited < kept {
+                None
+            } else {
+                refuse(RefuseReason::NoEndpoint, 300.0)
+            };
+        };
+        let backlog_max_ms = if rank.is_beyond_share {
+            ENGINE_BACKLOG_BEYOND_SHARE_MS
+        } else {
+            ENGINE_BACKLOG_MAX_MS
+        };
+        if choice.backlog_ms <= backlog_max_ms {
+            return Some(Verdict::Send(self.grant(spec, choice, now)));
+        }
+        let reading_ms = self
+            .paces
+            .get(&spec.service)
+            .map_or(0.0, |pace| pace.engine.reading_ms(tokens_waiting as f64));
+        let kept = if rank.is_beyond_share {
+            spec.objective.mul_f64(BEYOND_SHARE_KEPT_PART)
+        } else {
+            let left = spec.give_up_at.since(spec.arrived_at);
+            spec.objective.max(left.mul_f64(LATE_KEPT_PART))
+        };
+        if now.since(spec.arrived_at) < kept {
+            return None;
+        }
+        let reason = if rank.is_beyond_share {
+            RefuseReason::BeyondShare
+        } else {
+            RefuseReason::NoRoom
+        };
+        refuse(reason, reading_ms + choice.backlog_ms)
+    }
+
+    /// Finds the endpoint at which a request would cost least.
+    fn choose(&mut self, spec: &RequestSpec, now: Timestamp) -> Option<Choice> {
+        let ids = self.by_service.get(&spec.service)?;
+        let pace = self.paces.entry(Arc::clone(&spec.service)).or_default();
+        let session = spec.parts.iter().rev().nth(1).or(spec.parts.first());
+        let session = session.map_or(0, |part| part.id);
+        let mut best: Option<Choice> = None;
+        let mut fallback: Option<Choice> = None;
+        for id in ids {
+            let Some(load) = self.endpoints.get(id) else {
+                continue;
+            };
+            if spec.tried.contains(id) {
+                continue;
+            }
+            let Some(mut choice) = choice(*id, load, spec, pace, now) else {
+                continue;
+            };
+            let home = xxh3_64_with_seed(&id.0.to_le_bytes(), u64::from(session));
+            choice.cost_ms += HOME_SPREAD_MS * (home as u32 as f64 / f64::from(u32::MAX));
+            if load.entry.zone != self.own_zone {
+                choice.cost_ms += FAR_MS_PER_KB * spec.body_bytes as f64 / 1e3;
+            }
+            let slot = if load.is_suspect(now) {
+                if now.since(load.tried_at) < TRIAL_INTERVAL {
+                    continue;
+                }
+                &mut fallback
+            } else {
+                &mut best
+            };
+            if slot.as_ref().is_none_or(|best| choice.cost_ms < best.cost_ms) {
+                *slot = Some(choice);
+            }
+        }
+        if best.is_none()
+            && let Some(trial) = &fallback
+            && let Some(load) = self.endpoints.get_mut(&trial.endpoint)
+        {
+            load.tried_at = now;
+        }
+        best.or(fallback)
+    }
+
+    fn grant(&mut self, spec: &RequestSpec, choice: Choice, now: Timestamp) -> Grant {
+        let id = RunId(self.next_id());
+        let load = self
+            .endpoints
+            .get_mut(&choice.endpoint)
+            .expect("the choice is among the endpoints");
+        let unread_tokens = u64::from(spec.prompt_tokens.saturating_sub(choice.cached_tokens));
+        let memory_tokens = u64::from(spec.prompt_tokens) + u64::from(spec.answer_tokens);
+        load.own.running += 1;
+        load.own.unread_tokens += unread_tokens;
+        load.own.memory_tokens += memory_tokens;
+        let expected = Duration::from_secs_f64(choice.expected_ms / 1e3);
+        let run = Run {
+            endpoint: choice.endpoint,
+            service: Arc::clone(&spec.service),
+            unread_tokens,
+            memory_tokens,
+            tokens_to_read: (choice.tokens_ahead + unread_tokens) as f64,
+            expected_ms: choice.expected_ms,
+            sent_at: now,
+            due_at: now + expected.mul_f64(1.5),
+            has_begun: false,
+        };
+        if !spec.parts.is_empty() {
+            load.cache.insert(&spec.parts);
+            let placed = PlacedParts {
+                endpoint: choice.endpoint,
+                parts: spec.parts.clone(),
+            };
+            self.placed.push(placed);
+        }
+        let grant = Grant {
+            run: id,
+            endpoint: choice.endpoint,
+            endpoint_name: Arc::clone(&load.entry.name),
+            address: load.entry.address,
+            expected,
+            cached_tokens: choice.cached_tokens,
+            tokens_ahead: choice.tokens_ahead,
+        };
+        self.runs.insert(id, run);
+        if let Some(team) = spec.team {
+            self.shares.on_begun(team, spec.shared_tokens(), now);
+        }
+        self.refresh_due(choice.endpoint);
+        grant
+    }
+
+    /// Works out when an endpoint's next answer should begin.
+    fn refresh_due(&mut self, endpoint: EndpointId) {
+        let runs = self.runs.values();
+        let waiting = runs.filter(|run| run.endpoint == endpoint && !run.has_begun);
+        let due_at = waiting.map(|run| run.due_at).min();
+        if let Some(load) = self.endpoints.get_mut(&endpoint) {
+            load.health.expect_answer(due_at);
+        }
+    }
+}
+
+/// Works out what sending a request to an endpoint costs; none if it has no room.
+fn choice(
+    id: EndpointId,
+    load: &EndpointLoad,
+    spec: &RequestSpec,
+    pace: &ServicePace,
+    now: Timestamp,
+) -> Option<Choice> {
+    let total = load.total(now);
+    let slowdown = load.slowdown.0;
+    let failure_ms = FAILURE_COST_MS * load.health.failure_share();
+    let Some(engine) = load.engine else {
+        let usual_ms = pace.plain_ms.unwrap_or(PLAIN_FIRST_MS) * slowdown;
+        let busy = f64::from(total.running) / f64::from(load.entry.slots.max(1));
+        // Below its slots an endpoint answers at its usual speed; beyond them work queues.
+        let backlog_ms = usual_ms * (busy - 1.0).max(0.0).ceil();
+        return Some(Choice {
+            endpoint: id,
+            cost_ms: usual_ms * (1.0 + busy) + failure_ms,
+            backlog_ms,
+            expected_ms: usual_ms * (1.0 + busy.floor()),
+            cached_tokens: 0,
+            tokens_ahead: 0,
+        });
+    };
+    let memory = total.memory_tokens + u64::from(spec.prompt_tokens) + u64::from(spec.answer_tokens);
+    let is_full = total.running >= engine.slots
+        || memory as f64 > engine.memory_tokens as f64 * MEMORY_USED_PART;
+    // A request larger than what is left may still run alone.
+    if is_full && total.running > 0 {
+        return None;
+    }
+    let cached_tokens = load.cache.cached_tokens(&spec.parts);
+    let unread = f64::from(spec.prompt_tokens.saturating_sub(cached_tokens));
+    let backlog_ms = pace.engine.reading_ms(total.unread_tokens as f64) * slowdown;
+    let own_ms = pace.engine.reading_ms(unread) * slowdown;
+    let base_ms = pace.engine.base_ms();
+    Some(Choice {
+        endpoint: id,
+        cost_ms: backlog_ms + own_ms + base_ms * slowdown + failure_ms,
+        backlog_ms,
+        expected_ms: backlog_ms + own_ms + base_ms,
+        cached_tokens,
+        tokens_ahead: total.unread_tokens,
+    })
+}
--- /dev/null
+++ b/crates/daisynotch_core/src/direct/endpoints.rs
@@ -0,0 +1,183 @@
+//! The endpoints that registered themselves, as the store last showed them.
+//!
+//! Load pattern: endpoints come, drain, crash and return under the same name while
+//! some of their reports arrive late or twice. An older report never undoes a newer
+//! one, and an entry that lapsed during an outage of the store is kept for as long
+//! as the store grants its owner to write it again.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use daisynotch_objects::EndpointId;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::time::Timestamp;
+
+/// How long an entry that vanished right after an outage of the store is kept.
+///
+/// Owners that live write theirs again within about two seconds of its return.
+const LAPSED_KEPT: Duration = Duration::from_millis(2_300);
+/// How long the reports of an endpoint that has gone are remembered.
+const GONE_REMEMBERED: Duration = Duration::from_secs(30);
+
+/// Whether new requests may go to an endpoint.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub enum EndpointState {
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has and leaves.
+    Draining,
+}
+
+/// What an endpoint said of itself.
+#[daisynotch_macros::value]
+pub struct EndpointEntry {
+    /// Its name; a restart may keep it.
+    pub name: Arc<str>,
+    /// Tells its starts apart: the wall-clock time of the start, in milliseconds.
+    pub started_unix_ms: u64,
+    /// Counts its reports since the start.
+    pub report_seq: u64,
+    /// The service that it belongs to.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes requests.
+    pub state: EndpointState,
+}
+
+impl EndpointEntry {
+    /// Identifies this start of the endpoint on all routers.
+    pub fn id(&self) -> EndpointId {
+        let hash = xxh3_64_with_seed(self.name.as_bytes(), self.started_unix_ms);
+        EndpointId(hash as u32)
+    }
+
+    fn age_key(&self) -> (u64, u64) {
+        (self.started_unix_ms, self.report_seq)
+    }
+}
+
+/// What a change means for those who place requests.
+#[daisynotch_macros::value]
+pub enum EndpointChange {
+    /// An endpoint is new or said something new of itself.
+    Usable(EndpointEntry),
+    /// No new request may go there.
+    Closed(EndpointId),
+}
+
+#[derive(Debug)]
+struct Known {
+    entry: EndpointEntry,
+    /// When the entry vanished, if it did and is still used.
+    lapsed_at: Option<Timestamp>,
+}
+
+/// All endpoints that are known.
+#[derive(Debug, Default)]
+pub struct EndpointList {
+    known: HashMap<Arc<str>, Known>,
+    gone: HashMap<Arc<str>, ((u64, u64), Timestamp)>,
+    /// Until when a vanished entry may be one that lapsed in an outage.
+    lapses_until: Timestamp,
+}
+
+impl EndpointList {
+    /// Notes that the store answers again after an outage.
+    pub fn on_store_return(&mut self, now: Timestamp) {
+        self.lapses_until = now + LAPSED_KEPT;
+    }
+
+    /// Takes a report; an older one than the last is ignored.
+    pub fn write(&mut self, entry: EndpointEntry) -> Vec<EndpointChange> {
+        let mut changes = Vec::new();
+        if let Some((last, _)) = self.gone.get(&entry.name)
+            && entry.age_key() <= *last
+        {
+            return changes;
+        }
+        if let Some(known) = self.known.get(&entry.name) {
+            if entry.age_key() < known.entry.age_key() {
+                return changes;
+            }
+            if known.entry.id() != entry.id() {
+                changes.push(EndpointChange::Closed(known.entry.id()));
+            }
+        }
+        self.gone.remove(&entry.name);
+        changes.push(match entry.state {
+            EndpointState::Ready => EndpointChange::Usable(entry.clone()),
+            EndpointState::Draining => EndpointChange::Closed(entry.id()),
+        });
+        let name = Arc::clone(&entry.name);
+        let lapsed_at = None;
+        self.known.insert(name, Known { entry, lapsed_at });
+        changes
+    }
+
+    /// Takes the removal of an entry, or one that can't be read.
+    pub fn remove(&mut self, name: &str, now: Timestamp) -> Vec<EndpointChange> {
+        let Some(known) = self.known.get_mut(name) else {
+            return Vec::new();
+        };
+        if now < self.lapses_until {
+            known.lapsed_at.get_or_insert(now);
+            return Vec::new();
+        }
+        self.forget(name, now)
+    }
+
+    /// Takes a whole listing: what it lacks has vanished.
+    pub fn replace(&mut self, entries: Vec<EndpointEntry>, now: Timestamp) -> Vec<EndpointChange> {
+        let names = self.known.keys();
+        let is_listed = |name: &Arc<str>| entries.iter().any(|entry| entry.name == *name);
+        let missing: Vec<Arc<str>> = names.filter(|name| !is_listed(name)).cloned().collect();
+        let mut changes = Vec::new();
+        for name in missing {
+            changes.extend(self.remove(&name, now));
+        }
+        for entry in entries {
+            changes.extend(self.write(entry));
+        }
+        changes
+    }
+
+    /// Gives up entries that lapsed and did not come back in time.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<EndpointChange> {
+        self.gone
+            .retain(|_, (_, at)| now.since(*at) < GONE_REMEMBERED);
+        if now < self.lapses_until {
+            return Vec::new();
+        }
+        let lapsed = self.known.iter().filter(|(_, known)| known.lapsed_at.is_some());
+        let lapsed: Vec<Arc<str>> = lapsed.map(|(name, _)| Arc::clone(name)).collect();
+        lapsed
+            .iter()
+            .flat_map(|name| self.forget(name, now))
+            .collect()
+    }
+
+    /// Gives all entries, for routers that can't reach the store.
+    pub fn entries(&self) -> impl Iterator<Item = &EndpointEntry> {
+        self.known.values().map(|known| &known.entry)
+    }
+
+    fn forget(&mut self, name: &str, now: Timestamp) -> Vec<EndpointChange> {
+        let Some((name, known)) = self.known.remove_entry(name) else {
+            return Vec::new();
+        };
+        self.gone.insert(name, (known.entry.age_key(), now));
+        vec![EndpointChange::Closed(known.entry.id())]
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daisynotch_core/src/direct/health.rs
@@ -0,0 +1,95 @@
+//! Whether an endpoint deserves new requests, on the evidence of its answers.
+//!
+//! Load pattern: endpoints crash without a word, fall silent with connections
+//! open, or fail part of their requests while their health check is good. An
+//! endpoint is passed over after failures and tried again by single requests.
+
+use std::time::Duration;
+
+use crate::time::Timestamp;
+
+/// What one more answer weighs in the share of failures.
+const FAILURE_GAIN: f64 = 0.2;
+/// The share of failures from which an endpoint is passed over.
+const FAILURE_SHARE_MAX: f64 = 0.5;
+/// For how long it is passed over at first; each failure in a row doubles it.
+const PAUSE_FIRST: Duration = Duration::from_millis(400);
+/// The longest time for which it is passed over: below an engine's usual restart of 4 s.
+const PAUSE_MAX: Duration = Duration::from_millis(1_600);
+/// Silence beyond what was expected after which an endpoint is suspect.
+const SILENCE_MAX: Duration = Duration::from_millis(350);
+
+/// What is known of one endpoint's health.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Health {
+    failure_share: f64,
+    failures_in_row: u32,
+    paused_until: Timestamp,
+    heard_at: Timestamp,
+    /// When the oldest of the answers that are waited for should have begun.
+    answer_due_at: Option<Timestamp>,
+}
+
+impl Health {
+    /// Notes any byte of an answer.
+    pub(crate) fn on_heard(&mut self, now: Timestamp) {
+        self.heard_at = now;
+    }
+
+    /// Notes when the next answer should begin.
+    pub(crate) fn expect_answer(&mut self, due_at: Option<Timestamp>) {
+        self.answer_due_at = due_at;
+    }
+
+    pub(crate) fn on_success(&mut self) {
+        self.failure_share *= 1.0 - FAILURE_GAIN;
+        self.failures_in_row = 0;
+    }
+
+    /// Notes an answer that says that the work failed.
+    pub(crate) fn on_error_answer(&mut self, now: Timestamp) {
+        self.failure_share += FAILURE_GAIN * (1.0 - self.failure_share);
+        if self.failure_share > FAILURE_SHARE_MAX {
+            self.pause(now);
+        }
+    }
+
+    /// Notes a connection that could not be made or that broke.
+    pub(crate) fn on_broken(&mut self, now: Timestamp, is_connect: bool) {
+        self.failure_share += FAILURE_GAIN * (1.0 - self.failure_share);
+        if is_connect || self.failure_share > FAILURE_SHARE_MAX {
+            self.pause(now);
+        }
+    }
+
+    /// Says whether the endpoint owes an answer for too long.
+    pub(crate) fn is_silent(&self, now: Timestamp) -> bool {
+        self.answer_due_at.is_some_and(|due_at| {
+            now.since(due_at.max(self.heard_at)) > SILENCE_MAX
+        })
+    }
+
+    /// Says whether new requests should go elsewhere.
+    pub(crate) fn is_suspect(&self, now: Timestamp) -> bool {
+        now < self.paused_until || self.is_silent(now)
+    }
+
+    /// Says whether it gave a sign of life lately.
+    pub(crate) fn heard_within(&self, now: Timestamp, window: Duration) -> bool {
+        self.heard_at > Timestamp::default() && now.since(self.heard_at) < window
+    }
+
+    /// Gives the share of failures among the latest answers, from 0 to 1.
+    pub(crate) fn failure_share(&self) -> f64 {
+        self.failure_share
+    }
+
+    fn pause(&mut self, now: Timestamp) {
+        let doubled = PAUSE_FIRST * 2_u32.saturating_pow(self.failures_in_row.min(8));
+        self.paused_until = now + doubled.min(PAUSE_MAX);
+        self.failures_in_row += 1;
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daisynotch_core/src/direct/hosts.rs
@@ -0,0 +1,119 @@
+//! Which routers there are, and to which of them callers are sent.
+//!
+//! Load pattern: hosts are killed, frozen, cut off and replaced while callers ask
+//! where to connect. A router whose digests stop is no longer given out within
+//! half a second; a router that hears nobody takes itself to be the one cut off
+//! and gives out all that it knew.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use daisynotch_objects::RouterId;
+
+use super::digest::{Digest, HostIntroduction, HostPhase};
+use crate::time::Timestamp;
+
+/// Silence after which a router is not given out: five digests at their slowest.
+const ABSENT_AFTER: Duration = Duration::from_millis(700);
+/// Silence after which a router is forgotten.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
+
+/// Another router.
+#[daisynotch_macros::value]
+pub struct Host {
+    /// Who it is.
+    pub introduction: HostIntroduction,
+    /// When its latest digest came.
+    pub heard_at: Timestamp,
+    /// The version of its configuration.
+    pub configuration_version: u64,
+    /// The store's revision up to which it has seen the endpoints.
+    pub endpoints_revision: u64,
+    last_seq: u64,
+}
+
+/// All routers that are known.
+#[derive(Debug, Default)]
+pub struct HostTable {
+    hosts: HashMap<RouterId, Host>,
+    /// Addresses that were named by others or found in the store.
+    hinted: BTreeMap<SocketAddr, Timestamp>,
+}
+
+impl HostTable {
+    /// Takes an address at which there may be a router.
+    pub fn hint(&mut self, address: SocketAddr, now: Timestamp) {
+        self.hinted.entry(address).or_insert(now);
+    }
+
+    /// Takes a digest's introduction; gives `false` for one that is late or doubled.
+    pub fn on_digest(&mut self, digest: &Digest, now: Timestamp) -> bool {
+        let id = digest.host.id();
+        if let Some(known) = self.hosts.get(&id) {
+            let last = (known.introduction.incarnation, known.last_seq);
+            if (digest.host.incarnation, digest.seq) <= last {
+                return false;
+            }
+        }
+        self.hinted.remove(&digest.host.peer_address);
+        let host = Host {
+            introduction: digest.host.clone(),
+            heard_at: now,
+            configuration_version: digest.configuration_version,
+            endpoints_revision: digest.endpoints_revision,
+            last_seq: digest.seq,
+        };
+        self.hosts.insert(id, host);
+        for address in &digest.known_hosts {
+            let is_known = self.hosts.values().any(|host| host.introduction.peer_address == *address);
+            if !is_known {
+                self.hint(*address, now);
+            }
+        }
+        true
+    }
+
+    /// Gives where digests go: all known routers, and places where one may be.
+    pub fn peer_addresses(&mut self, now: Timestamp) -> Vec<SocketAddr> {
+        self.hosts.retain(|_, host| now.since(host.heard_at) < FORGOTTEN_AFTER);
+        self.hinted.retain(|_, at| now.since(*at) < FORGOTTEN_AFTER);
+        let known = self.hosts.values().map(|host| host.introduction.peer_address);
+        let mut addresses: Vec<SocketAddr> = known.chain(self.hinted.keys().copied()).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
+    /// Gives routers that were heard lately.
+    pub fn present(&self, now: Timestamp) -> impl Iterator<Item = &Host> {
+        self.hosts
+            .values()
+            .filter(move |host| now.since(host.heard_at) < ABSENT_AFTER)
+    }
+
+    /// Gives the number of routers that share work, this one included.
+    pub fn fleet_len(&self) -> usize {
+        let leaving = |host: &&Host| host.introduction.phase != HostPhase::Leaving;
+        1 + self.hosts.values().filter(leaving).count()
+    }
+
+    /// Gives where callers may connect, this router first if it takes them.
+    pub fn caller_addresses(&self, own: &HostIntroduction, now: Timestamp, max: usize) -> Vec<SocketAddr> {
+        let serving = |host: &&Host| host.introduction.phase == HostPhase::Serving;
+        let mut hosts: Vec<&Host> = self.present(now).filter(serving).collect();
+        if hosts.is_empty() {
+            hosts = self.hosts.values().filter(serving).collect();
+        }
+        hosts.sort_unstable_by_key(|host| {
+            let is_far = host.introduction.zone != own.zone;
+            (is_far, host.introduction.caller_address)
+        });
+        let own_address = (own.phase == HostPhase::Serving).then_some(own.caller_address);
+        let others = hosts.iter().map(|host| host.introduction.caller_address);
+        own_address.into_iter().chain(others).take(max).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daisynotch_core/src/direct/retry_budget.rs
@@ -0,0 +1,94 @@
+//! How many requests may be sent once more.
+//!
+//! Load pattern: a fault of many endpoints makes every router repeat at once, and
+//! the repeats are the overload. All routers draw on one budget without asking each
+//! other: each has its own part of the fixed allowance, and a share of the requests
+//! that it saw itself.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::time::Timestamp;
+
+/// The part of the budget that is used; the rest covers routers that restart and
+/// have forgotten what they spent, and windows that differ by a moment.
+const USED_PART: f64 = 0.75;
+
+/// The budget that all routers share.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryBudgetSettings {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Repeats allowed besides, in one window, on all routers together.
+    pub allowance: f64,
+    /// The length of the window.
+    pub window: Duration,
+}
+
+impl Default for RetryBudgetSettings {
+    fn default() -> Self {
+        Self {
+            ratio: 0.1,
+            allowance: 10.0,
+            window: Duration::from_secs(10),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Window {
+    requests: VecDeque<Timestamp>,
+    repeats: VecDeque<Timestamp>,
+}
+
+/// This router's part of the budget, for each service.
+#[derive(Debug, Default)]
+pub struct RetryBudget {
+    settings: RetryBudgetSettings,
+    services: HashMap<Arc<str>, Window>,
+}
+
+impl RetryBudget {
+    /// Makes a budget of which nothing is spent.
+    pub fn new(settings: RetryBudgetSettings) -> Self {
+        Self {
+            settings,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Notes a caller's request.
+    pub fn on_request(&mut self, service: &Arc<str>, now: Timestamp) {
+        let window = self.services.entry(Arc::clone(service)).or_default();
+        window.requests.push_back(now);
+        window.trim(now, self.settings.window);
+    }
+
+    /// Takes one repeat out of the budget, unless it is spent.
+    pub fn take(&mut self, service: &Arc<str>, routers: usize, now: Timestamp) -> bool {
+        let settings = self.settings;
+        let window = self.services.entry(Arc::clone(service)).or_default();
+        window.trim(now, settings.window);
+        let own_allowance = settings.allowance / routers.max(1) as f64;
+        let budget = USED_PART * (settings.ratio * window.requests.len() as f64 + own_allowance);
+        let is_allowed = ((window.repeats.len() + 1) as f64) <= budget;
+        if is_allowed {
+            window.repeats.push_back(now);
+        }
+        is_allowed
+    }
+}
+
+impl Window {
+    fn trim(&mut self, now: Timestamp, length: Duration) {
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|at| now.since(*at) > length) {
+                times.pop_front();
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daisynotch_core/src/direct/shares.rs
@@ -0,0 +1,190 @@
+//! Each team's max-min share of the tokens that all teams share.
+//!
+//! Load pattern: one team sends many times its usual while the others go on as
+//! before. What teams ask in a window is summed over all routers, and capacity is
+//! divided so that nobody who asks less than an even share is cut, and all who ask
+//! more get the same. Work beyond the share is served only from idle capacity.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use daisynotch_objects::RouterId;
+
+use super::digest::TeamDigest;
+use crate::time::Timestamp;
+
+/// Parts of the window in which sums are kept.
+const BUCKETS: usize = 8;
+/// How often shares are worked out anew.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+/// Age from which another router's sums no longer count.
+const PEER_SUMS_MAX_AGE: Duration = Duration::from_millis(1_500);
+
+/// What teams share.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ShareSettings {
+    /// Tokens a second, of all teams on all routers; nothing is divided without it.
+    pub tokens_per_s: Option<u64>,
+    /// The time over which shares are kept.
+    pub window: Duration,
+}
+
+#[derive(Debug, Default, Clone)]
+struct Sums {
+    asked: [u64; BUCKETS],
+    begun: [u64; BUCKETS],
+}
+
+#[derive(Debug)]
+struct PeerSums {
+    heard_at: Timestamp,
+    teams: HashMap<u32, (u64, u64)>,
+}
+
+/// The sums and shares of all teams.
+#[derive(Debug)]
+pub struct TeamShares {
+    settings: ShareSettings,
+    own: HashMap<u32, Sums>,
+    bucket_index: u64,
+    peers: HashMap<RouterId, PeerSums>,
+    /// For each team: tokens it may have begun in a window, and tokens begun elsewhere.
+    shares: HashMap<u32, (u64, u64)>,
+    refreshed_at: Option<Timestamp>,
+}
+
+impl TeamShares {
+    /// Starts with nothing asked.
+    pub fn new(settings: ShareSettings) -> Self {
+        Self {
+            settings,
+            own: HashMap::new(),
+            bucket_index: 0,
+            peers: HashMap::new(),
+            shares: HashMap::new(),
+            refreshed_at: None,
+        }
+    }
+
+    /// Takes a new capacity.
+    pub fn set_tokens_per_s(&mut self, tokens_per_s: Option<u64>) {
+        self.settings.tokens_per_s = tokens_per_s;
+        self.refreshed_at = None;
+    }
+
+    /// Notes what a team asks for.
+    pub fn on_asked(&mut self, team: u32, tokens: u64, now: Timestamp) {
+        let bucket = self.advance(now);
+        self.own.entry(team).or_default().asked[bucket] += tokens;
+    }
+
+    /// Notes that a team's request begins to run.
+    pub fn on_begun(&mut self, team: u32, tokens: u64, now: Timestamp) {
+        let bucket = self.advance(now);
+        self.own.entry(team).or_default().begun[bucket] += tokens;
+    }
+
+    /// Takes another router's sums.
+    pub fn on_peer(&mut self, router: RouterId, teams: &[TeamDigest], now: Timestamp) {
+        let teams = teams
+            .iter()
+            .map(|team| (team.team, (u64::from(team.asked_tokens), u64::from(team.begun_tokens))))
+            .collect();
+        let heard_at = now;
+        self.peers.insert(router, PeerSums { heard_at, teams });
+    }
+
+    /// Gives the own sums of the window.
+    pub fn own_sums(&mut self, now: Timestamp) -> Vec<TeamDigest> {
+        self.advance(now);
+        let clip = |sum: u64| u32::try_from(sum).unwrap_or(u32::MAX);
+        let sums = self.own.iter().map(|(team, sums)| TeamDigest {
+            team: *team,
+            asked_tokens: clip(sums.asked.iter().sum()),
+            begun_tokens: clip(sums.begun.iter().sum()),
+        });
+        sums.filter(|sums| sums.asked_tokens > 0).collect()
+    }
+
+    /// Gives the part of its share that a team would have used with some more tokens.
+    ///
+    /// Above 1 it is beyond its share.
+    pub fn used_part(&mut self, team: u32, tokens: u64, now: Timestamp) -> f64 {
+        self.advance(now);
+        let is_fresh = self
+            .refreshed_at
+            .is_some_and(|at| now.since(at) < REFRESH_INTERVAL);
+        if !is_fresh {
+            self.refresh(now);
+        }
+        let Some((share, begun_elsewhere)) = self.shares.get(&team) else {
+            return 0.0;
+        };
+        let begun_here: u64 = self.own.get(&team).map_or(0, |own| own.begun.iter().sum());
+        (begun_here + begun_elsewhere + tokens) as f64 / (*share).max(1) as f64
+    }
+
+    fn refresh(&mut self, now: Timestamp) {
+        self.refreshed_at = Some(now);
+        self.shares.clear();
+        let Some(tokens_per_s) = self.settings.tokens_per_s else {
+            return;
+        };
+        self.peers
+            .retain(|_, peer| now.since(peer.heard_at) < PEER_SUMS_MAX_AGE);
+        let mut asked: HashMap<u32, (u64, u64)> = HashMap::new();
+        for (team, sums) in &self.own {
+            asked.entry(*team).or_default().0 += sums.asked.iter().sum::<u64>();
+        }
+        for (team, (asked_there, begun_there)) in self.peers.values().flat_map(|peer| &peer.teams) {
+            let sums = asked.entry(*team).or_default();
+            sums.0 += asked_there;
+            sums.1 += begun_there;
+        }
+        let capacity = tokens_per_s as f64 * self.settings.window.as_secs_f64();
+        let mut by_asked: Vec<(u32, u64)> =
+            asked.iter().map(|(team, (asked, _))| (*team, *asked)).collect();
+        by_asked.sort_unstable_by_key(|(_, asked)| *asked);
+        let even = even_share(&by_asked, capacity);
+        // A team's first request of a window may be larger than its share so far.
+        self.shares = asked
+            .iter()
+            .map(|(team, (_, begun))| (*team, (even, *begun)))
+            .collect();
+    }
+
+    fn advance(&mut self, now: Timestamp) -> usize {
+        let bucket_us = (self.settings.window.as_micros() as u64 / BUCKETS as u64).max(1);
+        let index = now.0 / bucket_us;
+        let passed = (index - self.bucket_index.min(index)).min(BUCKETS as u64);
+        for step in 1..=passed {
+            let bucket = ((self.bucket_index + step) % BUCKETS as u64) as usize;
+            for sums in self.own.values_mut() {
+                sums.asked[bucket] = 0;
+                sums.begun[bucket] = 0;
+            }
+        }
+        if passed > 0 {
+            self.bucket_index = index;
+            self.own
+                .retain(|_, sums| sums.asked.iter().chain(&sums.begun).any(|sum| *sum > 0));
+        }
+        (self.bucket_index % BUCKETS as u64) as usize
+    }
+}
+
+/// Gives the share of those who ask for more than it.
+fn even_share(by_asked: &[(u32, u64)], capacity: f64) -> u64 {
+    let mut left = capacity;
+    for (position, (_, asked)) in by_asked.iter().enumerate() {
+        let even = left / (by_asked.len() - position) as f64;
+        if *asked as f64 > even {
+            return even as u64;
+        }
+        left -= *asked as f64;
+    }
+    u64::MAX
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -10,6 +10,7 @@
 mod catalogue;
 mod configuration;
 mod cost;
+pub mod direct;
 mod entry;
 mod host_list;
 mod idempotency;
--- a/crates/daisynotch_platform/src/lib.rs
+++ b/crates/daisynotch_platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod endpoint;
 mod host_list;
 mod key_value;
+pub mod ports;
 
 pub use claim_store::{ClaimError, ClaimStore, Claimed};
 pub use config_store::{
--- /dev/null
+++ b/crates/daisynotch_router/src/direct.rs
@@ -0,0 +1,23 @@
+//! A router that dispatches on its own, on a platform that an adapter speaks for.
+//!
+//! One thread runs everything, so the parts share a [`state::Router`] without locks.
+//! `docs/design/platform.md` lays out the programs, `docs/design/direct-dispatch.md`
+//! the decisions.
+
+mod answer;
+mod connections;
+mod daemon;
+mod directory;
+mod event_log;
+mod forward;
+mod ingress;
+mod metrics;
+mod peers;
+mod settings;
+mod state;
+mod store_client;
+mod store_follower;
+mod stream_relay;
+
+pub use daemon::{DirectDaemon, DirectError, run};
+pub use settings::{DirectSettings, RetrySettings};
--- /dev/null
+++ b/crates/daisynotch_router/src/direct/daemon.rs
@@ -0,0 +1,294 @@
+//! Starts a router that dispatches on its own, and ends it gracefully.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+use daisynotch_core::Incarnation;
+use daisynotch_core::direct::{HostIntroduction, HostPhase};
+use daisynotch_platform::ports::SharedPlatform;
+use serde_json::json;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinHandle, LocalSet};
+use tokio::time::Instant;
+
+use super::event_log::{EventLog, Weight};
+use super::ingress::{self, LeaveStage, Served};
+use super::metrics::Metrics;
+use super::settings::DirectSettings;
+use super::state::Router;
+use super::store_follower::{self, Followed};
+use super::peers;
+use crate::settings::SettingsError;
+use crate::timer::{Tick, TimerService};
+
+/// How often waiting requests are decided on when nothing else happens.
+const PUMP_INTERVAL: Duration = Duration::from_millis(25);
+/// How often log lines are handed over and idle connections closed.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the settings file is looked at, since it may change without a signal.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
+/// How often a router looks whether another one knows more.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a leaving router still accepts connections: callers keep its address.
+const LAST_ANSWERS: Duration = Duration::from_millis(2_200);
+/// What is left of the time to leave for ending in order.
+const LEAVE_MARGIN: Duration = Duration::from_millis(400);
+/// How often a leaving router looks whether its last request has ended.
+const LEAVE_POLL_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Why a router could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum DirectError {
+    /// The settings can't be used.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// An address can't be listened on.
+    #[error("`{key}` {address} can't be listened on: {error}")]
+    Listen {
+        /// The setting that has the address.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// The metrics could not be set up.
+    #[error("the metrics can't be set up: {0}")]
+    Metrics(#[from] prometheus::Error),
+    /// The runtime or a signal handler could not be set up.
+    #[error("the process can't be set up: {0}")]
+    Process(#[from] std::io::Error),
+}
+
+/// Runs a router until it is told to leave and has left.
+pub fn run(settings_path: &Path, platform: SharedPlatform) -> Result<(), DirectError> {
+    let settings = DirectSettings::read(settings_path)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let path = settings_path.to_owned();
+    LocalSet::new().block_on(&runtime, async move {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut reload = signal(SignalKind::hangup())?;
+        let log = EventLog::start(settings.router.to_string(), std::io::stdout());
+        let daemon = DirectDaemon::start(settings, platform, log).await?;
+        let mut ticks = daemon.timers.subscribe(SETTINGS_INTERVAL);
+        let mut file = SettingsFile::new(path);
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = reload.recv() => file.reload(&daemon.router, "signal"),
+                _ = ticks.recv() => file.reload_if_changed(&daemon.router),
+            }
+        }
+        daemon.leave().await;
+        Ok(())
+    })
+}
+
+/// The settings file, read again when it changes.
+struct SettingsFile {
+    path: PathBuf,
+    text: Option<String>,
+}
+
+impl SettingsFile {
+    fn new(path: PathBuf) -> Self {
+        let text = std::fs::read_to_string(&path).ok();
+        Self { path, text }
+    }
+
+    fn reload_if_changed(&mut self, router: &Router) {
+        let text = std::fs::read_to_string(&self.path).ok();
+        if text.is_some() && text != self.text {
+            self.reload(router, "file");
+        }
+    }
+
+    /// Takes what can change while the router runs; the last good settings stay otherwise.
+    fn reload(&mut self, router: &Router, cause: &str) {
+        self.text = std::fs::read_to_string(&self.path).ok();
+        let outcome = match DirectSettings::read(&self.path) {
+            Ok(settings) => {
+                let now = router.now();
+                let own = router.introduction.borrow().peer_address;
+                hint_seeds(router, &settings, own);
+                *router.settings.borrow_mut() = settings;
+                json!({"cause": cause, "outcome": "taken", "at_us": now.0})
+            }
+            Err(error) => {
+                json!({"cause": cause, "outcome": "kept_last", "error": error.to_string()})
+            }
+        };
+        router.log.write(Weight::Essential, "reload", outcome);
+    }
+}
+
+/// Takes the hosts that the settings name; routers share one port for digests.
+fn hint_seeds(router: &Router, settings: &DirectSettings, own: SocketAddr) {
+    let now = router.now();
+    let mut hosts = router.hosts.borrow_mut();
+    for seed in &settings.seeds {
+        let address = SocketAddr::new(seed.ip(), own.port());
+        if address != own {
+            hosts.hint(address, now);
+        }
+    }
+}
+
+/// A running router; it must live within a [`LocalSet`].
+pub struct DirectDaemon {
+    router: Rc<Router>,
+    timers: TimerService,
+    stage: watch::Sender<LeaveStage>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl DirectDaemon {
+    /// Binds the addresses of the settings and starts all tasks.
+    pub(crate) async fn start(
+        settings: DirectSettings,
+        platform: SharedPlatform,
+        log: EventLog,
+    ) -> Result<Self, DirectError> {
+        let callers = listen("caller_address", settings.caller_address).await?;
+        let ready = listen("ready_address", settings.ready_address).await?;
+        let directory = listen("directory_address", settings.directory_address).await?;
+        let metrics_listener = listen("metrics_address", settings.metrics_address).await?;
+        let peers_listener = listen("peer_address", settings.peer_address).await?;
+        let peer_address = peers_listener.local_addr()?;
+        let socket = UdpSocket::bind(peer_address).await;
+        let socket = socket.map_err(|error| DirectError::Listen {
+            key: "peer_address",
+            address: peer_address,
+            error,
+        })?;
+        let introduction = HostIntroduction {
+            router: settings.router.clone(),
+            zone: settings.zone.clone(),
+            incarnation: next_incarnation(),
+            caller_address: callers.local_addr()?,
+            peer_address,
+            phase: HostPhase::Starting,
+        };
+        let fields = json!({
+            "router": settings.router.to_string(), "zone": settings.zone.to_string(),
+            "callers": introduction.caller_address.to_string(),
+            "incarnation": introduction.incarnation.0, "version": env!("CARGO_PKG_VERSION"),
+        });
+        log.write(Weight::Essential, "start", fields);
+        let metrics = Metrics::new()?;
+        let router = Router::new(settings, platform, introduction, log, metrics);
+        let router = Rc::new(router);
+        hint_seeds(&router, &router.settings.borrow(), peer_address);
+        let timers = TimerService::start();
+        let (stage, stage_receiver) = watch::channel(LeaveStage::Staying);
+        let socket = Rc::new(socket);
+        let mut tasks = Vec::new();
+        let listeners = [
+            (callers, Served::Callers),
+            (ready, Served::Readiness),
+            (directory, Served::Directory),
+            (metrics_listener, Served::Metrics),
+            (peers_listener, Served::Peers),
+        ];
+        for (listener, served) in listeners {
+            let accepting =
+                ingress::accept(Rc::clone(&router), listener, served, stage_receiver.clone());
+            tasks.push(tokio::task::spawn_local(accepting));
+        }
+        for followed in [Followed::Configuration, Followed::Endpoints] {
+            let following = store_follower::follow(Rc::clone(&router), followed);
+            tasks.push(tokio::task::spawn_local(following));
+        }
+        let ticks = timers.subscribe(peers::DIGEST_INTERVAL);
+        let sending = peers::send_digests(Rc::clone(&router), Rc::clone(&socket), ticks);
+        tasks.push(tokio::task::spawn_local(sending));
+        let receiving = peers::receive_digests(Rc::clone(&router), socket);
+        tasks.push(tokio::task::spawn_local(receiving));
+        let ticks = timers.subscribe(CATCH_UP_INTERVAL);
+        let catching_up = peers::catch_up(Rc::clone(&router), ticks);
+        tasks.push(tokio::task::spawn_local(catching_up));
+        let registering = store_follower::register(Rc::clone(&router));
+        tasks.push(tokio::task::spawn_local(registering));
+        let pumping = pump(Rc::clone(&router), timers.subscribe(PUMP_INTERVAL));
+        tasks.push(tokio::task::spawn_local(pumping));
+        let keeping_up = keep_up(Rc::clone(&router), timers.subscribe(UPKEEP_INTERVAL));
+        tasks.push(tokio::task::spawn_local(keeping_up));
+        Ok(Self {
+            router,
+            timers,
+            stage,
+            tasks,
+        })
+    }
+
+    /// Leaves: no longer given out at once, ends when the last request has ended.
+    pub(crate) async fn leave(self) {
+        let router = &self.router;
+        let began_at = Instant::now();
+        router.introduction.borrow_mut().phase = HostPhase::Leaving;
+        let open = router.dispatcher.borrow().running_len();
+        router.log.write(Weight::Essential, "leaving", json!({"open_requests": open}));
+        self.stage.send_replace(LeaveStage::LastAnswers);
+        tokio::time::sleep(LAST_ANSWERS).await;
+        self.stage.send_replace(LeaveStage::Closing);
+        let leave_max = Duration::from_secs_f64(router.settings.borrow().leave_max_s);
+        let end_at = began_at + leave_max.saturating_sub(LEAVE_MARGIN);
+        // The first poll lets the connections see the new stage.
+        loop {
+            tokio::time::sleep(LEAVE_POLL_INTERVAL).await;
+            let open = {
+                let dispatcher = router.dispatcher.borrow();
+                dispatcher.running_len() + dispatcher.waiting_len()
+            };
+            if open == 0 || Instant::now() > end_at {
+                router.log.write(Weight::Essential, "left", json!({"open_requests": open}));
+                break;
+            }
+        }
+        tokio::time::sleep(LEAVE_POLL_INTERVAL * 2).await;
+        self.tasks.iter().for_each(JoinHandle::abort);
+        router.log.flush();
+        // The writing thread may be held up by its reader; the process does not wait for it.
+        tokio::time::sleep(LEAVE_POLL_INTERVAL).await;
+    }
+}
+
+async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, DirectError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|error| DirectError::Listen {
+        key,
+        address,
+        error,
+    })
+}
+
+/// Numbers this start: a later start of a router has a higher number.
+fn next_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let micros = since_epoch.unwrap_or_default().as_micros();
+    Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
+}
+
+async fn pump(router: Rc<Router>, mut ticks: mpsc::Receiver<Tick>) {
+    while ticks.recv().await.is_some() {
+        router.pump();
+    }
+}
+
+async fn keep_up(router: Rc<Router>, mut ticks: mpsc::Receiver<Tick>) {
+    while ticks.recv().await.is_some() {
+        let now = router.now();
+        let changes = router.endpoints.borrow_mut().expire(now);
+        router.on_endpoint_changes(changes, "lapsed");
+        router.connections.expire();
+        router.log.flush();
+    }
+}
--- /dev/null
+++ b/crates/daisynotch_router/src/direct/ingress.rs
@@ -0,0 +1,134 @@
+//! Accepts connections and ends them gracefully.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::answer::AnswerBody;
+use super::connections::probe_when_idle;
+use super::state::Router;
+use super::{directory, forward, peers};
+use crate::stall::StallGuard;
+
+/// How long a caller may take no byte of an answer.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Room beyond the limit on a head, for the library's own reading.
+const READ_BUFFER_MIN_BYTES: usize = 16 * 1024;
+/// The pause after a connection could not be accepted, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How far a leaving router has got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LeaveStage {
+    /// It is not leaving.
+    Staying,
+    /// Each answer is the last on its connection.
+    LastAnswers,
+    /// Connections without a request in progress are closed.
+    Closing,
+}
+
+/// What is served on a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Served {
+    Callers,
+    Readiness,
+    Directory,
+    Metrics,
+    Peers,
+}
+
+/// Accepts connections until the router closes.
+pub(crate) async fn accept(
+    router: Rc<Router>,
+    listener: TcpListener,
+    served: Served,
+    mut stage: watch::Receiver<LeaveStage>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing(&mut stage), if served == Served::Callers => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let connection = serve(Rc::clone(&router), stream, served, stage.clone());
+                tokio::task::spawn_local(connection);
+            }
+            Err(error) => {
+                log::warn!("a connection could not be accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn closing(stage: &mut watch::Receiver<LeaveStage>) {
+    // The sender lives as long as the router; without it there is nothing to wait for.
+    if stage.wait_for(|stage| *stage == LeaveStage::Closing).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn serve(
+    router: Rc<Router>,
+    stream: TcpStream,
+    served: Served,
+    mut stage: watch::Receiver<LeaveStage>,
+) {
+    if let Err(error) = probe_when_idle(&stream) {
+        log::debug!("a connection can't be probed: {error}");
+    }
+    let limits = router.routes().map(|routes| routes.limits).unwrap_or_default();
+    let service = {
+        let stage = stage.clone();
+        service_fn(move |request| answer(Rc::clone(&router), request, served, stage.clone()))
+    };
+    let stream = TokioIo::new(StallGuard::new(stream, WRITE_STALL_TIMEOUT));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.head_max_bytes.max(READ_BUFFER_MIN_BYTES))
+        .serve_connection(stream, service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = closing(&mut stage) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("a connection ended: {error}");
+    }
+}
+
+async fn answer(
+    router: Rc<Router>,
+    request: Request<Incoming>,
+    served: Served,
+    stage: watch::Receiver<LeaveStage>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let path = request.uri().path();
+    let mut response = match served {
+        Served::Callers => forward::answer(&router, request).await,
+        Served::Readiness => directory::readiness(&router, path),
+        Served::Directory => directory::directory(&router, path),
+        Served::Metrics => directory::metrics(&router, path),
+        Served::Peers => peers::answer(&router, path),
+    };
+    if *stage.borrow() != LeaveStage::Staying {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/daisynotch_router/src/direct/metrics.rs
@@ -0,0 +1,111 @@
+//! Counters, gauges and histograms of a router that dispatches on its own.
+//!
+//! Labels are closed sets of words, so that their number does not grow with callers.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
+};
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BUCKETS_S: [f64; 12] = [
+    0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.4, 0.5, 0.75, 1.0, 2.5, 10.0,
+];
+
+/// All metrics of one router.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Ended requests by kind of route and outcome.
+    pub(crate) requests: IntCounterVec,
+    /// Sends to endpoints by how they ended.
+    pub(crate) sends: IntCounterVec,
+    /// The time from a request's arrival to the start of its answer, by kind of route.
+    pub(crate) answer_start: HistogramVec,
+    /// The time for which requests waited for a place.
+    pub(crate) wait: Histogram,
+    /// Requests that wait for a place.
+    pub(crate) waiting: IntGauge,
+    /// Requests at endpoints.
+    pub(crate) running: IntGauge,
+    /// Calls to the store by use and result.
+    pub(crate) store_calls: IntCounterVec,
+    /// Digests by direction.
+    pub(crate) digests: IntCounterVec,
+    /// Bytes of digests that were sent.
+    pub(crate) digest_sent_bytes: IntCounter,
+    /// Connections to endpoints that were opened.
+    pub(crate) connections_opened: IntCounter,
+    /// The version of the configuration in force.
+    pub(crate) configuration_version: IntGauge,
+    /// Other routers that were heard lately.
+    pub(crate) routers_present: IntGauge,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(format!("daisynotch_{name}"), help), labels)
+        };
+        let latency = |name: &str, help: &str| {
+            HistogramOpts::new(format!("daisynotch_{name}"), help)
+                .buckets(LATENCY_BUCKETS_S.to_vec())
+        };
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: counters("requests_total", "Ended requests.", &["kind", "outcome"])?,
+            sends: counters("sends_total", "Sends to endpoints.", &["ended"])?,
+            answer_start: HistogramVec::new(
+                latency("answer_start_seconds", "Arrival to the start of the answer."),
+                &["kind"],
+            )?,
+            wait: Histogram::with_opts(latency("wait_seconds", "Wait for a place."))?,
+            waiting: IntGauge::new("daisynotch_waiting", "Requests that wait for a place.")?,
+            running: IntGauge::new("daisynotch_running", "Requests at endpoints.")?,
+            store_calls: counters("store_calls_total", "Calls to the store.", &["use", "result"])?,
+            digests: counters("digests_total", "Digests.", &["direction"])?,
+            digest_sent_bytes: IntCounter::new(
+                "daisynotch_digest_sent_bytes_total",
+                "Bytes of digests sent.",
+            )?,
+            connections_opened: IntCounter::new(
+                "daisynotch_endpoint_connections_opened_total",
+                "Connections to endpoints opened.",
+            )?,
+            configuration_version: IntGauge::new(
+                "daisynotch_configuration_version",
+                "Version of the configuration in force.",
+            )?,
+            routers_present: IntGauge::new(
+                "daisynotch_routers_present",
+                "Other routers heard lately.",
+            )?,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    /// Writes all metrics in the text format.
+    pub(crate) fn to_text(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+
+    fn register(&self) -> Result<(), prometheus::Error> {
+        let registry = &self.registry;
+        registry.register(Box::new(self.requests.clone()))?;
+        registry.register(Box::new(self.sends.clone()))?;
+        registry.register(Box::new(self.answer_start.clone()))?;
+        registry.register(Box::new(self.wait.clone()))?;
+        registry.register(Box::new(self.waiting.clone()))?;
+        registry.register(Box::new(self.running.clone()))?;
+        registry.register(Box::new(self.store_calls.clone()))?;
+        registry.register(Box::new(self.digests.clone()))?;
+        registry.register(Box::new(self.digest_sent_bytes.clone()))?;
+        registry.register(Box::new(self.connections_opened.clone()))?;
+        registry.register(Box::new(self.configuration_version.clone()))?;
+        registry.register(Box::new(self.routers_present.clone()))
+    }
+}
--- /dev/null
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -0,0 +1,248 @@
+//! Digests between routers, and the store's state for routers that can't reach it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use daisynotch_core::direct::{Digest, Host, HostPhase};
+use daisynotch_platform::ports::StoreItem;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use rand::seq::IteratorRandom;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use super::answer::{AnswerBody, OwnAnswer};
+use super::connections::Connection;
+use super::event_log::Weight;
+use super::state::Router;
+use super::store_follower::replace_endpoints;
+use crate::timer::Tick;
+
+/// How often digests are sent in a small fleet.
+pub(crate) const DIGEST_INTERVAL: Duration = Duration::from_millis(75);
+/// Datagrams that one router sends in one interval at most; a larger fleet is told in turns.
+const FANOUT_MAX: usize = 24;
+/// The largest datagram that is sent: what a datagram holds at all.
+const DATAGRAM_MAX_BYTES: usize = 60_000;
+/// Addresses of other routers that a digest names.
+const KNOWN_HOSTS_MAX: usize = 3;
+/// How long another router may be ahead before it is asked: a watch at the store is
+/// usually answered on all routers within this time.
+const BEHIND_MAX: Duration = Duration::from_millis(200);
+/// How long the question to another router may take.
+const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Where routers ask each other for the store's state.
+pub(crate) const STORE_VIEW_PATH: &str = "/store-view";
+
+/// The store's state as one router knows it.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoreViewMessage {
+    configuration: Option<Bytes>,
+    endpoints: Vec<StoreItem>,
+    endpoints_revision: u64,
+}
+
+/// Sends digests at every tick.
+pub(crate) async fn send_digests(
+    router: Rc<Router>,
+    socket: Rc<UdpSocket>,
+    mut ticks: mpsc::Receiver<Tick>,
+) {
+    let mut seq = 0;
+    let mut turn = 0;
+    while ticks.recv().await.is_some() {
+        seq += 1;
+        let now = router.now();
+        let addresses = router.hosts.borrow_mut().peer_addresses(now);
+        if addresses.is_empty() {
+            continue;
+        }
+        let digest = make_digest(&router, seq);
+        let datagram = match postcard::to_stdvec(&digest) {
+            Ok(datagram) if datagram.len() <= DATAGRAM_MAX_BYTES => datagram,
+            Ok(datagram) => {
+                let fields = json!({"bytes": datagram.len()});
+                router.log.write(Weight::Essential, "digest_too_long", fields);
+                continue;
+            }
+            Err(error) => {
+                let fields = json!({"error": error.to_string()});
+                router.log.write(Weight::Essential, "digest_unwritable", fields);
+                continue;
+            }
+        };
+        for step in 0..addresses.len().min(FANOUT_MAX) {
+            let address = addresses[(turn + step) % addresses.len()];
+            // A lost datagram is replaced by the next; a full link must not be waited for.
+            if let Ok(sent) = socket.try_send_to(&datagram, address) {
+                router.metrics.digest_sent_bytes.inc_by(sent as u64);
+                router.metrics.digests.with_label_values(&["sent"]).inc();
+            }
+        }
+        turn = (turn + FANOUT_MAX) % addresses.len();
+    }
+}
+
+fn make_digest(router: &Router, seq: u64) -> Digest {
+    let now = router.now();
+    let (endpoints, teams, placed) = router.dispatcher.borrow_mut().to_digest(now);
+    let known = router.hosts.borrow();
+    let known = known.present(now).map(|host| host.introduction.peer_address);
+    let known_hosts = known.sample(&mut rand::rng(), KNOWN_HOSTS_MAX);
+    Digest {
+        host: router.introduction.borrow().clone(),
+        seq,
+        configuration_version: router.routes().map_or(0, |routes| routes.version),
+        endpoints_revision: router.store_view.borrow().endpoints_revision,
+        endpoints,
+        teams,
+        placed,
+        known_hosts,
+    }
+}
+
+/// Takes the digests of other routers.
+pub(crate) async fn receive_digests(router: Rc<Router>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // An address without a listener answers with an error on this socket.
+                log::debug!("a digest could not be received: {error}");
+                tokio::task::yield_now().await;
+                continue;
+            }
+        };
+        let digest: Digest = match postcard::from_bytes(&buffer[..length]) {
+            Ok(digest) => digest,
+            Err(error) => {
+                let fields = json!({"from": from.to_string(), "error": error.to_string()});
+                router.log.write(Weight::Essential, "digest_unreadable", fields);
+                continue;
+            }
+        };
+        router.metrics.digests.with_label_values(&["received"]).inc();
+        let now = router.now();
+        let is_own = digest.host.router == router.introduction.borrow().router;
+        if is_own || !router.hosts.borrow_mut().on_digest(&digest, now) {
+            continue;
+        }
+        router.dispatcher.borrow_mut().on_digest(&digest, now);
+        router.pump();
+    }
+}
+
+/// Asks other routers for the store's state whenever they know more.
+pub(crate) async fn catch_up(router: Rc<Router>, mut ticks: mpsc::Receiver<Tick>) {
+    let mut behind_since = None;
+    let mut absent = HashMap::new();
+    while ticks.recv().await.is_some() {
+        let now = router.now();
+        note_presence(&router, &mut absent);
+        let Some(address) = router_ahead(&router) else {
+            behind_since = None;
+            continue;
+        };
+        let since = *behind_since.get_or_insert(now);
+        if router.phase() != HostPhase::Starting && now.since(since) < BEHIND_MAX {
+            continue;
+        }
+        if let Err(reason) = ask(&router, address).await {
+            let fields = json!({"address": address.to_string(), "error": reason});
+            router.log.write(Weight::Essential, "catch_up_failed", fields);
+        }
+    }
+}
+
+/// Logs each router that comes or goes.
+fn note_presence(router: &Router, seen: &mut HashMap<String, ()>) {
+    let now = router.now();
+    let hosts = router.hosts.borrow();
+    let present: HashMap<String, ()> = hosts
+        .present(now)
+        .map(|host| (host.introduction.router.to_string(), ()))
+        .collect();
+    for name in present.keys().filter(|name| !seen.contains_key(*name)) {
+        router.log.write(Weight::Essential, "router_present", json!({"router": name}));
+    }
+    for name in seen.keys().filter(|name| !present.contains_key(*name)) {
+        router.log.write(Weight::Essential, "router_absent", json!({"router": name}));
+    }
+    let routers = hosts.fleet_len();
+    drop(hosts);
+    router.metrics.routers_present.set(present.len() as i64);
+    router.dispatcher.borrow_mut().set_routers(routers);
+    *seen = present;
+}
+
+/// Finds a router that has seen more of the store than this one.
+fn router_ahead(router: &Router) -> Option<SocketAddr> {
+    let version = router.routes().map_or(0, |routes| routes.version);
+    let revision = router.store_view.borrow().endpoints_revision;
+    let hosts = router.hosts.borrow();
+    let is_ahead = |host: &&Host| {
+        host.configuration_version > version || host.endpoints_revision > revision
+    };
+    let ahead = hosts.present(router.now()).filter(is_ahead);
+    let chosen = ahead.choose(&mut rand::rng());
+    chosen.map(|host| host.introduction.peer_address)
+}
+
+async fn ask(router: &Rc<Router>, address: SocketAddr) -> Result<(), String> {
+    let question = async {
+        let mut connection = Connection::open(address)
+            .await
+            .map_err(|error| format!("{error:?}"))?;
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = hyper::Uri::from_static(STORE_VIEW_PATH);
+        let host = HeaderValue::from_str(&address.to_string());
+        let headers = request.headers_mut();
+        headers.insert(HOST, host.expect("an address is a header value"));
+        let answer = connection
+            .send(request)
+            .await
+            .map_err(|error| format!("{error:?}"))?;
+        let body = answer.into_body().collect().await;
+        body.map(http_body_util::Collected::to_bytes)
+            .map_err(|error| error.to_string())
+    };
+    let body = tokio::time::timeout(ASK_TIMEOUT, question).await;
+    let body = body.map_err(|_| "it took too long".to_owned())??;
+    let view: StoreViewMessage =
+        postcard::from_bytes(&body).map_err(|error| error.to_string())?;
+    if let Some(configuration) = &view.configuration {
+        router.on_configuration(configuration, "router");
+    }
+    let items = view.endpoints.into_iter();
+    let items = items.map(|item| (item.key.clone(), item)).collect();
+    replace_endpoints(router, items, view.endpoints_revision, "router");
+    Ok(())
+}
+
+/// Answers another router's question.
+pub(crate) fn answer(router: &Router, path: &str) -> Response<AnswerBody> {
+    if path != STORE_VIEW_PATH {
+        return OwnAnswer::new(StatusCode::NOT_FOUND, "unknown_path").into_response();
+    }
+    let view = router.store_view.borrow();
+    let message = StoreViewMessage {
+        configuration: view.configuration.clone(),
+        endpoints: view.endpoints.values().cloned().collect(),
+        endpoints_revision: view.endpoints_revision,
+    };
+    match postcard::to_stdvec(&message) {
+        Ok(body) => Response::new(AnswerBody::Whole(Some(Bytes::from(body)))),
+        Err(error) => {
+            let fields = json!({"error": error.to_string()});
+            router.log.write(Weight::Essential, "store_view_unwritable", fields);
+            OwnAnswer::new(StatusCode::INTERNAL_SERVER_ERROR, "unwritable").into_response()
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisynotch_router/src/direct/settings.rs
@@ -0,0 +1,122 @@
+//! The settings of a router that dispatches on its own, in TOML.
+//!
+//! `docs/operations/direct-settings.md` lists every key. An unknown key is an error,
+//! so that a misspelt one is never silently without effect.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use daisynotch_core::direct::{DispatcherSettings, RetryBudgetSettings, ShareSettings};
+use daisynotch_objects::{RouterName, ZoneName};
+
+use crate::settings::SettingsError;
+
+/// How much may be sent once more, on all routers together.
+#[derive(Debug, Clone, PartialEq, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetrySettings {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats besides, in one window.
+    pub allowance: f64,
+    /// The length of the window.
+    pub window_s: f64,
+}
+
+/// The settings.
+#[derive(Debug, Clone, PartialEq, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DirectSettings {
+    /// This router's name.
+    pub router: RouterName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where the platform asks for readiness.
+    pub ready_address: SocketAddr,
+    /// Where callers ask for addresses.
+    pub directory_address: SocketAddr,
+    /// Where other routers send digests (UDP) and questions (TCP).
+    pub peer_address: SocketAddr,
+    /// Where operators read metrics.
+    pub metrics_address: SocketAddr,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// Hosts that may know others; only their IP addresses count.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// How long callers may keep an answer on where to connect.
+    pub address_ttl_max_s: f64,
+    /// How long a leaving router may take to end.
+    pub leave_max_s: f64,
+    /// The time over which teams' shares are kept.
+    pub share_window_s: f64,
+    /// How much may be sent once more.
+    pub retry: RetrySettings,
+}
+
+impl DirectSettings {
+    /// Reads and checks a settings file.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
+            path: path.to_owned(),
+            error,
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Parses and checks settings.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let settings: Self =
+            toml::from_str(text).map_err(|error| SettingsError::Malformed(error.to_string()))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Gives the settings of the decisions.
+    pub fn dispatcher(&self) -> DispatcherSettings {
+        DispatcherSettings {
+            shares: ShareSettings {
+                tokens_per_s: None,
+                window: Duration::from_secs_f64(self.share_window_s),
+            },
+            retry_budget: RetryBudgetSettings {
+                ratio: self.retry.ratio,
+                allowance: self.retry.allowance,
+                window: Duration::from_secs_f64(self.retry.window_s),
+            },
+        }
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let positive = |key, value: f64| {
+            if value > 0.0 && value <= 86_400.0 {
+                return Ok(());
+            }
+            Err(SettingsError::BadValue {
+                key,
+                problem: format!("is {value}: give a number of seconds above 0, up to 86,400"),
+            })
+        };
+        positive("address_ttl_max_s", self.address_ttl_max_s)?;
+        positive("leave_max_s", self.leave_max_s)?;
+        positive("share_window_s", self.share_window_s)?;
+        positive("retry.window_s", self.retry.window_s)?;
+        let share = |key, value: f64| {
+            if value >= 0.0 && value.is_finite() {
+                return Ok(());
+            }
+            Err(SettingsError::BadValue {
+                key,
+                problem: format!("is {value}: give 0 or more"),
+            })
+        };
+        share("retry.ratio", self.retry.ratio)?;
+        share("retry.allowance", self.retry.allowance)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -0,0 +1,279 @@
+//! What the tasks of one router share; they all run on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use daisynotch_core::Timestamp;
+use daisynotch_core::direct::{
+    Dispatcher, Ended, EndpointChange, EndpointList, HostIntroduction, HostPhase, HostTable,
+    QueueId, RequestSpec, RouteTable, RunId, Verdict,
+};
+use daisynotch_platform::ports::{SharedPlatform, StoreItem};
+use serde_json::json;
+use tokio::sync::oneshot;
+
+use super::connections::Connections;
+use super::event_log::{EventLog, Weight};
+use super::metrics::Metrics;
+use super::settings::DirectSettings;
+use crate::clock::Clock;
+
+/// What the store last said, as it said it, for routers that can't reach it.
+#[derive(Debug, Default)]
+pub(crate) struct StoreView {
+    /// The configuration's text.
+    pub(crate) configuration: Option<Bytes>,
+    /// The endpoints' entries.
+    pub(crate) endpoints: HashMap<String, StoreItem>,
+    /// The revision of the last change of an endpoint's entry that was seen.
+    pub(crate) endpoints_revision: u64,
+}
+
+/// The state of one router.
+pub(crate) struct Router {
+    pub(crate) settings: RefCell<DirectSettings>,
+    pub(crate) platform: SharedPlatform,
+    pub(crate) clock: Clock,
+    pub(crate) log: EventLog,
+    pub(crate) metrics: Metrics,
+    pub(crate) connections: Connections,
+    pub(crate) introduction: RefCell<HostIntroduction>,
+    pub(crate) routes: RefCell<Option<Rc<RouteTable>>>,
+    pub(crate) endpoints: RefCell<EndpointList>,
+    pub(crate) dispatcher: RefCell<Dispatcher>,
+    pub(crate) hosts: RefCell<HostTable>,
+    pub(crate) store_view: RefCell<StoreView>,
+    /// Whether the last call to the store got an answer.
+    pub(crate) is_store_present: Cell<bool>,
+    verdicts: RefCell<HashMap<QueueId, oneshot::Sender<Verdict>>>,
+}
+
+impl Router {
+    pub(crate) fn new(
+        settings: DirectSettings,
+        platform: SharedPlatform,
+        introduction: HostIntroduction,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> Self {
+        let zone = Arc::from(settings.zone.to_string());
+        Self {
+            dispatcher: RefCell::new(Dispatcher::new(zone, settings.dispatcher())),
+            settings: RefCell::new(settings),
+            platform,
+            clock: Clock::start(),
+            log,
+            metrics,
+            connections: Connections::default(),
+            introduction: RefCell::new(introduction),
+            routes: RefCell::new(None),
+            endpoints: RefCell::default(),
+            hosts: RefCell::default(),
+            store_view: RefCell::default(),
+            is_store_present: Cell::new(true),
+            verdicts: RefCell::default(),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Gives the configuration in force.
+    pub(crate) fn routes(&self) -> Option<Rc<RouteTable>> {
+        self.routes.borrow().clone()
+    }
+
+    pub(crate) fn phase(&self) -> HostPhase {
+        self.introduction.borrow().phase
+    }
+
+    /// Takes a configuration's text; an older or unreadable one changes nothing.
+    pub(crate) fn on_configuration(&self, text: &Bytes, source: &str) {
+        let table = match self.platform.decode_configuration(text) {
+            Ok(table) => table,
+            Err(error) => {
+                let fields = json!({"error": error.to_string(), "source": source});
+                self.log.write(Weight::Essential, "configuration_unreadable", fields);
+                return;
+            }
+        };
+        let before = self.routes().map_or(0, |routes| routes.version);
+        if table.version <= before {
+            return;
+        }
+        let fields = json!({
+            "version": table.version, "before": before, "routes": table.routes_len(),
+            "source": source,
+        });
+        self.log.write(Weight::Essential, "configuration", fields);
+        let version = i64::try_from(table.version).unwrap_or(i64::MAX);
+        self.metrics.configuration_version.set(version);
+        self.dispatcher.borrow_mut().on_routes(&table);
+        *self.routes.borrow_mut() = Some(Rc::new(table));
+        self.store_view.borrow_mut().configuration = Some(text.clone());
+        let mut introduction = self.introduction.borrow_mut();
+        if introduction.phase == HostPhase::Starting {
+            introduction.phase = HostPhase::Serving;
+            drop(introduction);
+            self.log.write(Weight::Essential, "ready", json!({}));
+        }
+    }
+
+    /// Takes changes of the endpoints.
+    pub(crate) fn on_endpoint_changes(&self, changes: Vec<EndpointChange>, source: &str) {
+        if changes.is_empty() {
+            return;
+        }
+        let empty = Rc::default();
+        let routes = self.routes().unwrap_or(empty);
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        for change in changes {
+            let fields = match &change {
+                EndpointChange::Usable(entry) => json!({
+                    "endpoint": &*entry.name, "service": &*entry.service, "state": "usable",
+                    "address": entry.address.to_string(), "source": source,
+                }),
+                EndpointChange::Closed(id) => {
+                    self.connections.forget(*id);
+                    json!({"endpoint_id": id.0, "state": "closed", "source": source})
+                }
+            };
+            self.log.write(Weight::Essential, "endpoint", fields);
+            dispatcher.on_endpoint(change, &routes);
+        }
+        drop(dispatcher);
+        self.pump();
+    }
+
+    /// Notes whether the store answered; logs when that changes.
+    pub(crate) fn on_store_answer(&self, is_present: bool, detail: &str) {
+        if self.is_store_present.replace(is_present) == is_present {
+            return;
+        }
+        let event = if is_present { "store_regained" } else { "store_lost" };
+        self.log.write(Weight::Essential, event, json!({"detail": detail}));
+        if is_present {
+            self.endpoints.borrow_mut().on_store_return(self.now());
+        }
+    }
+
+    /// Lets a request wait for its place.
+    pub(crate) fn submit(self: &Rc<Self>, spec: RequestSpec) -> QueuedRequest {
+        let (sender, verdict) = oneshot::channel();
+        let id = self.dispatcher.borrow_mut().submit(spec, self.now());
+        self.verdicts.borrow_mut().insert(id, sender);
+        self.pump();
+        QueuedRequest {
+            router: Rc::clone(self),
+            id,
+            verdict,
+        }
+    }
+
+    /// Decides on the requests that wait.
+    pub(crate) fn pump(&self) {
+        let verdicts = {
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            if !dispatcher.has_waiting() {
+                return;
+            }
+            dispatcher.pump(self.now())
+        };
+        for (id, verdict) in verdicts {
+            let sender = self.verdicts.borrow_mut().remove(&id);
+            let run = match &verdict {
+                Verdict::Send(grant) => Some(grant.run),
+                Verdict::Refuse { .. } => None,
+            };
+            let is_taken = sender.is_some_and(|sender| sender.send(verdict).is_ok());
+            if let Some(run) = run
+                && !is_taken
+            {
+                self.dispatcher.borrow_mut().on_ended(run, Ended::Cancelled, self.now());
+            }
+        }
+    }
+
+    /// Starts to watch over a run, so that it ends even if its task is dropped.
+    pub(crate) fn guard(self: &Rc<Self>, run: RunId) -> RunGuard {
+        RunGuard {
+            router: Rc::clone(self),
+            run: Some(run),
+        }
+    }
+}
+
+/// A request that waits; dropping it withdraws it.
+pub(crate) struct QueuedRequest {
+    router: Rc<Router>,
+    id: QueueId,
+    pub(crate) verdict: oneshot::Receiver<Verdict>,
+}
+
+impl Drop for QueuedRequest {
+    fn drop(&mut self) {
+        self.router.verdicts.borrow_mut().remove(&self.id);
+        self.router.dispatcher.borrow_mut().withdraw(self.id);
+        if let Ok(Verdict::Send(grant)) = self.verdict.try_recv() {
+            let now = self.router.now();
+            let mut dispatcher = self.router.dispatcher.borrow_mut();
+            dispatcher.on_ended(grant.run, Ended::Cancelled, now);
+        }
+    }
+}
+
+/// A request at an endpoint; dropping it counts as cancelled.
+pub(crate) struct RunGuard {
+    router: Rc<Router>,
+    run: Option<RunId>,
+}
+
+impl RunGuard {
+    /// Notes bytes of the answer.
+    pub(crate) fn on_bytes(&self) {
+        if let Some(run) = self.run {
+            let mut dispatcher = self.router.dispatcher.borrow_mut();
+            dispatcher.on_bytes(run, self.router.now());
+        }
+    }
+
+    /// Says whether the endpoint owes an answer for too long.
+    pub(crate) fn is_silent(&self) -> bool {
+        let now = self.router.now();
+        self.run
+            .is_some_and(|run| self.router.dispatcher.borrow().is_silent(run, now))
+    }
+
+    /// Ends the run.
+    pub(crate) fn end(mut self, ended: Ended) {
+        self.finish(ended);
+    }
+
+    fn finish(&mut self, ended: Ended) {
+        let Some(run) = self.run.take() else {
+            return;
+        };
+        let word = match ended {
+            Ended::Done => "done",
+            Ended::ErrorAnswer => "error_answer",
+            Ended::Refused => "refused",
+            Ended::Unreachable => "unreachable",
+            Ended::Broken => "broken",
+            Ended::Cancelled => "cancelled",
+        };
+        self.router.metrics.sends.with_label_values(&[word]).inc();
+        let now = self.router.now();
+        self.router.dispatcher.borrow_mut().on_ended(run, ended, now);
+        self.router.pump();
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.finish(Ended::Cancelled);
+    }
+}
--- /dev/null
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -0,0 +1,296 @@
+//! Follows the configuration and the endpoints in the store, and registers this router.
+//!
+//! A watch that ends badly goes on from where it was; history that is gone means that
+//! everything is listed again. `docs/design/platform.md` counts the calls.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use daisynotch_core::Timestamp;
+use daisynotch_core::direct::EndpointEntry;
+use daisynotch_platform::ports::{DecodeError, Lease, StoreEvent, StoreItem};
+use hyper::StatusCode;
+use rand::RngExt;
+use serde_json::json;
+
+use super::event_log::Weight;
+use super::state::Router;
+use super::store_client::{StoreClient, StoreError};
+
+/// How long a call may take, waiting apart: a hundred times the store's usual 4 ms,
+/// several times over.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long a watch waits: a watch that went silent is noticed after this at the latest.
+const WATCH_WAIT: Duration = Duration::from_millis(8_000);
+/// The pause after a failed call, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 100..300;
+/// How long this router's entry outlives it.
+const LEASE_TTL: Duration = Duration::from_secs(30);
+/// How often the lease is renewed and the other routers' entries are listed.
+const RENEW_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Which part of the store a follower reads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Followed {
+    Configuration,
+    Endpoints,
+}
+
+#[derive(Debug, thiserror::Error)]
+enum FollowError {
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    #[error(transparent)]
+    Decode(#[from] DecodeError),
+}
+
+impl FollowError {
+    fn is_history_gone(&self) -> bool {
+        matches!(self, Self::Store(StoreError::Status(StatusCode::GONE)))
+    }
+}
+
+/// Follows one part of the store for as long as the router runs.
+pub(crate) async fn follow(router: Rc<Router>, followed: Followed) {
+    let client = StoreClient::new(&router);
+    let prefixes = router.platform.prefixes();
+    let (prefix, purpose) = match followed {
+        Followed::Configuration => (prefixes.configuration, "watch_configuration"),
+        Followed::Endpoints => (prefixes.endpoints, "watch_endpoints"),
+    };
+    let mut at_revision = None;
+    loop {
+        let step = match at_revision {
+            None => list_all(&router, &client, followed, prefix).await,
+            Some(after) => watch(&router, &client, prefix, purpose, after).await,
+        };
+        match step {
+            Ok(at) => {
+                at_revision = Some(at);
+                router.on_store_answer(true, "");
+            }
+            Err(error) if error.is_history_gone() => {
+                router.log.write(
+                    Weight::Essential,
+                    "store_history_gone",
+                    json!({"prefix": prefix, "after": at_revision}),
+                );
+                at_revision = None;
+            }
+            Err(error) => {
+                router.on_store_answer(false, &error.to_string());
+                let pause_ms = rand::rng().random_range(PAUSE_MS);
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            }
+        }
+    }
+}
+
+/// Lists a prefix, page by page.
+async fn list(
+    router: &Router,
+    client: &StoreClient,
+    prefix: &str,
+    purpose: &str,
+    may_be_stale: bool,
+) -> Result<(Vec<StoreItem>, u64), FollowError> {
+    let mut items: Vec<StoreItem> = Vec::new();
+    let mut first_at = None;
+    loop {
+        let after = items.last().map(|item| item.key.clone());
+        let call = router.platform.range(prefix, after.as_deref(), may_be_stale);
+        let body = client.call(purpose, call, CALL_TIMEOUT).await?;
+        let page = router.platform.decode_range(&body)?;
+        // Pages are no snapshot: changes since the first one are watched for.
+        let at = *first_at.get_or_insert(page.at_revision);
+        let is_last = !page.has_more || page.items.is_empty();
+        items.extend(page.items);
+        if is_last {
+            return Ok((items, at));
+        }
+    }
+}
+
+async fn list_all(
+    router: &Rc<Router>,
+    client: &StoreClient,
+    followed: Followed,
+    prefix: &str,
+) -> Result<u64, FollowError> {
+    let (items, at) = list(router, client, prefix, "list", false).await?;
+    // What is missing may have lapsed while nobody could see the store.
+    match followed {
+        Followed::Configuration => items
+            .iter()
+            .for_each(|item| on_configuration_item(router, item, "store")),
+        Followed::Endpoints => {
+            let endpoints = items.into_iter().map(|item| (item.key.clone(), item));
+            replace_endpoints(router, endpoints.collect(), at, "store");
+        }
+    }
+    Ok(at)
+}
+
+async fn watch(
+    router: &Rc<Router>,
+    client: &StoreClient,
+    prefix: &str,
+    purpose: &str,
+    after: u64,
+) -> Result<u64, FollowError> {
+    let call = router.platform.watch(prefix, after, WATCH_WAIT);
+    let body = client.call(purpose, call, WATCH_WAIT + CALL_TIMEOUT).await?;
+    let page = router.platform.decode_watch(&body)?;
+    router.on_store_answer(true, "");
+    for event in page.events {
+        on_event(router, event);
+    }
+    Ok(page.at_revision.max(after))
+}
+
+fn on_event(router: &Rc<Router>, event: StoreEvent) {
+    let prefixes = router.platform.prefixes();
+    if event.key().starts_with(prefixes.configuration) {
+        if let StoreEvent::Written(item) = &event {
+            on_configuration_item(router, item, "store");
+        }
+        return;
+    }
+    let Some(name) = event.key().strip_prefix(prefixes.endpoints) else {
+        return;
+    };
+    let now = router.now();
+    let mut view = router.store_view.borrow_mut();
+    if event.revision() <= view.endpoints_revision {
+        return;
+    }
+    view.endpoints_revision = event.revision();
+    let changes = match &event {
+        StoreEvent::Written(item) => {
+            view.endpoints.insert(item.key.clone(), item.clone());
+            match decode_endpoint(router, name, item) {
+                Some(entry) => router.endpoints.borrow_mut().write(entry),
+                None => router.endpoints.borrow_mut().remove(name, now),
+            }
+        }
+        StoreEvent::Removed { key, .. } => {
+            view.endpoints.remove(key);
+            router.endpoints.borrow_mut().remove(name, now)
+        }
+    };
+    drop(view);
+    router.on_endpoint_changes(changes, "store");
+}
+
+fn on_configuration_item(router: &Router, item: &StoreItem, source: &str) {
+    router.on_configuration(&item.value, source);
+}
+
+fn decode_endpoint(router: &Router, name: &str, item: &StoreItem) -> Option<EndpointEntry> {
+    match router.platform.decode_endpoint(name, &item.value) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            let fields = json!({"key": item.key, "error": error.to_string()});
+            router.log.write(Weight::Essential, "endpoint_unreadable", fields);
+            None
+        }
+    }
+}
+
+/// Takes a whole listing of the endpoints, from the store or from another router.
+pub(crate) fn replace_endpoints(
+    router: &Rc<Router>,
+    items: HashMap<String, StoreItem>,
+    at_revision: u64,
+    source: &str,
+) {
+    let prefix = router.platform.prefixes().endpoints;
+    {
+        let mut view = router.store_view.borrow_mut();
+        if at_revision < view.endpoints_revision {
+            return;
+        }
+        view.endpoints_revision = at_revision;
+        view.endpoints = items;
+    }
+    let entries = {
+        let view = router.store_view.borrow();
+        let items = view.endpoints.values();
+        let named = items.filter_map(|item| Some((item.key.strip_prefix(prefix)?, item)));
+        named
+            .filter_map(|(name, item)| decode_endpoint(router, name, item))
+            .collect()
+    };
+    let now = router.now();
+    let changes = router.endpoints.borrow_mut().replace(entries, now);
+    router.on_endpoint_changes(changes, source);
+}
+
+/// Keeps this router's entry in the store, and finds the entries of others.
+pub(crate) async fn register(router: Rc<Router>) {
+    let client = StoreClient::new(&router);
+    let mut lease: Option<Lease> = None;
+    let mut listed_at: Option<Timestamp> = None;
+    loop {
+        let step = register_once(&router, &client, &mut lease, &mut listed_at).await;
+        let pause = match step {
+            Ok(()) => RENEW_INTERVAL,
+            Err(error) => {
+                let fields = json!({"error": error.to_string()});
+                router.log.write(Weight::Essential, "registration_failed", fields);
+                Duration::from_millis(rand::rng().random_range(500..1_000))
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn register_once(
+    router: &Rc<Router>,
+    client: &StoreClient,
+    lease: &mut Option<Lease>,
+    listed_at: &mut Option<Timestamp>,
+) -> Result<(), FollowError> {
+    let platform = &router.platform;
+    let prefix = platform.prefixes().routers;
+    if let Some(held) = lease {
+        let call = platform.renew_lease(held.id);
+        match client.call("renew_lease", call, CALL_TIMEOUT).await {
+            Ok(_) => {}
+            Err(StoreError::Status(StatusCode::NOT_FOUND)) => *lease = None,
+            Err(error) => return Err(error.into()),
+        }
+    }
+    if lease.is_none() {
+        let call = platform.take_lease(LEASE_TTL);
+        let body = client.call("take_lease", call, CALL_TIMEOUT).await?;
+        let taken = platform.decode_lease(&body)?;
+        let (key, value) = {
+            let introduction = router.introduction.borrow();
+            let key = format!("{prefix}{}", introduction.router);
+            (key, introduction.peer_address.to_string())
+        };
+        let call = platform.put(&key, value.as_bytes(), taken.id);
+        client.call("put_router", call, CALL_TIMEOUT).await?;
+        *lease = Some(taken);
+    }
+    let is_first = listed_at.is_none();
+    let (items, _) = list(router, client, prefix, "list_routers", !is_first).await?;
+    let now = router.now();
+    *listed_at = Some(now);
+    let own = router.introduction.borrow().peer_address;
+    let mut hosts = router.hosts.borrow_mut();
+    for item in items {
+        let address = std::str::from_utf8(&item.value).ok().and_then(|text| text.parse().ok());
+        match address {
+            Some(address) if address != own => hosts.hint(address, now),
+            Some(_) => {}
+            None => {
+                let fields = json!({"key": item.key, "error": "the value is no address"});
+                router.log.write(Weight::Essential, "router_entry_unreadable", fields);
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -0,0 +1,154 @@
+//! Passes a stream of events on as it comes, and continues it elsewhere if it may be.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use daisynotch_core::direct::{Ended, EventFramer, RouteKind};
+use http_body_util::BodyExt;
+use hyper::{Response, StatusCode};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::answer::{AnswerBody, BrokenOff};
+use super::forward::{Begun, Call, SILENCE_CHECK_INTERVAL, pass_on};
+
+/// Pieces that wait for a caller that reads slowly.
+const PIECES_MAX: usize = 16;
+/// The silence within a stream after which a resumable one goes on elsewhere: below the
+/// two seconds after which callers leave, with time for another endpoint to begin.
+const STREAM_SILENCE_MAX: Duration = Duration::from_millis(900);
+
+type Pieces = mpsc::Sender<Result<Bytes, BrokenOff>>;
+
+/// How the pumping of one endpoint's stream ended.
+enum Pumped {
+    /// The endpoint ended it.
+    Whole,
+    /// It broke off or fell silent.
+    Broken(String),
+    /// The caller left.
+    CallerLeft,
+    /// The time was over.
+    TimedOut,
+}
+
+/// Starts to pass a stream on.
+pub(super) fn start(call: Call, begun: Begun) -> Response<AnswerBody> {
+    let (pieces, receiver) = mpsc::channel(PIECES_MAX);
+    let head = begun.head.clone();
+    tokio::task::spawn_local(relay(call, begun, pieces));
+    pass_on(head, AnswerBody::Pieces(receiver))
+}
+
+async fn relay(mut call: Call, mut begun: Begun, pieces: Pieces) {
+    let mut framer = EventFramer::default();
+    loop {
+        let pumped = pump(&call, &mut begun, &mut framer, &pieces).await;
+        let reason = match pumped {
+            Pumped::Whole => {
+                begun.guard.end(Ended::Done);
+                if begun.connection.is_usable() {
+                    let connections = &call.router.connections;
+                    connections.keep(begun.grant.endpoint, begun.connection);
+                }
+                call.log_end("done", StatusCode::OK);
+                return;
+            }
+            Pumped::CallerLeft => {
+                begun.guard.end(Ended::Cancelled);
+                call.log_end("caller_left", StatusCode::OK);
+                return;
+            }
+            Pumped::TimedOut => {
+                begun.guard.end(Ended::Cancelled);
+                break_off(&call, &pieces, "timed_out").await;
+                return;
+            }
+            Pumped::Broken(reason) => reason,
+        };
+        begun.guard.end(Ended::Broken);
+        drop(begun.connection);
+        call.history.failures.push(reason);
+        if !call.may_repeat() {
+            break_off(&call, &pieces, "broke_off").await;
+            return;
+        }
+        framer.drop_partial();
+        let resume_after = framer.last_id().map(str::to_owned);
+        let next = tokio::select! {
+            next = call.begin(resume_after.as_deref()) => next,
+            () = pieces.closed() => return,
+        };
+        begun = match next {
+            Ok(next) if next.head.status.is_success() => next,
+            Ok(next) => {
+                next.guard.end(Ended::ErrorAnswer);
+                break_off(&call, &pieces, "not_continued").await;
+                return;
+            }
+            Err(answer) => {
+                break_off(&call, &pieces, answer.reason).await;
+                return;
+            }
+        };
+    }
+}
+
+async fn break_off(call: &Call, pieces: &Pieces, outcome: &str) {
+    call.log_end(outcome, StatusCode::OK);
+    // The caller may have left; then nobody needs to be told.
+    let _ = pieces.send(Err(BrokenOff)).await;
+}
+
+async fn pump(call: &Call, begun: &mut Begun, framer: &mut EventFramer, pieces: &Pieces) -> Pumped {
+    let is_resumable = call.route.kind == RouteKind::ResumableStream;
+    let mut heard_at = Instant::now();
+    loop {
+        let frame = tokio::select! {
+            frame = begun.incoming.frame() => frame,
+            () = pieces.closed() => return Pumped::CallerLeft,
+            () = tokio::time::sleep_until(call.give_up_at) => return Pumped::TimedOut,
+            () = tokio::time::sleep(SILENCE_CHECK_INTERVAL), if is_resumable => {
+                if heard_at.elapsed() > STREAM_SILENCE_MAX {
+                    return Pumped::Broken("the stream fell silent".to_owned());
+                }
+                continue;
+            }
+        };
+        let bytes = match frame {
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            Some(Err(error)) => return Pumped::Broken(format!("the stream broke off: {error}")),
+            None => return end(framer, pieces, is_resumable).await,
+        };
+        if bytes.is_empty() {
+            continue;
+        }
+        heard_at = Instant::now();
+        begun.guard.on_bytes();
+        let whole = framer.push(&bytes);
+        if whole.is_empty() {
+            continue;
+        }
+        let sent = tokio::select! {
+            sent = pieces.send(Ok(whole)) => sent,
+            () = tokio::time::sleep_until(call.give_up_at) => return Pumped::TimedOut,
+        };
+        if sent.is_err() {
+            return Pumped::CallerLeft;
+        }
+    }
+}
+
+/// Ends a stream; bytes after its last whole event are part of it if it can't go on elsewhere.
+async fn end(framer: &mut EventFramer, pieces: &Pieces, is_resumable: bool) -> Pumped {
+    if framer.is_at_boundary() {
+        return Pumped::Whole;
+    }
+    if is_resumable {
+        return Pumped::Broken("the stream ended within an event".to_owned());
+    }
+    match pieces.send(Ok(framer.take_partial())).await {
+        Ok(()) => Pumped::Whole,
+        Err(_) => Pumped::CallerLeft,
+    }
+}
--- a/crates/daisynotch_router/src/lib.rs
+++ b/crates/daisynotch_router/src/lib.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod core_task;
 mod daemon;
+pub mod direct;
 mod dispatch;
 mod event_stream;
 mod host_list;
--- a/crates/daisynotch_router/src/main.rs
+++ b/crates/daisynotch_router/src/main.rs
@@ -1,8 +1,11 @@
 //! `daisynotch-router`: one router process.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
+use daisynotch_adapter::UsersPlatform;
+use daisynotch_router::direct::{DirectError, DirectSettings};
 use daisynotch_router::{Daemon, Settings, start_logging};
 use log::LevelFilter;
 use tokio::signal::unix::{SignalKind, signal};
@@ -11,7 +14,10 @@
 daisynotch-router: one router process
 
 USAGE
-    daisynotch-router --settings FILE
+    daisynotch-router [direct] --settings FILE
+
+    direct            dispatch from load digests, without schedulers, on the
+                      users' platform (docs/operations/direct-settings.md)
 
 OPTIONS
     --settings FILE   the router's settings, in TOML
@@ -51,6 +57,7 @@
         return Ok(());
     }
     let check_only = arguments.contains("--check");
+    let command = arguments.subcommand().map_err(|error| usage(&error))?;
     let path: PathBuf = arguments
         .value_from_str("--settings")
         .map_err(|error| usage(&error))?;
@@ -60,7 +67,31 @@
             "unknown arguments {rest:?}: see --help"
         )));
     }
-    let settings = Settings::read(&path).map_err(|error| usage(&error))?;
+    match command.as_deref() {
+        None => run_scheduled(&path, check_only),
+        Some("direct") => run_direct(&path, check_only),
+        Some(other) => Err(Failure::Usage(format!(
+            "unknown command `{other}`: see --help"
+        ))),
+    }
+}
+
+fn run_direct(path: &Path, check_only: bool) -> Result<(), Failure> {
+    if check_only {
+        DirectSettings::read(path).map_err(|error| Failure::Usage(error.to_string()))?;
+        println!("{}: the settings are valid", path.display());
+        return Ok(());
+    }
+    let platform = Arc::new(UsersPlatform);
+    daisynotch_router::direct::run(path, platform).map_err(|error| match error {
+        DirectError::Settings(error) => Failure::Usage(error.to_string()),
+        error => Failure::Run(error.to_string()),
+    })
+}
+
+fn run_scheduled(path: &Path, check_only: bool) -> Result<(), Failure> {
+    let usage = |error: &dyn std::fmt::Display| Failure::Usage(error.to_string());
+    let settings = Settings::read(path).map_err(|error| usage(&error))?;
     if check_only {
         println!("{}: the settings are valid", path.display());
         return Ok(());
