Give work beyond a team's share only engines that are all but idle

Ruled out: placement (busiest/mean 1.17), cache model (6.6 of 7.3 million predicted). Change: the backlog at which such work is sent is 40 ms over the square of the used part of the share, 60 ms before; the least over goes first.

--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -23,8 +23,9 @@
 /// The reading that an engine may have before it when a request is sent: enough to
 /// bridge the age of digests, short enough that order is decided here.
 const ENGINE_BACKLOG_MAX_MS: f64 = 220.0;
-/// The same for requests beyond their team's share, which must not delay others.
-const ENGINE_BACKLOG_BEYOND_SHARE_MS: f64 = 60.0;
+/// The same for requests beyond their team's share, which must not delay others, where
+/// the share is just used up; it shrinks with the square of what the team has used.
+const ENGINE_BACKLOG_BEYOND_SHARE_MS: f64 = 40.0;
 /// The part of the objective that is planned with; the rest is for the way back.
 const OBJECTIVE_USED_PART: f64 = 0.85;
 /// How long a request that can no longer be on time is kept, as a part of the time
@@ -245,7 +246,8 @@
 
     /// Takes a new configuration.
     pub fn on_routes(&mut self, table: &RouteTable) {
-        self.shares.set_tokens_per_s(table.limits.shared_tokens_per_s);
+        self.shares
+            .set_tokens_per_s(table.limits.shared_tokens_per_s);
         let services: Vec<Arc<str>> = self.by_service.keys().cloned().collect();
         self.engines.clear();
         for name in services {
@@ -291,7 +293,11 @@
     pub fn submit(&mut self, spec: RequestSpec, now: Timestamp) -> QueueId {
         let id = QueueId(self.next_id());
         let queued_at = now;
-        self.waiting.push(Waiting { id, spec, queued_at });
+        self.waiting.push(Waiting {
+            id,
+            spec,
+            queued_at,
+        });
         id
     }
 
@@ -355,7 +361,8 @@
         load.own.unread_tokens = load.own.unread_tokens.saturating_sub(run.unread_tokens);
         run.unread_tokens = 0;
         let taken = now.since(run.sent_at);
-        load.slowdown.observe(taken.as_secs_f64() * 1e3, run.expected_ms);
+        load.slowdown
+            .observe(taken.as_secs_f64() * 1e3, run.expected_ms);
         let pace = self.paces.entry(Arc::clone(&run.service)).or_default();
         if load.engine.is_some() {
             pace.engine.observe(run.tokens_to_read, taken);
@@ -440,7 +447,9 @@
             self.remove_endpoint(id);
             return;
         }
-        let engine = table.service(&entry.service).and_then(|service| service.engine);
+        let engine = table
+            .service(&entry.service)
+            .and_then(|service| service.engine);
         let service = Arc::clone(&entry.service);
         self.engines.insert(Arc::clone(&service), engine);
         self.by_service.entry(service).or_default().push(id);
@@ -456,12 +465,13 @@
     }
 
     fn rank(&mut self, spec: &RequestSpec, now: Timestamp) -> Rank {
-        let is_beyond_share = spec
-            .team
-            .is_some_and(|team| self.shares.used_part(team, spec.shared_tokens(), now) > 1.0);
+        let used_part = spec.team.map_or(0.0, |team| {
+            self.shares.used_part(team, spec.shared_tokens(), now)
+        });
         Rank {
             is_late: self.is_late(spec, now),
-            is_beyond_share,
+            is_beyond_share: used_part > 1.0,
+            used_part,
             priority: spec.priority,
             arrived_at: spec.arrived_at,
         }
@@ -515,7 +525,7 @@
             };
         };
         let backlog_max_ms = if rank.is_beyond_share {
-            ENGINE_BACKLOG_BEYOND_SHARE_MS
+            ENGINE_BACKLOG_BEYOND_SHARE_MS / (rank.used_part * rank.used_part)
         } else {
             ENGINE_BACKLOG_MAX_MS
         };
@@ -574,7 +584,10 @@
             } else {
                 &mut best
             };
-            if slot.as_ref().is_none_or(|best| choice.cost_ms < best.cost_ms) {
+            if slot
+                .as_ref()
+                .is_none_or(|best| choice.cost_ms < best.cost_ms)
+            {
                 *slot = Some(choice);
             }
         }
@@ -671,7 +684,8 @@
             tokens_ahead: 0,
         });
     };
-    let memory = total.memory_tokens + u64::from(spec.prompt_tokens) + u64::from(spec.answer_tokens);
+    let memory =
+        total.memory_tokens + u64::from(spec.prompt_tokens) + u64::from(spec.answer_tokens);
     let is_full = total.running >= engine.slots
         || memory as f64 > engine.memory_tokens as f64 * MEMORY_USED_PART;
     // A request larger than what is left may still run alone.
--- a/crates/daisynotch_core/src/direct/endpoints.rs
+++ b/crates/daisynotch_core/src/direct/endpoints.rs
@@ -157,7 +157,10 @@
         if now < self.lapses_until {
             return Vec::new();
         }
-        let lapsed = self.known.iter().filter(|(_, known)| known.lapsed_at.is_some());
+        let lapsed = self
+            .known
+            .iter()
+            .filter(|(_, known)| known.lapsed_at.is_some());
         let lapsed: Vec<Arc<str>> = lapsed.map(|(name, _)| Arc::clone(name)).collect();
         lapsed
             .iter()
--- a/crates/daisynotch_core/src/direct/engine.rs
+++ b/crates/daisynotch_core/src/direct/engine.rs
@@ -117,9 +117,10 @@
         if self.health.is_suspect(now) {
             return true;
         }
-        let suspected = self.peers.values().any(|peer| {
-            peer.is_suspect && now.since(peer.heard_at) < PEER_SUSPICION_MAX_AGE
-        });
+        let suspected = self
+            .peers
+            .values()
+            .any(|peer| peer.is_suspect && now.since(peer.heard_at) < PEER_SUSPICION_MAX_AGE);
         suspected && !self.health.heard_within(now, PEER_SUSPICION_MAX_AGE)
     }
 }
--- a/crates/daisynotch_core/src/direct/event_framer.rs
+++ b/crates/daisynotch_core/src/direct/event_framer.rs
@@ -78,7 +78,11 @@
 /// Finds the end of the last blank line.
 fn last_event_end(bytes: &[u8], from: usize) -> Option<usize> {
     let tail = &bytes[from..];
-    let newlines = tail.iter().enumerate().rev().filter(|(_, byte)| **byte == b'\n');
+    let newlines = tail
+        .iter()
+        .enumerate()
+        .rev()
+        .filter(|(_, byte)| **byte == b'\n');
     for (position, _) in newlines {
         let before = &bytes[..from + position];
         if before.ends_with(b"\n") || before.ends_with(b"\n\r") {
--- a/crates/daisynotch_core/src/direct/health.rs
+++ b/crates/daisynotch_core/src/direct/health.rs
@@ -64,9 +64,8 @@
 
     /// Says whether the endpoint owes an answer for too long.
     pub(crate) fn is_silent(&self, now: Timestamp) -> bool {
-        self.answer_due_at.is_some_and(|due_at| {
-            now.since(due_at.max(self.heard_at)) > SILENCE_MAX
-        })
+        self.answer_due_at
+            .is_some_and(|due_at| now.since(due_at.max(self.heard_at)) > SILENCE_MAX)
     }
 
     /// Says whether new requests should go elsewhere.
--- a/crates/daisynotch_core/src/direct/hosts.rs
+++ b/crates/daisynotch_core/src/direct/hosts.rs
@@ -66,7 +66,10 @@
         };
         self.hosts.insert(id, host);
         for address in &digest.known_hosts {
-            let is_known = self.hosts.values().any(|host| host.introduction.peer_address == *address);
+            let is_known = self
+                .hosts
+                .values()
+                .any(|host| host.introduction.peer_address == *address);
             if !is_known {
                 self.hint(*address, now);
             }
@@ -76,9 +79,13 @@
 
     /// Gives where digests go: all known routers, and places where one may be.
     pub fn peer_addresses(&mut self, now: Timestamp) -> Vec<SocketAddr> {
-        self.hosts.retain(|_, host| now.since(host.heard_at) < FORGOTTEN_AFTER);
+        self.hosts
+            .retain(|_, host| now.since(host.heard_at) < FORGOTTEN_AFTER);
         self.hinted.retain(|_, at| now.since(*at) < FORGOTTEN_AFTER);
-        let known = self.hosts.values().map(|host| host.introduction.peer_address);
+        let known = self
+            .hosts
+            .values()
+            .map(|host| host.introduction.peer_address);
         let mut addresses: Vec<SocketAddr> = known.chain(self.hinted.keys().copied()).collect();
         addresses.sort_unstable();
         addresses.dedup();
@@ -99,7 +106,12 @@
     }
 
     /// Gives where callers may connect, this router first if it takes them.
-    pub fn caller_addresses(&self, own: &HostIntroduction, now: Timestamp, max: usize) -> Vec<SocketAddr> {
+    pub fn caller_addresses(
+        &self,
+        own: &HostIntroduction,
+        now: Timestamp,
+        max: usize,
+    ) -> Vec<SocketAddr> {
         let serving = |host: &&Host| host.introduction.phase == HostPhase::Serving;
         let mut hosts: Vec<&Host> = self.present(now).filter(serving).collect();
         if hosts.is_empty() {
--- a/crates/daisynotch_core/src/direct/part_cache.rs
+++ b/crates/daisynotch_core/src/direct/part_cache.rs
@@ -46,7 +46,9 @@
 
     /// Gives the tokens at the start of a prompt that need not be read again.
     pub(crate) fn cached_tokens(&self, parts: &[Part]) -> u32 {
-        let kept = parts.iter().take_while(|part| self.parts.contains_key(&part.id));
+        let kept = parts
+            .iter()
+            .take_while(|part| self.parts.contains_key(&part.id));
         kept.map(|part| part.tokens).sum()
     }
 
--- a/crates/daisynotch_core/src/direct/routes.rs
+++ b/crates/daisynotch_core/src/direct/routes.rs
@@ -60,7 +60,11 @@
 impl Route {
     /// Picks a service by weight; `draw` is uniform over all 32-bit numbers.
     pub fn pick_service(&self, draw: u32) -> Option<&Arc<str>> {
-        let total: u64 = self.targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        let total: u64 = self
+            .targets
+            .iter()
+            .map(|(_, weight)| u64::from(*weight))
+            .sum();
         let mut point = u64::from(draw) * total >> 32;
         for (service, weight) in &self.targets {
             let weight = u64::from(*weight);
@@ -153,13 +157,17 @@
 
     /// Adds a route.
     pub fn add_route(&mut self, route: Route) {
-        let of_host = self.routes.entry(route.host.to_ascii_lowercase()).or_default();
+        let of_host = self
+            .routes
+            .entry(route.host.to_ascii_lowercase())
+            .or_default();
         of_host.insert(route.prefix.clone(), Arc::new(route));
     }
 
     /// Adds a service.
     pub fn add_service(&mut self, service: ServiceView) {
-        self.services.insert(Arc::clone(&service.name), Arc::new(service));
+        self.services
+            .insert(Arc::clone(&service.name), Arc::new(service));
     }
 
     /// Adds a team with the credentials that name it.
@@ -177,8 +185,13 @@
             Some(of_host) => of_host,
             None => self.routes.get(&name.to_ascii_lowercase())?,
         };
-        let ends = path.bytes().enumerate().rev().filter(|(_, byte)| *byte == b'/');
-        ends.into_iter().find_map(|(end, _)| of_host.get(&path[..=end]))
+        let ends = path
+            .bytes()
+            .enumerate()
+            .rev()
+            .filter(|(_, byte)| *byte == b'/');
+        ends.into_iter()
+            .find_map(|(end, _)| of_host.get(&path[..=end]))
     }
 
     /// Finds a service.
--- a/crates/daisynotch_core/src/direct/shares.rs
+++ b/crates/daisynotch_core/src/direct/shares.rs
@@ -88,7 +88,12 @@
     pub fn on_peer(&mut self, router: RouterId, teams: &[TeamDigest], now: Timestamp) {
         let teams = teams
             .iter()
-            .map(|team| (team.team, (u64::from(team.asked_tokens), u64::from(team.begun_tokens))))
+            .map(|team| {
+                (
+                    team.team,
+                    (u64::from(team.asked_tokens), u64::from(team.begun_tokens)),
+                )
+            })
             .collect();
         let heard_at = now;
         self.peers.insert(router, PeerSums { heard_at, teams });
@@ -142,8 +147,10 @@
             sums.1 += begun_there;
         }
         let capacity = tokens_per_s as f64 * self.settings.window.as_secs_f64();
-        let mut by_asked: Vec<(u32, u64)> =
-            asked.iter().map(|(team, (asked, _))| (*team, *asked)).collect();
+        let mut by_asked: Vec<(u32, u64)> = asked
+            .iter()
+            .map(|(team, (asked, _))| (*team, *asked))
+            .collect();
         by_asked.sort_unstable_by_key(|(_, asked)| *asked);
         let even = even_share(&by_asked, capacity);
         // A team's first request of a window may be larger than its share so far.
--- a/crates/daisynotch_core/src/direct/waiting.rs
+++ b/crates/daisynotch_core/src/direct/waiting.rs
@@ -16,6 +16,8 @@
     pub(crate) is_late: bool,
     /// Whether its team has had its share.
     pub(crate) is_beyond_share: bool,
+    /// The part of the share that the team would have used, this request included.
+    pub(crate) used_part: f64,
     pub(crate) priority: u32,
     pub(crate) arrived_at: Timestamp,
 }
@@ -24,6 +26,9 @@
     pub(crate) fn compare(&self, other: &Self) -> Ordering {
         let key = |rank: &Self| (rank.is_beyond_share, rank.is_late, rank.priority);
         let order = key(self).cmp(&key(other));
+        if self.is_beyond_share && order.is_eq() {
+            return self.used_part.total_cmp(&other.used_part);
+        }
         order.then(self.arrived_at.cmp(&other.arrived_at))
     }
 }
--- a/crates/daisynotch_router/src/direct/daemon.rs
+++ b/crates/daisynotch_router/src/direct/daemon.rs
@@ -18,10 +18,10 @@
 use super::event_log::{EventLog, Weight};
 use super::ingress::{self, LeaveStage, Served};
 use super::metrics::Metrics;
+use super::peers;
 use super::settings::DirectSettings;
 use super::state::Router;
 use super::store_follower::{self, Followed};
-use super::peers;
 use crate::settings::SettingsError;
 use crate::timer::{Tick, TimerService};
 
@@ -235,7 +235,9 @@
         let began_at = Instant::now();
         router.introduction.borrow_mut().phase = HostPhase::Leaving;
         let open = router.dispatcher.borrow().running_len();
-        router.log.write(Weight::Essential, "leaving", json!({"open_requests": open}));
+        router
+            .log
+            .write(Weight::Essential, "leaving", json!({"open_requests": open}));
         self.stage.send_replace(LeaveStage::LastAnswers);
         tokio::time::sleep(LAST_ANSWERS).await;
         self.stage.send_replace(LeaveStage::Closing);
@@ -249,7 +251,9 @@
                 dispatcher.running_len() + dispatcher.waiting_len()
             };
             if open == 0 || Instant::now() > end_at {
-                router.log.write(Weight::Essential, "left", json!({"open_requests": open}));
+                router
+                    .log
+                    .write(Weight::Essential, "left", json!({"open_requests": open}));
                 break;
             }
         }
--- a/crates/daisynotch_router/src/direct/directory.rs
+++ b/crates/daisynotch_router/src/direct/directory.rs
@@ -71,7 +71,9 @@
         Ok(text) => with_type(Bytes::from(text), "text/plain; version=0.0.4"),
         Err(error) => {
             let fields = json!({"error": error.to_string()});
-            router.log.write(Weight::Essential, "metrics_unwritable", fields);
+            router
+                .log
+                .write(Weight::Essential, "metrics_unwritable", fields);
             OwnAnswer::new(StatusCode::INTERNAL_SERVER_ERROR, "unwritable").into_response()
         }
     }
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -72,6 +72,8 @@
     pub(super) cached_tokens: u32,
     pub(super) tokens_ahead: u64,
     pub(super) answer_start: Option<Duration>,
+    /// The longest pause between two pieces of a stream.
+    pub(super) pause_max: Duration,
     pub(super) failures: Vec<String>,
 }
 
@@ -97,7 +99,10 @@
 }
 
 /// Answers a caller's request.
-pub(crate) async fn answer(router: &Rc<Router>, request: Request<Incoming>) -> Response<AnswerBody> {
+pub(crate) async fn answer(
+    router: &Rc<Router>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     match prepare(router, request).await {
         Ok(call) => forward(call).await,
         Err((answer, fields)) => {
@@ -130,7 +135,11 @@
     let plain = |status, reason| refuse(OwnAnswer::new(status, reason));
     let Some(routes) = router.routes() else {
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Err(refuse(OwnAnswer::not_run(status, "no_configuration", RETRY_AFTER_DEFAULT)));
+        return Err(refuse(OwnAnswer::not_run(
+            status,
+            "no_configuration",
+            RETRY_AFTER_DEFAULT,
+        )));
     };
     if let Some(problem) = problem {
         let (answer, mut fields) = plain(StatusCode::BAD_REQUEST, "malformed_header");
@@ -146,7 +155,11 @@
     };
     let Some(service) = route.pick_service(rand::rng().random()) else {
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Err(refuse(OwnAnswer::not_run(status, "no_service", RETRY_AFTER_DEFAULT)));
+        return Err(refuse(OwnAnswer::not_run(
+            status,
+            "no_service",
+            RETRY_AFTER_DEFAULT,
+        )));
     };
     let deadline = marks.deadline.unwrap_or(DEADLINE_DEFAULT);
     let give_up = deadline.min(route.timeout);
@@ -167,7 +180,9 @@
     let priority = team.as_ref().and_then(|team| team.priority);
     let spec = RequestSpec {
         service: Arc::clone(service),
-        team: team.as_ref().map(|team| xxh3_64(team.name.as_bytes()) as u32),
+        team: team
+            .as_ref()
+            .map(|team| xxh3_64(team.name.as_bytes()) as u32),
         priority: priority.unwrap_or(route.priority),
         parts: marks.parts.clone(),
         prompt_tokens: marks.prompt_tokens,
@@ -179,7 +194,10 @@
         tried: smallvec::SmallVec::new(),
         is_repeat: false,
     };
-    router.dispatcher.borrow_mut().on_request(&spec, router.now());
+    router
+        .dispatcher
+        .borrow_mut()
+        .on_request(&spec, router.now());
     Ok(Call {
         router: Rc::clone(router),
         route,
@@ -242,7 +260,11 @@
         let read = Limited::new(begun.incoming, PLAIN_ANSWER_MAX_BYTES).collect();
         let failure = match tokio::time::timeout_at(call.give_up_at, read).await {
             Ok(Ok(body)) => {
-                let ended = if is_error { Ended::ErrorAnswer } else { Ended::Done };
+                let ended = if is_error {
+                    Ended::ErrorAnswer
+                } else {
+                    Ended::Done
+                };
                 begun.guard.end(ended);
                 if begun.connection.is_usable() {
                     let connections = &call.router.connections;
@@ -251,16 +273,24 @@
                 let again = is_error && call.may_repeat();
                 if !again {
                     let status = begun.head.status;
-                    let outcome = if status.is_success() { "done" } else { "endpoint_error" };
+                    let outcome = if status.is_success() {
+                        "done"
+                    } else {
+                        "endpoint_error"
+                    };
                     call.log_end(outcome, status);
                     return pass_on(begun.head, AnswerBody::Whole(Some(body.to_bytes())));
                 }
-                call.history.failures.push(format!("status {}", begun.head.status));
+                call.history
+                    .failures
+                    .push(format!("status {}", begun.head.status));
                 None
             }
             Ok(Err(error)) => {
                 begun.guard.end(Ended::Broken);
-                call.history.failures.push(format!("the answer broke off: {error}"));
+                call.history
+                    .failures
+                    .push(format!("the answer broke off: {error}"));
                 let again = call.may_repeat();
                 (!again).then(|| OwnAnswer::new(StatusCode::BAD_GATEWAY, "answer_broke_off"))
             }
@@ -313,23 +343,28 @@
                     return Ok(begun);
                 }
                 Err(SendFailure::NotRun(_, reason)) => {
-                    self.history.failures.push(format!("{endpoint_name}: not run: {reason}"));
+                    self.history
+                        .failures
+                        .push(format!("{endpoint_name}: not run: {reason}"));
                     self.history.unrun_sends += 1;
-                    let may_send = self.history.unrun_sends < UNRUN_SENDS_MAX
-                        && self.take_repeat();
+                    let may_send = self.history.unrun_sends < UNRUN_SENDS_MAX && self.take_repeat();
                     if !may_send {
                         return Err(self.not_run("endpoints_refused", RETRY_AFTER_DEFAULT));
                     }
                 }
                 Err(SendFailure::Unknown(_, reason)) => {
-                    self.history.failures.push(format!("{endpoint_name}: {reason}"));
+                    self.history
+                        .failures
+                        .push(format!("{endpoint_name}: {reason}"));
                     self.history.runs += 1;
                     if !self.may_repeat() {
                         return Err(OwnAnswer::new(StatusCode::BAD_GATEWAY, "endpoint_failed"));
                     }
                 }
                 Err(SendFailure::Silent) => {
-                    self.history.failures.push(format!("{endpoint_name}: silent"));
+                    self.history
+                        .failures
+                        .push(format!("{endpoint_name}: silent"));
                     self.history.runs += 1;
                 }
                 Err(SendFailure::TimedOut) => {
@@ -387,7 +422,11 @@
         }
     }
 
-    async fn send(&mut self, grant: Grant, resume_after: Option<&str>) -> Result<Begun, SendFailure> {
+    async fn send(
+        &mut self,
+        grant: Grant,
+        resume_after: Option<&str>,
+    ) -> Result<Begun, SendFailure> {
         let guard = self.router.guard(grant.run);
         let watch = self.patience(&guard, &grant);
         let exchange = self.exchange(&grant, resume_after);
@@ -406,7 +445,8 @@
         let (answer, connection) = match sent {
             Ok(Ok(begun)) => begun,
             Ok(Err(failure)) => {
-                let (SendFailure::NotRun(ended, _) | SendFailure::Unknown(ended, _)) = failure else {
+                let (SendFailure::NotRun(ended, _) | SendFailure::Unknown(ended, _)) = failure
+                else {
                     return Err(failure);
                 };
                 guard.end(ended);
@@ -430,8 +470,8 @@
 
     /// Ends when a repeatable request should rather be sent elsewhere.
     async fn patience(&self, guard: &RunGuard, grant: &Grant) {
-        let may_run_again = self.route.kind.may_repeat()
-            && self.history.runs + 1 < self.route.attempts_max;
+        let may_run_again =
+            self.route.kind.may_repeat() && self.history.runs + 1 < self.route.attempts_max;
         match self.route.kind {
             RouteKind::Safe if may_run_again => {
                 let patience = self.route.objective.mul_f64(PLAIN_PATIENCE_OBJECTIVES);
@@ -531,13 +571,23 @@
             RouteKind::ResumableStream => "resumable_stream",
         };
         let router = &self.router;
-        router.metrics.requests.with_label_values(&[kind, outcome]).inc();
+        router
+            .metrics
+            .requests
+            .with_label_values(&[kind, outcome])
+            .inc();
         let history = &self.history;
         if let Some(start) = history.answer_start {
             let starts = &router.metrics.answer_start;
-            starts.with_label_values(&[kind]).observe(start.as_secs_f64());
+            starts
+                .with_label_values(&[kind])
+                .observe(start.as_secs_f64());
         }
-        let weight = if outcome == "done" { Weight::Success } else { Weight::Essential };
+        let weight = if outcome == "done" {
+            Weight::Success
+        } else {
+            Weight::Essential
+        };
         let ms = |duration: Duration| (duration.as_secs_f64() * 1e4).round() / 10.0;
         let fields = json!({
             "id": String::from_utf8_lossy(self.attempt_id.as_bytes()),
@@ -556,6 +606,7 @@
             "waited_ms": ms(history.waited),
             "expected_ms": ms(history.expected),
             "answer_start_ms": history.answer_start.map(ms),
+            "pause_max_ms": ms(history.pause_max),
             "total_ms": ms(self.arrived_at.elapsed()),
             "configuration": self.configuration_version,
         });
--- a/crates/daisynotch_router/src/direct/ingress.rs
+++ b/crates/daisynotch_router/src/direct/ingress.rs
@@ -74,7 +74,11 @@
 
 async fn closing(stage: &mut watch::Receiver<LeaveStage>) {
     // The sender lives as long as the router; without it there is nothing to wait for.
-    if stage.wait_for(|stage| *stage == LeaveStage::Closing).await.is_err() {
+    if stage
+        .wait_for(|stage| *stage == LeaveStage::Closing)
+        .await
+        .is_err()
+    {
         std::future::pending::<()>().await;
     }
 }
@@ -88,7 +92,10 @@
     if let Err(error) = probe_when_idle(&stream) {
         log::debug!("a connection can't be probed: {error}");
     }
-    let limits = router.routes().map(|routes| routes.limits).unwrap_or_default();
+    let limits = router
+        .routes()
+        .map(|routes| routes.limits)
+        .unwrap_or_default();
     let service = {
         let stage = stage.clone();
         service_fn(move |request| answer(Rc::clone(&router), request, served, stage.clone()))
--- a/crates/daisynotch_router/src/direct/metrics.rs
+++ b/crates/daisynotch_router/src/direct/metrics.rs
@@ -57,13 +57,20 @@
             requests: counters("requests_total", "Ended requests.", &["kind", "outcome"])?,
             sends: counters("sends_total", "Sends to endpoints.", &["ended"])?,
             answer_start: HistogramVec::new(
-                latency("answer_start_seconds", "Arrival to the start of the answer."),
+                latency(
+                    "answer_start_seconds",
+                    "Arrival to the start of the answer.",
+                ),
                 &["kind"],
             )?,
             wait: Histogram::with_opts(latency("wait_seconds", "Wait for a place."))?,
             waiting: IntGauge::new("daisynotch_waiting", "Requests that wait for a place.")?,
             running: IntGauge::new("daisynotch_running", "Requests at endpoints.")?,
-            store_calls: counters("store_calls_total", "Calls to the store.", &["use", "result"])?,
+            store_calls: counters(
+                "store_calls_total",
+                "Calls to the store.",
+                &["use", "result"],
+            )?,
             digests: counters("digests_total", "Digests.", &["direction"])?,
             digest_sent_bytes: IntCounter::new(
                 "daisynotch_digest_sent_bytes_total",
--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -68,12 +68,16 @@
             Ok(datagram) if datagram.len() <= DATAGRAM_MAX_BYTES => datagram,
             Ok(datagram) => {
                 let fields = json!({"bytes": datagram.len()});
-                router.log.write(Weight::Essential, "digest_too_long", fields);
+                router
+                    .log
+                    .write(Weight::Essential, "digest_too_long", fields);
                 continue;
             }
             Err(error) => {
                 let fields = json!({"error": error.to_string()});
-                router.log.write(Weight::Essential, "digest_unwritable", fields);
+                router
+                    .log
+                    .write(Weight::Essential, "digest_unwritable", fields);
                 continue;
             }
         };
@@ -93,7 +97,9 @@
     let now = router.now();
     let (endpoints, teams, placed) = router.dispatcher.borrow_mut().to_digest(now);
     let known = router.hosts.borrow();
-    let known = known.present(now).map(|host| host.introduction.peer_address);
+    let known = known
+        .present(now)
+        .map(|host| host.introduction.peer_address);
     let known_hosts = known.sample(&mut rand::rng(), KNOWN_HOSTS_MAX);
     Digest {
         host: router.introduction.borrow().clone(),
@@ -124,11 +130,17 @@
             Ok(digest) => digest,
             Err(error) => {
                 let fields = json!({"from": from.to_string(), "error": error.to_string()});
-                router.log.write(Weight::Essential, "digest_unreadable", fields);
+                router
+                    .log
+                    .write(Weight::Essential, "digest_unreadable", fields);
                 continue;
             }
         };
-        router.metrics.digests.with_label_values(&["received"]).inc();
+        router
+            .metrics
+            .digests
+            .with_label_values(&["received"])
+            .inc();
         let now = router.now();
         let is_own = digest.host.router == router.introduction.borrow().router;
         if is_own || !router.hosts.borrow_mut().on_digest(&digest, now) {
@@ -156,7 +168,9 @@
         }
         if let Err(reason) = ask(&router, address).await {
             let fields = json!({"address": address.to_string(), "error": reason});
-            router.log.write(Weight::Essential, "catch_up_failed", fields);
+            router
+                .log
+                .write(Weight::Essential, "catch_up_failed", fields);
         }
     }
 }
@@ -170,10 +184,14 @@
         .map(|host| (host.introduction.router.to_string(), ()))
         .collect();
     for name in present.keys().filter(|name| !seen.contains_key(*name)) {
-        router.log.write(Weight::Essential, "router_present", json!({"router": name}));
+        router
+            .log
+            .write(Weight::Essential, "router_present", json!({"router": name}));
     }
     for name in seen.keys().filter(|name| !present.contains_key(*name)) {
-        router.log.write(Weight::Essential, "router_absent", json!({"router": name}));
+        router
+            .log
+            .write(Weight::Essential, "router_absent", json!({"router": name}));
     }
     let routers = hosts.fleet_len();
     drop(hosts);
@@ -187,9 +205,8 @@
     let version = router.routes().map_or(0, |routes| routes.version);
     let revision = router.store_view.borrow().endpoints_revision;
     let hosts = router.hosts.borrow();
-    let is_ahead = |host: &&Host| {
-        host.configuration_version > version || host.endpoints_revision > revision
-    };
+    let is_ahead =
+        |host: &&Host| host.configuration_version > version || host.endpoints_revision > revision;
     let ahead = hosts.present(router.now()).filter(is_ahead);
     let chosen = ahead.choose(&mut rand::rng());
     chosen.map(|host| host.introduction.peer_address)
@@ -215,8 +232,7 @@
     };
     let body = tokio::time::timeout(ASK_TIMEOUT, question).await;
     let body = body.map_err(|_| "it took too long".to_owned())??;
-    let view: StoreViewMessage =
-        postcard::from_bytes(&body).map_err(|error| error.to_string())?;
+    let view: StoreViewMessage = postcard::from_bytes(&body).map_err(|error| error.to_string())?;
     if let Some(configuration) = &view.configuration {
         router.on_configuration(configuration, "router");
     }
@@ -241,7 +257,9 @@
         Ok(body) => Response::new(AnswerBody::Whole(Some(Bytes::from(body)))),
         Err(error) => {
             let fields = json!({"error": error.to_string()});
-            router.log.write(Weight::Essential, "store_view_unwritable", fields);
+            router
+                .log
+                .write(Weight::Essential, "store_view_unwritable", fields);
             OwnAnswer::new(StatusCode::INTERNAL_SERVER_ERROR, "unwritable").into_response()
         }
     }
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -97,7 +97,8 @@
             Ok(table) => table,
             Err(error) => {
                 let fields = json!({"error": error.to_string(), "source": source});
-                self.log.write(Weight::Essential, "configuration_unreadable", fields);
+                self.log
+                    .write(Weight::Essential, "configuration_unreadable", fields);
                 return;
             }
         };
@@ -154,8 +155,13 @@
         if self.is_store_present.replace(is_present) == is_present {
             return;
         }
-        let event = if is_present { "store_regained" } else { "store_lost" };
-        self.log.write(Weight::Essential, event, json!({"detail": detail}));
+        let event = if is_present {
+            "store_regained"
+        } else {
+            "store_lost"
+        };
+        self.log
+            .write(Weight::Essential, event, json!({"detail": detail}));
         if is_present {
             self.endpoints.borrow_mut().on_store_return(self.now());
         }
@@ -193,7 +199,9 @@
             if let Some(run) = run
                 && !is_taken
             {
-                self.dispatcher.borrow_mut().on_ended(run, Ended::Cancelled, self.now());
+                self.dispatcher
+                    .borrow_mut()
+                    .on_ended(run, Ended::Cancelled, self.now());
             }
         }
     }
@@ -267,7 +275,10 @@
         };
         self.router.metrics.sends.with_label_values(&[word]).inc();
         let now = self.router.now();
-        self.router.dispatcher.borrow_mut().on_ended(run, ended, now);
+        self.router
+            .dispatcher
+            .borrow_mut()
+            .on_ended(run, ended, now);
         self.router.pump();
     }
 }
--- a/crates/daisynotch_router/src/direct/store_follower.rs
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -99,7 +99,9 @@
     let mut first_at = None;
     loop {
         let after = items.last().map(|item| item.key.clone());
-        let call = router.platform.range(prefix, after.as_deref(), may_be_stale);
+        let call = router
+            .platform
+            .range(prefix, after.as_deref(), may_be_stale);
         let body = client.call(purpose, call, CALL_TIMEOUT).await?;
         let page = router.platform.decode_range(&body)?;
         // Pages are no snapshot: changes since the first one are watched for.
@@ -140,7 +142,9 @@
     after: u64,
 ) -> Result<u64, FollowError> {
     let call = router.platform.watch(prefix, after, WATCH_WAIT);
-    let body = client.call(purpose, call, WATCH_WAIT + CALL_TIMEOUT).await?;
+    let body = client
+        .call(purpose, call, WATCH_WAIT + CALL_TIMEOUT)
+        .await?;
     let page = router.platform.decode_watch(&body)?;
     router.on_store_answer(true, "");
     for event in page.events {
@@ -192,7 +196,9 @@
         Ok(entry) => Some(entry),
         Err(error) => {
             let fields = json!({"key": item.key, "error": error.to_string()});
-            router.log.write(Weight::Essential, "endpoint_unreadable", fields);
+            router
+                .log
+                .write(Weight::Essential, "endpoint_unreadable", fields);
             None
         }
     }
@@ -238,7 +244,9 @@
             Ok(()) => RENEW_INTERVAL,
             Err(error) => {
                 let fields = json!({"error": error.to_string()});
-                router.log.write(Weight::Essential, "registration_failed", fields);
+                router
+                    .log
+                    .write(Weight::Essential, "registration_failed", fields);
                 Duration::from_millis(rand::rng().random_range(500..1_000))
             }
         };
@@ -282,13 +290,17 @@
     let own = router.introduction.borrow().peer_address;
     let mut hosts = router.hosts.borrow_mut();
     for item in items {
-        let address = std::str::from_utf8(&item.value).ok().and_then(|text| text.parse().ok());
+        let address = std::str::from_utf8(&item.value)
+            .ok()
+            .and_then(|text| text.parse().ok());
         match address {
             Some(address) if address != own => hosts.hint(address, now),
             Some(_) => {}
             None => {
                 let fields = json!({"key": item.key, "error": "the value is no address"});
-                router.log.write(Weight::Essential, "router_entry_unreadable", fields);
+                router
+                    .log
+                    .write(Weight::Essential, "router_entry_unreadable", fields);
             }
         }
     }
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -43,7 +43,7 @@
 async fn relay(mut call: Call, mut begun: Begun, pieces: Pieces) {
     let mut framer = EventFramer::default();
     loop {
-        let pumped = pump(&call, &mut begun, &mut framer, &pieces).await;
+        let pumped = pump(&mut call, &mut begun, &mut framer, &pieces).await;
         let reason = match pumped {
             Pumped::Whole => {
                 begun.guard.end(Ended::Done);
@@ -100,7 +100,12 @@
     let _ = pieces.send(Err(BrokenOff)).await;
 }
 
-async fn pump(call: &Call, begun: &mut Begun, framer: &mut EventFramer, pieces: &Pieces) -> Pumped {
+async fn pump(
+    call: &mut Call,
+    begun: &mut Begun,
+    framer: &mut EventFramer,
+    pieces: &Pieces,
+) -> Pumped {
     let is_resumable = call.route.kind == RouteKind::ResumableStream;
     let mut heard_at = Instant::now();
     loop {
@@ -123,6 +128,10 @@
         if bytes.is_empty() {
             continue;
         }
+        if framer.events() > 0 {
+            let pause = heard_at.elapsed();
+            call.history.pause_max = call.history.pause_max.max(pause);
+        }
         heard_at = Instant::now();
         begun.guard.on_bytes();
         let whole = framer.push(&bytes);
