Refuse work beyond a team's share at once, and spread callers from an overdrawn router

Ruled out: the directory (it gave all six hosts); callers take idle connections first, and a host that refuses has them. Change: no waiting beyond the share, at most six requests of a service without a place a round, answers close the connection on a host with 1.5 times the others' requests, a cap on callers' connections from the settings.

--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -31,8 +31,14 @@
 /// How long a request that can no longer be on time is kept, as a part of the time
 /// until its deadline.
 const LATE_KEPT_PART: f64 = 0.2;
-/// How long a request beyond its team's share is kept, as a part of its objective.
-const BEYOND_SHARE_KEPT_PART: f64 = 0.12;
+/// How long a request is kept while no endpoint can be tried, as a part of its objective.
+const NO_ENDPOINT_KEPT_PART: f64 = 0.5;
+/// When a caller beyond its team's share comes back, as a part of the window in which
+/// shares are kept, for each whole share that the team is beyond.
+const BEYOND_SHARE_RETURN_PART: f64 = 0.15;
+/// Requests of one service that find no place before the rest are left for the next
+/// round: they rank lower, and looking costs time when most needed.
+const UNPLACED_MAX: usize = 6;
 /// What the choice between equal endpoints is spread over, so that all routers pick
 /// the same home for a prompt that none of them keeps.
 const HOME_SPREAD_MS: f64 = 15.0;
@@ -48,6 +54,8 @@
 const PLAIN_FIRST_MS: f64 = 30.0;
 /// What one more answer weighs in a plain service's usual time.
 const PLAIN_GAIN: f64 = 0.05;
+/// When a caller comes back to a service without endpoints.
+const NO_ENDPOINT_RETURN_MS: f64 = 300.0;
 /// Bounds of the time after which a refused caller is told to come back.
 const RETRY_AFTER_RANGE_MS: (f64, f64) = (150.0, 2_000.0);
 
@@ -198,6 +206,13 @@
     plain_ms: Option<f64>,
 }
 
+/// Requests of one service that found no place in this round.
+#[derive(Debug, Clone, Copy, Default)]
+struct Unplaced {
+    requests: usize,
+    tokens: u64,
+}
+
 /// A candidate with what sending there would cost.
 struct Choice {
     endpoint: EndpointId,
@@ -290,14 +305,9 @@
     }
 
     /// Lets a request wait; [`Self::pump`] decides on it.
-    pub fn submit(&mut self, spec: RequestSpec, now: Timestamp) -> QueueId {
+    pub fn submit(&mut self, spec: RequestSpec) -> QueueId {
         let id = QueueId(self.next_id());
-        let queued_at = now;
-        self.waiting.push(Waiting {
-            id,
-            spec,
-            queued_at,
-        });
+        self.waiting.push(Waiting { id, spec });
         id
     }
 
@@ -330,14 +340,19 @@
             .map(|waiting| (self.rank(&waiting.spec, now), waiting))
             .collect();
         ranked.sort_by(|(left, _), (right, _)| left.compare(right));
-        let mut tokens_waiting = 0;
+        let mut unplaced: HashMap<Arc<str>, Unplaced> = HashMap::new();
         for (_, waiting) in ranked {
             // Earlier grants of this round may have used the rest of the share.
             let rank = self.rank(&waiting.spec, now);
-            match self.decide(&waiting, rank, tokens_waiting, now) {
+            let before = unplaced.get(&waiting.spec.service);
+            let before = before.copied().unwrap_or_default();
+            match self.decide(&waiting, rank, before, now) {
                 Some(verdict) => verdicts.push((waiting.id, verdict)),
                 None => {
-                    tokens_waiting += u64::from(waiting.spec.prompt_tokens);
+                    let service = Arc::clone(&waiting.spec.service);
+                    let of_service = unplaced.entry(service).or_default();
+                    of_service.requests += 1;
+                    of_service.tokens += u64::from(waiting.spec.prompt_tokens);
                     self.waiting.push(waiting);
                 }
             }
@@ -500,7 +515,7 @@
         &mut self,
         waiting: &Waiting,
         rank: Rank,
-        tokens_waiting: u64,
+        before: Unplaced,
         now: Timestamp,
     ) -> Option<Verdict> {
         let spec = &waiting.spec;
@@ -515,42 +530,51 @@
                 retry_after,
             })
         };
-        let waited = now.since(waiting.queued_at);
-        let Some(choice) = self.choose(spec, now) else {
-            let kept = spec.objective.mul_f64(BEYOND_SHARE_KEPT_PART);
+        let waited = now.since(spec.arrived_at);
+        let may_place = before.requests < UNPLACED_MAX;
+        let choice = if may_place {
+            self.choose(spec, now)
+        } else {
+            None
+        };
+        if choice.is_none() && may_place && !self.has_endpoint(&spec.service) {
+            let kept = spec.objective.mul_f64(NO_ENDPOINT_KEPT_PART);
             return if waited < kept {
                 None
             } else {
-                refuse(RefuseReason::NoEndpoint, 300.0)
+                refuse(RefuseReason::NoEndpoint, NO_ENDPOINT_RETURN_MS)
             };
-        };
+        }
         let backlog_max_ms = if rank.is_beyond_share {
             ENGINE_BACKLOG_BEYOND_SHARE_MS / (rank.used_part * rank.used_part)
         } else {
             ENGINE_BACKLOG_MAX_MS
         };
-        if choice.backlog_ms <= backlog_max_ms {
+        let backlog_ms = choice.as_ref().map_or(0.0, |choice| choice.backlog_ms);
+        if let Some(choice) = choice
+            && choice.backlog_ms <= backlog_max_ms
+        {
             return Some(Verdict::Send(self.grant(spec, choice, now)));
         }
-        let reading_ms = self
-            .paces
-            .get(&spec.service)
-            .map_or(0.0, |pace| pace.engine.reading_ms(tokens_waiting as f64));
-        let kept = if rank.is_beyond_share {
-            spec.objective.mul_f64(BEYOND_SHARE_KEPT_PART)
-        } else {
-            let left = spec.give_up_at.since(spec.arrived_at);
-            spec.objective.max(left.mul_f64(LATE_KEPT_PART))
-        };
-        if now.since(spec.arrived_at) < kept {
+        if rank.is_beyond_share {
+            let window_ms = self.shares.window().as_secs_f64() * 1e3;
+            let beyond = rank.used_part - 1.0;
+            let after_ms = BEYOND_SHARE_RETURN_PART * window_ms * beyond;
+            return refuse(RefuseReason::BeyondShare, after_ms);
+        }
+        let left = spec.give_up_at.since(spec.arrived_at);
+        let kept = spec.objective.max(left.mul_f64(LATE_KEPT_PART));
+        if waited < kept {
             return None;
         }
-        let reason = if rank.is_beyond_share {
-            RefuseReason::BeyondShare
-        } else {
-            RefuseReason::NoRoom
-        };
-        refuse(reason, reading_ms + choice.backlog_ms)
+        let pace = self.paces.get(&spec.service);
+        let reading_ms = pace.map_or(0.0, |pace| pace.engine.reading_ms(before.tokens as f64));
+        refuse(RefuseReason::NoRoom, reading_ms + backlog_ms)
+    }
+
+    fn has_endpoint(&self, service: &str) -> bool {
+        let of_service = self.by_service.get(service);
+        of_service.is_some_and(|of_service| !of_service.is_empty())
     }
 
     /// Finds the endpoint at which a request would cost least.
--- a/crates/daisynotch_core/src/direct/hosts.rs
+++ b/crates/daisynotch_core/src/direct/hosts.rs
@@ -30,9 +30,16 @@
     pub configuration_version: u64,
     /// The store's revision up to which it has seen the endpoints.
     pub endpoints_revision: u64,
+    /// Requests that reached it in the latest second.
+    pub arrivals_per_s: u32,
     last_seq: u64,
 }
 
+/// Requests a second below which a router is never overdrawn: a few per cent of a core.
+const OVERDRAWN_MIN_PER_S: u32 = 60;
+/// How many times the others' mean a router may carry: twice what chance makes likely.
+const OVERDRAWN_FACTOR: f64 = 1.5;
+
 /// All routers that are known.
 #[derive(Debug, Default)]
 pub struct HostTable {
@@ -62,6 +69,7 @@
             heard_at: now,
             configuration_version: digest.configuration_version,
             endpoints_revision: digest.endpoints_revision,
+            arrivals_per_s: digest.arrivals_per_s,
             last_seq: digest.seq,
         };
         self.hosts.insert(id, host);
@@ -105,6 +113,25 @@
         1 + self.hosts.values().filter(leaving).count()
     }
 
+    /// Says whether this router carries so much more than the others that callers should
+    /// connect anew, elsewhere.
+    ///
+    /// A caller takes an idle connection before a new one, and a router that refuses at
+    /// once has idle connections: without this it draws all of an overload to itself.
+    pub fn is_overdrawn(&self, own_arrivals_per_s: u32, now: Timestamp) -> bool {
+        let serving = |host: &&Host| host.introduction.phase == HostPhase::Serving;
+        let others: Vec<u32> = self
+            .present(now)
+            .filter(serving)
+            .map(|host| host.arrivals_per_s)
+            .collect();
+        if others.is_empty() || own_arrivals_per_s < OVERDRAWN_MIN_PER_S {
+            return false;
+        }
+        let mean = others.iter().sum::<u32>() as f64 / others.len() as f64;
+        f64::from(own_arrivals_per_s) > OVERDRAWN_FACTOR * mean
+    }
+
     /// Gives where callers may connect, this router first if it takes them.
     pub fn caller_addresses(
         &self,
--- a/crates/daisynotch_core/src/direct/shares.rs
+++ b/crates/daisynotch_core/src/direct/shares.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Gives the time over which shares are kept.
+    pub fn window(&self) -> Duration {
+        self.settings.window
+    }
+
     /// Takes a new capacity.
     pub fn set_tokens_per_s(&mut self, tokens_per_s: Option<u64>) {
         self.settings.tokens_per_s = tokens_per_s;
--- a/crates/daisynotch_core/src/direct/waiting.rs
+++ b/crates/daisynotch_core/src/direct/waiting.rs
@@ -38,5 +38,4 @@
 pub(crate) struct Waiting {
     pub(crate) id: QueueId,
     pub(crate) spec: RequestSpec,
-    pub(crate) queued_at: Timestamp,
 }
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -123,6 +123,7 @@
 async fn prepare(router: &Rc<Router>, request: Request<Incoming>) -> Result<Call, Refused> {
     let arrived_at = Instant::now();
     let now = router.now();
+    router.arrivals.add(now);
     let (head, body) = request.into_parts();
     let marks = router.platform.read_inbound(&head.headers);
     let (marks, problem) = match marks {
--- a/crates/daisynotch_router/src/direct/ingress.rs
+++ b/crates/daisynotch_router/src/direct/ingress.rs
@@ -60,6 +60,8 @@
             () = closing(&mut stage), if served == Served::Callers => return,
         };
         match accepted {
+            // Closed at once: the caller goes to another router.
+            Ok(_) if served == Served::Callers && router.connections_left() == 0 => {}
             Ok((stream, _)) => {
                 let connection = serve(Rc::clone(&router), stream, served, stage.clone());
                 tokio::task::spawn_local(connection);
@@ -89,6 +91,7 @@
     served: Served,
     mut stage: watch::Receiver<LeaveStage>,
 ) {
+    let _open = (served == Served::Callers).then(|| OpenCaller::new(&router));
     if let Err(error) = probe_when_idle(&stream) {
         log::debug!("a connection can't be probed: {error}");
     }
@@ -119,6 +122,26 @@
     }
 }
 
+/// Counts a caller's connection for as long as it is open.
+struct OpenCaller {
+    router: Rc<Router>,
+}
+
+impl OpenCaller {
+    fn new(router: &Rc<Router>) -> Self {
+        router.open_callers.set(router.open_callers.get() + 1);
+        let router = Rc::clone(router);
+        Self { router }
+    }
+}
+
+impl Drop for OpenCaller {
+    fn drop(&mut self) {
+        let open = &self.router.open_callers;
+        open.set(open.get().saturating_sub(1));
+    }
+}
+
 async fn answer(
     router: Rc<Router>,
     request: Request<Incoming>,
@@ -133,7 +156,9 @@
         Served::Metrics => directory::metrics(&router, path),
         Served::Peers => peers::answer(&router, path),
     };
-    if *stage.borrow() != LeaveStage::Staying {
+    let is_last = *stage.borrow() != LeaveStage::Staying
+        || (served == Served::Callers && router.should_spread());
+    if is_last {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -106,6 +106,7 @@
         seq,
         configuration_version: router.routes().map_or(0, |routes| routes.version),
         endpoints_revision: router.store_view.borrow().endpoints_revision,
+        arrivals_per_s: router.arrivals.per_s(now),
         endpoints,
         teams,
         placed,
--- a/crates/daisynotch_router/src/direct/settings.rs
+++ b/crates/daisynotch_router/src/direct/settings.rs
@@ -12,6 +12,13 @@
 
 use crate::settings::SettingsError;
 
+/// Descriptors that are left for files, endpoints, the store and other routers.
+const OTHER_DESCRIPTORS: usize = 1_200;
+/// What an open connection takes of memory: buffers of the library and the sockets.
+const CONNECTION_BYTES: usize = 36 * 1024;
+/// The part of the memory that callers' connections may take.
+const CONNECTIONS_MEMORY_PART: f64 = 0.45;
+
 /// How much may be sent once more, on all routers together.
 #[derive(Debug, Clone, PartialEq, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -47,6 +54,10 @@
     /// Hosts that may know others; only their IP addresses count.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Descriptors that the process may open.
+    pub descriptors_max: usize,
+    /// Memory that the process may use.
+    pub memory_max_mb: usize,
     /// How long callers may keep an answer on where to connect.
     pub address_ttl_max_s: f64,
     /// How long a leaving router may take to end.
@@ -90,6 +101,15 @@
         }
     }
 
+    /// Gives how many connections of callers fit the process.
+    pub fn caller_connections_max(&self) -> usize {
+        let by_descriptors = self.descriptors_max.saturating_sub(OTHER_DESCRIPTORS);
+        let memory = (self.memory_max_mb * 1024 * 1024) as f64 * CONNECTIONS_MEMORY_PART;
+        by_descriptors
+            .min(memory as usize / CONNECTION_BYTES)
+            .max(1)
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         let positive = |key, value: f64| {
             if value > 0.0 && value <= 86_400.0 {
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -46,6 +46,10 @@
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) hosts: RefCell<HostTable>,
     pub(crate) store_view: RefCell<StoreView>,
+    /// Callers' connections that are open.
+    pub(crate) open_callers: Cell<usize>,
+    /// Requests that arrived since the last digest but one, which tells the others.
+    pub(crate) arrivals: ArrivalRate,
     /// Whether the last call to the store got an answer.
     pub(crate) is_store_present: Cell<bool>,
     verdicts: RefCell<HashMap<QueueId, oneshot::Sender<Verdict>>>,
@@ -73,6 +77,8 @@
             endpoints: RefCell::default(),
             hosts: RefCell::default(),
             store_view: RefCell::default(),
+            open_callers: Cell::new(0),
+            arrivals: ArrivalRate::default(),
             is_store_present: Cell::new(true),
             verdicts: RefCell::default(),
         }
@@ -82,6 +88,23 @@
         self.clock.now()
     }
 
+    /// Gives how many more callers' connections may be opened.
+    pub(crate) fn connections_left(&self) -> usize {
+        let max = self.settings.borrow().caller_connections_max();
+        max.saturating_sub(self.open_callers.get())
+    }
+
+    /// Says whether callers should connect anew, so that they reach other routers too.
+    pub(crate) fn should_spread(&self) -> bool {
+        let max = self.settings.borrow().caller_connections_max();
+        if self.connections_left() < max / 4 {
+            return true;
+        }
+        let now = self.now();
+        let arrivals_per_s = self.arrivals.per_s(now);
+        self.hosts.borrow().is_overdrawn(arrivals_per_s, now)
+    }
+
     /// Gives the configuration in force.
     pub(crate) fn routes(&self) -> Option<Rc<RouteTable>> {
         self.routes.borrow().clone()
@@ -170,7 +193,7 @@
     /// Lets a request wait for its place.
     pub(crate) fn submit(self: &Rc<Self>, spec: RequestSpec) -> QueuedRequest {
         let (sender, verdict) = oneshot::channel();
-        let id = self.dispatcher.borrow_mut().submit(spec, self.now());
+        let id = self.dispatcher.borrow_mut().submit(spec);
         self.verdicts.borrow_mut().insert(id, sender);
         self.pump();
         QueuedRequest {
@@ -215,6 +238,37 @@
     }
 }
 
+/// Requests a second, over the latest whole second.
+#[derive(Debug, Default)]
+pub(crate) struct ArrivalRate {
+    second: Cell<u64>,
+    counted: Cell<u32>,
+    last_per_s: Cell<u32>,
+}
+
+impl ArrivalRate {
+    /// Counts a request.
+    pub(crate) fn add(&self, now: Timestamp) {
+        self.advance(now);
+        self.counted.set(self.counted.get().saturating_add(1));
+    }
+
+    /// Gives the requests of the latest whole second.
+    pub(crate) fn per_s(&self, now: Timestamp) -> u32 {
+        self.advance(now);
+        self.last_per_s.get()
+    }
+
+    fn advance(&self, now: Timestamp) {
+        let second = now.0 / 1_000_000;
+        let passed = second.saturating_sub(self.second.replace(second));
+        if passed > 0 {
+            let counted = self.counted.replace(0);
+            self.last_per_s.set(if passed == 1 { counted } else { 0 });
+        }
+    }
+}
+
 /// A request that waits; dropping it withdraws it.
 pub(crate) struct QueuedRequest {
     router: Rc<Router>,
