--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -31,6 +31,9 @@
 /// How long a request that can no longer be on time is kept, as a part of the time
 /// until its deadline.
 const LATE_KEPT_PART: f64 = 0.2;
+/// How long a request beyond its team's share is kept, as a part of its objective, if
+/// few others wait.
+const BEYOND_SHARE_KEPT_PART: f64 = 0.12;
 /// How long a request is kept while no endpoint can be tried, as a part of its objective.
 const NO_ENDPOINT_KEPT_PART: f64 = 0.5;
 /// When a caller beyond its team's share comes back, as a part of the window in which
@@ -557,6 +560,10 @@
             return Some(Verdict::Send(self.grant(spec, choice, now)));
         }
         if rank.is_beyond_share {
+            let kept = spec.objective.mul_f64(BEYOND_SHARE_KEPT_PART);
+            if may_place && waited < kept {
+                return None;
+            }
             let window_ms = self.shares.window().as_secs_f64() * 1e3;
             let beyond = rank.used_part - 1.0;
             let after_ms = BEYOND_SHARE_RETURN_PART * window_ms * beyond;
