Count what waits as part of a team's share, and notice a hot team within the interval

Cause: the new tests of a flood of one team; 100 ms passed before its first request counted as beyond, and requests that waited did not count at all. Change: tokens ahead in the round count, shares are worked out anew when 2% of a window's tokens were asked since; ties between plain endpoints fall by chance.

--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -45,6 +45,8 @@
 /// What the choice between equal endpoints is spread over, so that all routers pick
 /// the same home for a prompt that none of them keeps.
 const HOME_SPREAD_MS: f64 = 15.0;
+/// The same for endpoints without prompts: less than one open request counts for.
+const CHANCE_SPREAD_MS: f64 = 1.0;
 /// What another availability zone costs for each kilobyte of the request.
 const FAR_MS_PER_KB: f64 = 0.15;
 /// What a share of failures of 1 adds to an endpoint's cost.
@@ -217,6 +219,7 @@
 }
 
 /// A candidate with what sending there would cost.
+#[derive(Debug, Clone, Copy)]
 struct Choice {
     endpoint: EndpointId,
     cost_ms: f64,
@@ -340,18 +343,27 @@
         let waiting = std::mem::take(&mut self.waiting);
         let mut ranked: Vec<(Rank, Waiting)> = waiting
             .into_iter()
-            .map(|waiting| (self.rank(&waiting.spec, now), waiting))
+            .map(|waiting| (self.rank(&waiting.spec, 0, now), waiting))
             .collect();
         ranked.sort_by(|(left, _), (right, _)| left.compare(right));
         let mut unplaced: HashMap<Arc<str>, Unplaced> = HashMap::new();
+        let mut tokens_waiting: HashMap<u32, u64> = HashMap::new();
         for (_, waiting) in ranked {
-            // Earlier grants of this round may have used the rest of the share.
-            let rank = self.rank(&waiting.spec, now);
+            // Those before it in this round use the share too, sent or not.
+            let of_team = waiting
+                .spec
+                .team
+                .map(|team| tokens_waiting.entry(team).or_default());
+            let tokens_before = of_team.as_ref().map_or(0, |tokens| **tokens);
+            let rank = self.rank(&waiting.spec, tokens_before, now);
             let before = unplaced.get(&waiting.spec.service);
             let before = before.copied().unwrap_or_default();
             match self.decide(&waiting, rank, before, now) {
                 Some(verdict) => verdicts.push((waiting.id, verdict)),
                 None => {
+                    if let Some(tokens) = of_team {
+                        *tokens += waiting.spec.shared_tokens();
+                    }
                     let service = Arc::clone(&waiting.spec.service);
                     let of_service = unplaced.entry(service).or_default();
                     of_service.requests += 1;
@@ -482,9 +494,10 @@
         }
     }
 
-    fn rank(&mut self, spec: &RequestSpec, now: Timestamp) -> Rank {
+    fn rank(&mut self, spec: &RequestSpec, tokens_before: u64, now: Timestamp) -> Rank {
         let used_part = spec.team.map_or(0.0, |team| {
-            self.shares.used_part(team, spec.shared_tokens(), now)
+            let tokens = tokens_before + spec.shared_tokens();
+            self.shares.used_part(team, tokens, now)
         });
         Rank {
             is_late: self.is_late(spec, now),
@@ -526,7 +539,7 @@
             let (low, high) = RETRY_AFTER_RANGE_MS;
             // Spread by the identifier, so that those refused together return apart.
             let spread = 1.0 + (waiting.id.0 % 16) as f64 / 16.0;
-            let after_ms = (after_ms * spread).clamp(low, high);
+            let after_ms = after_ms.clamp(low, high / 2.0) * spread;
             let retry_after = Duration::from_secs_f64(after_ms / 1e3);
             Some(Verdict::Refuse {
                 reason,
@@ -602,8 +615,7 @@
             let Some(mut choice) = choice(*id, load, spec, pace, now) else {
                 continue;
             };
-            let home = xxh3_64_with_seed(&id.0.to_le_bytes(), u64::from(session));
-            choice.cost_ms += HOME_SPREAD_MS * (home as u32 as f64 / f64::from(u32::MAX));
+            choice.cost_ms += tie_break_ms(*id, load, session, now);
             if load.entry.zone != self.own_zone {
                 choice.cost_ms += FAR_MS_PER_KB * spec.body_bytes as f64 / 1e3;
             }
@@ -690,6 +702,16 @@
     }
 }
 
+/// Decides between equal endpoints: engines by the session, which returns; others by chance.
+fn tie_break_ms(id: EndpointId, load: &EndpointLoad, session: u32, now: Timestamp) -> f64 {
+    let (seed, spread_ms) = match load.engine {
+        Some(_) => (u64::from(session), HOME_SPREAD_MS),
+        None => (now.0, CHANCE_SPREAD_MS),
+    };
+    let hash = xxh3_64_with_seed(&id.0.to_le_bytes(), seed);
+    spread_ms * f64::from(hash as u32) / f64::from(u32::MAX)
+}
+
 /// Works out what sending a request to an endpoint costs; none if it has no room.
 fn choice(
     id: EndpointId,
@@ -737,3 +759,6 @@
         tokens_ahead: total.unread_tokens,
     })
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -0,0 +1,415 @@
+//! Each test replays the load pattern that its decision answers.
+
+use super::*;
+use crate::direct::{CallerLimits, EndpointState, HostIntroduction, HostPhase, Part, ServiceView};
+use crate::message::Incarnation;
+
+const ENGINES: usize = 4;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp(100_000_000 + ms * 1_000)
+}
+
+fn table(tokens_per_s: u64) -> RouteTable {
+    let limits = CallerLimits {
+        shared_tokens_per_s: Some(tokens_per_s),
+        ..CallerLimits::default()
+    };
+    let mut table = RouteTable::new(1, limits);
+    table.add_service(ServiceView {
+        name: Arc::from("models"),
+        connections_max: 100,
+        engine: Some(EngineLimits {
+            slots: 64,
+            memory_tokens: 400_000,
+        }),
+    });
+    table.add_service(ServiceView {
+        name: Arc::from("orders"),
+        connections_max: 100,
+        engine: None,
+    });
+    table
+}
+
+fn entry(service: &str, index: usize) -> EndpointEntry {
+    EndpointEntry {
+        name: Arc::from(format!("{service}-{index}")),
+        started_unix_ms: 1,
+        report_seq: 1,
+        service: Arc::from(service),
+        address: format!("10.0.0.{index}:80").parse().unwrap(),
+        zone: Arc::from("a"),
+        slots: 6,
+        state: EndpointState::Ready,
+    }
+}
+
+fn dispatcher(tokens_per_s: u64) -> Dispatcher {
+    let settings = DispatcherSettings {
+        shares: ShareSettings {
+            tokens_per_s: None,
+            window: Duration::from_secs(4),
+        },
+        retry_budget: RetryBudgetSettings::default(),
+    };
+    let table = table(tokens_per_s);
+    let mut dispatcher = Dispatcher::new(Arc::from("a"), settings);
+    dispatcher.on_routes(&table);
+    for index in 0..ENGINES {
+        let change = EndpointChange::Usable(entry("models", index));
+        dispatcher.on_endpoint(change, &table);
+    }
+    for index in 0..2 {
+        let change = EndpointChange::Usable(entry("orders", index));
+        dispatcher.on_endpoint(change, &table);
+    }
+    dispatcher
+}
+
+fn spec(team: u32, session: u32, prompt_tokens: u32, now: Timestamp) -> RequestSpec {
+    let part = |id, tokens| Part { id, tokens };
+    let parts = [
+        part(1, prompt_tokens / 4),
+        part(1_000 + session, prompt_tokens / 2),
+        part(now.0 as u32 ^ session << 20, prompt_tokens / 4),
+    ];
+    RequestSpec {
+        service: Arc::from("models"),
+        team: Some(team),
+        priority: 1,
+        parts: Parts::from_slice(&parts),
+        prompt_tokens,
+        answer_tokens: 50,
+        body_bytes: 1_000,
+        arrived_at: now,
+        objective: Duration::from_millis(500),
+        give_up_at: now + Duration::from_secs(5),
+        tried: SmallVec::new(),
+        is_repeat: false,
+    }
+}
+
+fn plain(now: Timestamp) -> RequestSpec {
+    RequestSpec {
+        service: Arc::from("orders"),
+        team: None,
+        parts: Parts::new(),
+        prompt_tokens: 0,
+        answer_tokens: 0,
+        ..spec(0, 0, 0, now)
+    }
+}
+
+fn ask(dispatcher: &mut Dispatcher, spec: RequestSpec, now: Timestamp) -> Option<Verdict> {
+    dispatcher.on_request(&spec, now);
+    let id = dispatcher.submit(spec);
+    let verdicts = dispatcher.pump(now);
+    let verdict = verdicts.into_iter().find(|(of, _)| *of == id);
+    verdict.map(|(_, verdict)| verdict)
+}
+
+fn sent(verdict: Option<Verdict>) -> Grant {
+    match verdict {
+        Some(Verdict::Send(grant)) => grant,
+        other => panic!("expected a grant, got {other:?}"),
+    }
+}
+
+#[test]
+fn a_session_returns_to_the_engine_that_keeps_its_prompt() {
+    let mut dispatcher = dispatcher(10_000_000);
+    let first = sent(ask(&mut dispatcher, spec(1, 7, 8_000, at(0)), at(0)));
+    assert_eq!(first.cached_tokens, 0);
+    dispatcher.on_bytes(first.run, at(150));
+    let second = sent(ask(&mut dispatcher, spec(1, 7, 8_000, at(200)), at(200)));
+    assert_eq!(second.endpoint, first.endpoint);
+    assert_eq!(second.cached_tokens, 6_000);
+}
+
+#[test]
+fn a_session_leaves_its_engine_when_waiting_there_costs_more_than_reading_again() {
+    let mut dispatcher = dispatcher(10_000_000);
+    let first = sent(ask(&mut dispatcher, spec(1, 7, 2_000, at(0)), at(0)));
+    dispatcher.on_bytes(first.run, at(100));
+    let busy = Digest {
+        endpoints: vec![EndpointDigest {
+            endpoint: first.endpoint,
+            unread_tokens: 60_000,
+            running: 10,
+            memory_tokens: 60_000,
+            is_suspect: false,
+        }],
+        ..digest()
+    };
+    dispatcher.on_digest(&busy, at(100));
+    let second = sent(ask(&mut dispatcher, spec(1, 7, 2_000, at(110)), at(110)));
+    assert_ne!(second.endpoint, first.endpoint);
+}
+
+#[test]
+fn prompts_of_other_routers_are_known_from_their_digests() {
+    let mut here = dispatcher(10_000_000);
+    let mut there = dispatcher(10_000_000);
+    let first = sent(ask(&mut there, spec(1, 7, 8_000, at(0)), at(0)));
+    let (_, _, placed) = there.to_digest(at(10));
+    assert_eq!(there.to_digest(at(11)).2, [], "placements are told once");
+    here.on_digest(&Digest { placed, ..digest() }, at(20));
+    let second = sent(ask(&mut here, spec(2, 7, 8_000, at(30)), at(30)));
+    assert_eq!(
+        (second.endpoint, second.cached_tokens),
+        (first.endpoint, 6_000)
+    );
+}
+
+/// Sends a request a millisecond of one team; gives the verdicts on all of them.
+fn flood(
+    dispatcher: &mut Dispatcher,
+    requests: u32,
+    mut after_each: impl FnMut(&Dispatcher),
+) -> Vec<Verdict> {
+    let mut verdicts = Vec::new();
+    for request in 0..requests {
+        let now = at(u64::from(request));
+        let request = spec(1, request, 8_000, now);
+        dispatcher.on_request(&request, now);
+        dispatcher.submit(request);
+        verdicts.extend(dispatcher.pump(now).into_iter().map(|(_, verdict)| verdict));
+        after_each(dispatcher);
+    }
+    verdicts
+}
+
+fn refusals(verdicts: &[Verdict]) -> Vec<(RefuseReason, Duration)> {
+    let refusals = verdicts.iter().filter_map(|verdict| match verdict {
+        Verdict::Refuse {
+            reason,
+            retry_after,
+        } => Some((*reason, *retry_after)),
+        Verdict::Send(_) => None,
+    });
+    refusals.collect()
+}
+
+/// One team asks for many times its share; another one comes later and asks little.
+#[test]
+fn a_team_beyond_its_share_does_not_fill_the_engines() {
+    let mut dispatcher = dispatcher(20_000);
+    let verdicts = flood(&mut dispatcher, 100, |_| ());
+    let refused = refusals(&verdicts);
+    assert!(refused.len() > 30, "{}", refused.len());
+    assert!(
+        refused
+            .iter()
+            .all(|(reason, _)| *reason == RefuseReason::BeyondShare)
+    );
+    let late = sent(ask(&mut dispatcher, spec(2, 99, 2_000, at(101)), at(101)));
+    assert!(late.expected < Duration::from_millis(350), "{late:?}");
+}
+
+/// The load of the day on which 2,200 requests of one team waited at one router, and
+/// each arrival looked for a place for all of them.
+#[test]
+fn an_overload_of_one_team_does_not_pile_up() {
+    let mut dispatcher = dispatcher(20_000);
+    // 80,000 tokens are its share in a window: ten of these requests, and a few more wait.
+    flood(&mut dispatcher, 2_000, |dispatcher| {
+        assert!(dispatcher.waiting_len() <= 10 + UNPLACED_MAX);
+    });
+}
+
+#[test]
+fn a_refusal_says_when_to_come_back_and_spreads_the_return() {
+    let mut dispatcher = dispatcher(1_000);
+    let verdicts = flood(&mut dispatcher, 200, |_| ());
+    let mut after: Vec<Duration> = refusals(&verdicts)
+        .iter()
+        .map(|(_, after)| *after)
+        .collect();
+    assert!(after.iter().all(|after| *after <= Duration::from_secs(2)));
+    assert!(
+        after
+            .iter()
+            .all(|after| *after >= Duration::from_millis(150))
+    );
+    after.sort_unstable();
+    after.dedup();
+    assert!(after.len() >= 8, "{after:?}");
+}
+
+/// Demand beyond what the engines can read: what is within its share waits here and is
+/// refused once it could only be late, not held until its deadline.
+#[test]
+fn what_can_not_begin_in_time_is_refused_before_its_deadline() {
+    let mut dispatcher = dispatcher(100_000_000);
+    for request in 0..40 {
+        ask(
+            &mut dispatcher,
+            spec(request, request, 16_000, at(0)),
+            at(0),
+        );
+    }
+    assert!(dispatcher.waiting_len() > 0);
+    let mut refused = 0;
+    for ms in (0..=1_000).step_by(25) {
+        for (_, verdict) in dispatcher.pump(at(ms)) {
+            if let Verdict::Refuse { reason, .. } = verdict {
+                assert_eq!(reason, RefuseReason::NoRoom);
+                refused += 1;
+            }
+        }
+    }
+    assert!(refused > 0);
+    assert_eq!(dispatcher.waiting_len(), 0);
+}
+
+/// An engine crashes without a word while requests wait for their first token.
+#[test]
+fn an_engine_that_falls_silent_is_passed_over_by_all_routers() {
+    let mut here = dispatcher(10_000_000);
+    let mut there = dispatcher(10_000_000);
+    let lost = sent(ask(&mut here, spec(1, 7, 8_000, at(0)), at(0)));
+    assert!(!here.is_silent(lost.run, at(500)));
+    assert!(here.is_silent(lost.run, at(1_500)));
+    let next = sent(ask(&mut here, spec(1, 7, 8_000, at(1_500)), at(1_500)));
+    assert_ne!(next.endpoint, lost.endpoint);
+    let (endpoints, _, _) = here.to_digest(at(1_500));
+    there.on_digest(
+        &Digest {
+            endpoints,
+            ..digest()
+        },
+        at(1_510),
+    );
+    for session in 0..20 {
+        let now = at(1_520);
+        let grant = sent(ask(&mut there, spec(1, session, 1_000, now), now));
+        assert_ne!(grant.endpoint, lost.endpoint);
+        there.on_ended(grant.run, Ended::Done, now);
+    }
+}
+
+#[test]
+fn when_all_endpoints_failed_single_requests_try_them_again() {
+    let mut dispatcher = dispatcher(10_000_000);
+    let mut sends = 0;
+    for request in 0..100 {
+        let now = at(request * 10);
+        if let Some(Verdict::Send(grant)) = ask(&mut dispatcher, plain(now), now) {
+            dispatcher.on_ended(grant.run, Ended::Unreachable, now);
+            sends += 1;
+        }
+    }
+    // Two endpoints, a trial each half second, and the requests before the first pause.
+    assert!((3..=12).contains(&sends), "{sends}");
+}
+
+#[test]
+fn plain_work_is_spread_by_what_is_open() {
+    let mut dispatcher = dispatcher(10_000_000);
+    let mut by_endpoint: HashMap<EndpointId, u32> = HashMap::new();
+    for _ in 0..12 {
+        let grant = sent(ask(&mut dispatcher, plain(at(0)), at(0)));
+        *by_endpoint.entry(grant.endpoint).or_default() += 1;
+    }
+    assert_eq!(by_endpoint.values().copied().collect::<Vec<_>>(), [6, 6]);
+}
+
+#[test]
+fn an_endpoint_that_was_tried_is_not_tried_again() {
+    let mut dispatcher = dispatcher(10_000_000);
+    let first = sent(ask(&mut dispatcher, plain(at(0)), at(0)));
+    let mut again = plain(at(1));
+    again.tried.push(first.endpoint);
+    let second = sent(ask(&mut dispatcher, again, at(1)));
+    assert_ne!(second.endpoint, first.endpoint);
+}
+
+#[test]
+fn a_service_without_endpoints_is_refused_with_a_time() {
+    let mut dispatcher = dispatcher(10_000_000);
+    for index in 0..2 {
+        let id = entry("orders", index).id();
+        dispatcher.on_endpoint(EndpointChange::Closed(id), &table(1));
+    }
+    assert_eq!(ask(&mut dispatcher, plain(at(0)), at(0)), None);
+    let verdicts = dispatcher.pump(at(300));
+    let (_, verdict) = &verdicts[0];
+    let is_refused = matches!(
+        verdict,
+        Verdict::Refuse {
+            reason: RefuseReason::NoEndpoint,
+            ..
+        }
+    );
+    assert!(is_refused, "{verdict:?}");
+}
+
+/// Whatever order things end in, no load is left behind.
+#[test]
+fn load_returns_to_nothing() {
+    bolero::check!()
+        .with_type::<Vec<(u8, u8)>>()
+        .for_each(|steps| {
+            let mut dispatcher = dispatcher(1_000_000);
+            let mut runs = Vec::new();
+            let mut now = at(0);
+            for (step, value) in steps {
+                now = now + Duration::from_millis(u64::from(value % 50));
+                let pick = |runs: &Vec<RunId>| usize::from(*value) % runs.len();
+                match step % 4 {
+                    0 | 1 => {
+                        let request = spec(u32::from(*value), u32::from(*step), 4_000, now);
+                        dispatcher.on_request(&request, now);
+                        dispatcher.submit(request);
+                    }
+                    2 if !runs.is_empty() => dispatcher.on_bytes(runs[pick(&runs)], now),
+                    3 if !runs.is_empty() => {
+                        let run = runs.swap_remove(pick(&runs));
+                        dispatcher.on_ended(run, Ended::Cancelled, now);
+                        dispatcher.on_ended(run, Ended::Done, now);
+                    }
+                    _ => {}
+                }
+                for (_, verdict) in dispatcher.pump(now) {
+                    if let Verdict::Send(grant) = verdict {
+                        runs.push(grant.run);
+                    }
+                }
+            }
+            // Those that still wait are given up on.
+            for (_, verdict) in dispatcher.pump(now + Duration::from_secs(10)) {
+                if let Verdict::Send(grant) = verdict {
+                    runs.push(grant.run);
+                }
+            }
+            for run in runs {
+                dispatcher.on_ended(run, Ended::Done, now);
+            }
+            assert_eq!(dispatcher.running_len(), 0);
+            let later = now + Duration::from_secs(60);
+            let (endpoints, _, _) = dispatcher.to_digest(later);
+            assert_eq!(endpoints, []);
+        });
+}
+
+fn digest() -> Digest {
+    Digest {
+        host: HostIntroduction {
+            router: "other".parse().unwrap(),
+            zone: "a".parse().unwrap(),
+            incarnation: Incarnation(1),
+            caller_address: "10.0.0.9:80".parse().unwrap(),
+            peer_address: "10.0.0.9:7400".parse().unwrap(),
+            phase: HostPhase::Serving,
+        },
+        seq: 1,
+        configuration_version: 1,
+        endpoints_revision: 1,
+        arrivals_per_s: 0,
+        endpoints: Vec::new(),
+        teams: Vec::new(),
+        placed: Vec::new(),
+        known_hosts: Vec::new(),
+    }
+}
--- a/crates/daisynotch_core/src/direct/endpoints/tests.rs
+++ b/crates/daisynotch_core/src/direct/endpoints/tests.rs
@@ -1,1 +1,91 @@
+use super::*;
 
+fn entry(name: &str, started_unix_ms: u64, report_seq: u64) -> EndpointEntry {
+    EndpointEntry {
+        name: Arc::from(name),
+        started_unix_ms,
+        report_seq,
+        service: Arc::from("models"),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: Arc::from("a"),
+        slots: 4,
+        state: EndpointState::Ready,
+    }
+}
+
+fn draining(mut entry: EndpointEntry) -> EndpointEntry {
+    entry.state = EndpointState::Draining;
+    entry
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn a_late_report_does_not_undo_a_newer_one() {
+    let mut list = EndpointList::default();
+    let first = entry("a", 10, 5);
+    assert_eq!(
+        list.write(first.clone()),
+        [EndpointChange::Usable(first.clone())]
+    );
+    let leaves = draining(entry("a", 10, 7));
+    assert_eq!(list.write(leaves), [EndpointChange::Closed(first.id())]);
+    assert_eq!(list.write(entry("a", 10, 6)), []);
+}
+
+#[test]
+fn a_restart_under_the_same_name_is_another_endpoint() {
+    let mut list = EndpointList::default();
+    let before = entry("a", 10, 90);
+    let after = entry("a", 20, 1);
+    assert_ne!(before.id(), after.id());
+    list.write(before.clone());
+    assert_eq!(
+        list.write(after.clone()),
+        [
+            EndpointChange::Closed(before.id()),
+            EndpointChange::Usable(after)
+        ]
+    );
+}
+
+#[test]
+fn a_late_report_does_not_bring_back_an_endpoint_that_has_gone() {
+    let mut list = EndpointList::default();
+    let now = Timestamp::default() + 10 * SECOND;
+    list.write(entry("a", 10, 5));
+    assert_eq!(
+        list.remove("a", now),
+        [EndpointChange::Closed(entry("a", 10, 5).id())]
+    );
+    assert_eq!(list.write(entry("a", 10, 5)), []);
+    let alive = entry("a", 10, 6);
+    assert_eq!(list.write(alive.clone()), [EndpointChange::Usable(alive)]);
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_is_kept_until_it_could_be_back() {
+    let mut list = EndpointList::default();
+    let back_at = Timestamp::default() + 10 * SECOND;
+    let (kept, lost) = (entry("kept", 10, 5), entry("lost", 10, 5));
+    list.write(kept.clone());
+    list.write(lost.clone());
+    list.on_store_return(back_at);
+    assert_eq!(list.replace(Vec::new(), back_at), []);
+    assert_eq!(list.expire(back_at + SECOND), []);
+    let again = entry("kept", 10, 6);
+    assert_eq!(list.write(again.clone()), [EndpointChange::Usable(again)]);
+    let changes = list.expire(back_at + 3 * SECOND);
+    assert_eq!(changes, [EndpointChange::Closed(lost.id())]);
+}
+
+#[test]
+fn a_removal_in_calm_times_takes_effect_at_once() {
+    let mut list = EndpointList::default();
+    let now = Timestamp::default() + 10 * SECOND;
+    list.write(entry("a", 10, 5));
+    list.write(entry("b", 10, 5));
+    let changes = list.replace(vec![entry("b", 10, 6)], now);
+    assert_eq!(changes[0], EndpointChange::Closed(entry("a", 10, 5).id()));
+    assert_eq!(changes.len(), 2);
+}
--- a/crates/daisynotch_core/src/direct/hosts/tests.rs
+++ b/crates/daisynotch_core/src/direct/hosts/tests.rs
@@ -1,1 +1,103 @@
+use super::*;
+use crate::message::Incarnation;
 
+fn introduction(name: &str, zone: &str, phase: HostPhase) -> HostIntroduction {
+    let last = name.bytes().last().unwrap();
+    HostIntroduction {
+        router: name.parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        incarnation: Incarnation(1),
+        caller_address: format!("10.0.0.{last}:80").parse().unwrap(),
+        peer_address: format!("10.0.0.{last}:7400").parse().unwrap(),
+        phase,
+    }
+}
+
+fn digest(name: &str, zone: &str, phase: HostPhase, seq: u64) -> Digest {
+    Digest {
+        host: introduction(name, zone, phase),
+        seq,
+        configuration_version: 1,
+        endpoints_revision: 1,
+        arrivals_per_s: 100,
+        endpoints: Vec::new(),
+        teams: Vec::new(),
+        placed: Vec::new(),
+        known_hosts: Vec::new(),
+    }
+}
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp(10_000_000 + ms * 1_000)
+}
+
+fn callers(table: &HostTable, now: Timestamp) -> Vec<String> {
+    let own = introduction("own-a", "one", HostPhase::Serving);
+    let addresses = table.caller_addresses(&own, now, 64);
+    addresses.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn near_routers_come_first_and_leaving_ones_not_at_all() {
+    let mut table = HostTable::default();
+    table.on_digest(&digest("r-b", "two", HostPhase::Serving, 1), at(0));
+    table.on_digest(&digest("r-c", "one", HostPhase::Serving, 1), at(0));
+    table.on_digest(&digest("r-d", "one", HostPhase::Leaving, 1), at(0));
+    table.on_digest(&digest("r-e", "one", HostPhase::Starting, 1), at(0));
+    assert_eq!(
+        callers(&table, at(1)),
+        ["10.0.0.97:80", "10.0.0.99:80", "10.0.0.98:80"]
+    );
+}
+
+#[test]
+fn a_router_that_falls_silent_is_not_given_out() {
+    let mut table = HostTable::default();
+    table.on_digest(&digest("r-b", "one", HostPhase::Serving, 1), at(0));
+    table.on_digest(&digest("r-c", "one", HostPhase::Serving, 1), at(900));
+    assert_eq!(callers(&table, at(1_000)), ["10.0.0.97:80", "10.0.0.99:80"]);
+}
+
+#[test]
+fn a_router_that_hears_nobody_gives_out_all_that_it_knew() {
+    let mut table = HostTable::default();
+    table.on_digest(&digest("r-b", "one", HostPhase::Serving, 1), at(0));
+    assert_eq!(callers(&table, at(5_000)), ["10.0.0.97:80", "10.0.0.98:80"]);
+}
+
+#[test]
+fn a_late_digest_changes_nothing() {
+    let mut table = HostTable::default();
+    assert!(table.on_digest(&digest("r-b", "one", HostPhase::Leaving, 5), at(0)));
+    assert!(!table.on_digest(&digest("r-b", "one", HostPhase::Serving, 4), at(1)));
+    assert_eq!(callers(&table, at(2)), ["10.0.0.97:80"]);
+    let mut restarted = digest("r-b", "one", HostPhase::Serving, 1);
+    restarted.host.incarnation = Incarnation(2);
+    assert!(table.on_digest(&restarted, at(3)));
+}
+
+#[test]
+fn routers_are_found_through_others() {
+    let mut table = HostTable::default();
+    let mut named = digest("r-b", "one", HostPhase::Serving, 1);
+    named.known_hosts = vec!["10.0.0.120:7400".parse().unwrap()];
+    table.on_digest(&named, at(0));
+    let addresses = table.peer_addresses(at(1));
+    assert_eq!(addresses.len(), 2);
+    assert_eq!(table.peer_addresses(at(70_000)).len(), 0);
+}
+
+/// The load of the day on which one router drew 1,650 requests a second to itself.
+#[test]
+fn a_router_that_draws_an_overload_to_itself_sends_callers_elsewhere() {
+    let mut table = HostTable::default();
+    for name in ["r-b", "r-c", "r-d"] {
+        table.on_digest(&digest(name, "one", HostPhase::Serving, 1), at(0));
+    }
+    assert!(!table.is_overdrawn(120, at(1)));
+    assert!(table.is_overdrawn(1_650, at(1)));
+    assert!(
+        !table.is_overdrawn(1_650, at(5_000)),
+        "there is nobody else"
+    );
+}
--- a/crates/daisynotch_core/src/direct/pace/tests.rs
+++ b/crates/daisynotch_core/src/direct/pace/tests.rs
@@ -1,1 +1,36 @@
+use super::*;
 
+#[test]
+fn learns_the_speed_of_engines_from_first_tokens() {
+    let mut pace = EnginePace::default();
+    for sample in 0..600_u32 {
+        let tokens = f64::from(sample % 10) * 2_000.0;
+        let taken_ms = 40.0 + tokens * 0.02;
+        pace.observe(tokens, Duration::from_secs_f64(taken_ms / 1e3));
+    }
+    assert!((pace.base_ms() - 40.0).abs() < 8.0, "{pace:?}");
+    assert!((pace.reading_ms(1_000.0) - 20.0).abs() < 2.0, "{pace:?}");
+}
+
+#[test]
+fn equal_samples_keep_the_speed_within_bounds() {
+    let mut pace = EnginePace::default();
+    for _ in 0..10_000 {
+        pace.observe(500.0, Duration::from_millis(5));
+    }
+    assert!(pace.reading_ms(1.0) >= TOKEN_MS_RANGE.0);
+    assert!(pace.base_ms() >= BASE_MS_RANGE.0);
+}
+
+#[test]
+fn an_endpoint_that_turns_slow_costs_more_and_recovers() {
+    let mut slowdown = Slowdown::default();
+    for _ in 0..30 {
+        slowdown.observe(400.0, 100.0);
+    }
+    assert!(slowdown.0 > 3.5, "{slowdown:?}");
+    for _ in 0..60 {
+        slowdown.observe(100.0, 100.0);
+    }
+    assert!(slowdown.0 < 1.1, "{slowdown:?}");
+}
--- a/crates/daisynotch_core/src/direct/retry_budget/tests.rs
+++ b/crates/daisynotch_core/src/direct/retry_budget/tests.rs
@@ -1,1 +1,75 @@
+use super::*;
 
+fn budget() -> RetryBudget {
+    RetryBudget::new(RetryBudgetSettings {
+        ratio: 0.2,
+        allowance: 40.0,
+        window: Duration::from_secs(10),
+    })
+}
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp(10_000_000 + ms * 1_000)
+}
+
+#[test]
+fn ten_routers_that_all_repeat_stay_within_the_shared_budget() {
+    let service: Arc<str> = Arc::from("models");
+    let mut repeats = 0;
+    for _ in 0..10 {
+        let mut budget = budget();
+        for request in 0..30 {
+            budget.on_request(&service, at(request));
+        }
+        repeats += (0..100)
+            .filter(|_| budget.take(&service, 10, at(100)))
+            .count();
+    }
+    let allowed = 0.2 * 300.0 + 40.0;
+    assert!((repeats as f64) <= allowed, "{repeats} of {allowed}");
+    assert!(repeats > 40);
+}
+
+#[test]
+fn the_budget_comes_back_with_time() {
+    let service: Arc<str> = Arc::from("models");
+    let mut budget = budget();
+    while budget.take(&service, 1, at(0)) {}
+    assert!(!budget.take(&service, 1, at(9_000)));
+    assert!(budget.take(&service, 1, at(10_001)));
+}
+
+#[test]
+fn services_have_budgets_of_their_own() {
+    let mut budget = budget();
+    let (one, other) = (Arc::from("one"), Arc::from("other"));
+    while budget.take(&one, 1, at(0)) {}
+    assert!(budget.take(&other, 1, at(0)));
+}
+
+#[test]
+fn no_window_holds_more_than_the_budget() {
+    bolero::check!()
+        .with_type::<Vec<(u16, bool)>>()
+        .for_each(|steps| {
+            let service: Arc<str> = Arc::from("models");
+            let mut budget = budget();
+            let mut now = at(0);
+            let mut requests = Vec::new();
+            let mut repeats = Vec::new();
+            for (pause_ms, is_request) in steps {
+                now = now + Duration::from_millis(u64::from(*pause_ms % 700));
+                if *is_request {
+                    budget.on_request(&service, now);
+                    requests.push(now);
+                } else if budget.take(&service, 1, now) {
+                    repeats.push(now);
+                }
+                let window = Duration::from_secs(10);
+                let within = |times: &[Timestamp]| {
+                    times.iter().filter(|at| now.since(**at) <= window).count() as f64
+                };
+                assert!(within(&repeats) <= 0.2 * within(&requests) + 40.0);
+            }
+        });
+}
--- a/crates/daisynotch_core/src/direct/routes.rs
+++ b/crates/daisynotch_core/src/direct/routes.rs
@@ -65,7 +65,7 @@
             .iter()
             .map(|(_, weight)| u64::from(*weight))
             .sum();
-        let mut point = u64::from(draw) * total >> 32;
+        let mut point = (u64::from(draw) * total) >> 32;
         for (service, weight) in &self.targets {
             let weight = u64::from(*weight);
             if point < weight {
--- a/crates/daisynotch_core/src/direct/shares.rs
+++ b/crates/daisynotch_core/src/direct/shares.rs
@@ -17,6 +17,9 @@
 const BUCKETS: usize = 8;
 /// How often shares are worked out anew.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+/// The part of a window's tokens that may be asked for here before shares are worked out
+/// anew, since a team can turn hot within the interval.
+const REFRESH_GROWTH_PART: f64 = 0.02;
 /// Age from which another router's sums no longer count.
 const PEER_SUMS_MAX_AGE: Duration = Duration::from_millis(1_500);
 
@@ -51,6 +54,8 @@
     /// For each team: tokens it may have begun in a window, and tokens begun elsewhere.
     shares: HashMap<u32, (u64, u64)>,
     refreshed_at: Option<Timestamp>,
+    /// Tokens that were asked for here since the shares were worked out.
+    asked_since: u64,
 }
 
 impl TeamShares {
@@ -63,6 +68,7 @@
             peers: HashMap::new(),
             shares: HashMap::new(),
             refreshed_at: None,
+            asked_since: 0,
         }
     }
 
@@ -81,6 +87,7 @@
     pub fn on_asked(&mut self, team: u32, tokens: u64, now: Timestamp) {
         let bucket = self.advance(now);
         self.own.entry(team).or_default().asked[bucket] += tokens;
+        self.asked_since += tokens;
     }
 
     /// Notes that a team's request begins to run.
@@ -124,7 +131,8 @@
         let is_fresh = self
             .refreshed_at
             .is_some_and(|at| now.since(at) < REFRESH_INTERVAL);
-        if !is_fresh {
+        let has_grown = self.asked_since as f64 > self.capacity_tokens() * REFRESH_GROWTH_PART;
+        if !is_fresh || has_grown {
             self.refresh(now);
         }
         let Some((share, begun_elsewhere)) = self.shares.get(&team) else {
@@ -134,12 +142,20 @@
         (begun_here + begun_elsewhere + tokens) as f64 / (*share).max(1) as f64
     }
 
+    /// Gives the tokens of one window; without bound where nothing is divided.
+    fn capacity_tokens(&self) -> f64 {
+        let window_s = self.settings.window.as_secs_f64();
+        let tokens_per_s = self.settings.tokens_per_s;
+        tokens_per_s.map_or(f64::INFINITY, |tokens| tokens as f64 * window_s)
+    }
+
     fn refresh(&mut self, now: Timestamp) {
         self.refreshed_at = Some(now);
+        self.asked_since = 0;
         self.shares.clear();
-        let Some(tokens_per_s) = self.settings.tokens_per_s else {
+        if self.settings.tokens_per_s.is_none() {
             return;
-        };
+        }
         self.peers
             .retain(|_, peer| now.since(peer.heard_at) < PEER_SUMS_MAX_AGE);
         let mut asked: HashMap<u32, (u64, u64)> = HashMap::new();
@@ -151,7 +167,7 @@
             sums.0 += asked_there;
             sums.1 += begun_there;
         }
-        let capacity = tokens_per_s as f64 * self.settings.window.as_secs_f64();
+        let capacity = self.capacity_tokens();
         let mut by_asked: Vec<(u32, u64)> = asked
             .iter()
             .map(|(team, (asked, _))| (*team, *asked))
--- a/crates/daisynotch_core/src/direct/shares/tests.rs
+++ b/crates/daisynotch_core/src/direct/shares/tests.rs
@@ -1,1 +1,73 @@
+use super::*;
 
+const HOT: u32 = 1;
+const SMALL: u32 = 2;
+const OTHER: u32 = 3;
+
+fn shares() -> TeamShares {
+    TeamShares::new(ShareSettings {
+        tokens_per_s: Some(1_000),
+        window: Duration::from_secs(4),
+    })
+}
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp(100_000_000 + ms * 1_000)
+}
+
+#[test]
+fn those_who_ask_little_keep_all_and_the_rest_share_evenly() {
+    let mut shares = shares();
+    shares.on_asked(HOT, 100_000, at(0));
+    shares.on_asked(OTHER, 5_000, at(0));
+    shares.on_asked(SMALL, 400, at(0));
+    // 4,000 tokens a window: 400 for the small team, 1,800 for each of the others.
+    assert!(shares.used_part(SMALL, 400, at(1)) <= 1.0);
+    assert!(shares.used_part(HOT, 1_800, at(1)) <= 1.0);
+    assert!(shares.used_part(HOT, 1_900, at(1)) > 1.0);
+    assert!(shares.used_part(OTHER, 1_800, at(1)) <= 1.0);
+}
+
+#[test]
+fn nobody_is_beyond_a_share_while_there_is_enough() {
+    let mut shares = shares();
+    shares.on_asked(HOT, 3_500, at(0));
+    shares.on_asked(SMALL, 400, at(0));
+    assert!(shares.used_part(HOT, 3_500, at(1)) < 0.001);
+}
+
+#[test]
+fn what_other_routers_began_counts() {
+    let mut shares = shares();
+    shares.on_asked(HOT, 10_000, at(0));
+    let there = [TeamDigest {
+        team: HOT,
+        asked_tokens: 50_000,
+        begun_tokens: 3_900,
+    }];
+    shares.on_peer(RouterId(7), &there, at(0));
+    assert!(shares.used_part(HOT, 200, at(1)) > 1.0);
+    // A router that fell silent no longer counts.
+    assert!(shares.used_part(HOT, 200, at(2_000)) <= 1.0);
+}
+
+#[test]
+fn what_was_begun_is_forgotten_after_the_window() {
+    let mut shares = shares();
+    shares.on_asked(HOT, 10_000, at(0));
+    shares.on_begun(HOT, 4_000, at(0));
+    shares.on_asked(HOT, 10_000, at(3_900));
+    assert!(shares.used_part(HOT, 100, at(3_900)) > 1.0);
+    shares.on_asked(HOT, 10_000, at(4_600));
+    assert!(shares.used_part(HOT, 100, at(4_600)) <= 1.0);
+}
+
+#[test]
+fn without_a_capacity_nothing_is_divided() {
+    let mut shares = TeamShares::new(ShareSettings {
+        tokens_per_s: None,
+        window: Duration::from_secs(4),
+    });
+    shares.on_asked(HOT, 1_000_000, at(0));
+    assert!(shares.used_part(HOT, 1_000_000, at(1)) <= 0.0);
+}
--- a/crates/daisynotch_router/src/direct/event_log.rs
+++ b/crates/daisynotch_router/src/direct/event_log.rs
@@ -82,22 +82,27 @@
 
     /// Hands what was gathered to the writing thread, if that has room.
     pub(crate) fn flush(&self) {
-        if self.gathered.borrow().is_empty() {
+        let mut block = self.gathered.take();
+        if block.is_empty() {
             return;
         }
-        let dropped = self.dropped.replace(0);
+        let lines_bytes = block.len();
+        let dropped = self.dropped.get();
         if dropped > 0 {
-            // The lines are counted by the block that is the next to get through.
-            let mut gathered = self.gathered.borrow_mut();
             let line = serde_json::json!({
                 "host": self.host, "event": "log_lines_dropped", "count": dropped,
             });
-            serde_json::to_writer(&mut *gathered, &line).expect("a vector takes any text");
-            gathered.push(b'\n');
+            serde_json::to_writer(&mut block, &line).expect("a vector takes any text");
+            block.push(b'\n');
         }
-        let block = self.gathered.take();
-        if let Err(TrySendError::Full(block)) = self.blocks.try_send(block) {
-            *self.gathered.borrow_mut() = block;
+        match self.blocks.try_send(block) {
+            Ok(()) => self.dropped.set(0),
+            Err(TrySendError::Full(mut block)) => {
+                block.truncate(lines_bytes);
+                *self.gathered.borrow_mut() = block;
+            }
+            // Standard output is gone, and with it whoever read the lines.
+            Err(TrySendError::Disconnected(_)) => {}
         }
     }
 }
--- a/crates/daisynotch_router/src/direct/settings/tests.rs
+++ b/crates/daisynotch_router/src/direct/settings/tests.rs
@@ -1,1 +1,59 @@
+use super::*;
 
+const TEXT: &str = r#"
+router = "edge-a-1"
+zone = "a"
+caller_address = "10.1.0.33:8783"
+ready_address = "10.1.0.33:8780"
+directory_address = "10.1.0.33:8789"
+peer_address = "10.1.0.33:7400"
+metrics_address = "10.1.0.33:9464"
+store_address = "10.200.1.7:8781"
+seeds = ["10.1.0.33:8785"]
+descriptors_max = 4100
+memory_max_mb = 110
+address_ttl_max_s = 5
+leave_max_s = 8
+share_window_s = 4
+
+[retry]
+ratio = 0.2
+allowance = 58
+window_s = 10
+"#;
+
+#[test]
+fn settings_are_read() {
+    let settings = DirectSettings::parse(TEXT).unwrap();
+    assert_eq!(settings.dispatcher().retry_budget.allowance, 58.0);
+    assert_eq!(settings.dispatcher().shares.window, Duration::from_secs(4));
+}
+
+#[test]
+fn the_connections_that_fit_follow_from_memory_and_descriptors() {
+    let max = |from: &str, to: &str| {
+        let settings = DirectSettings::parse(&TEXT.replace(from, to)).unwrap();
+        settings.caller_connections_max()
+    };
+    assert_eq!(max("110", "100000"), 2_900);
+    assert!(max("110", "64") < max("110", "110"));
+    assert_eq!(max("4100", "200"), 1);
+}
+
+#[test]
+fn errors_name_the_key_and_the_mend() {
+    let error = |from: &str, to: &str| {
+        let error = DirectSettings::parse(&TEXT.replace(from, to)).unwrap_err();
+        error.to_string()
+    };
+    insta::assert_snapshot!(
+        error("leave_max_s = 8", "leave_max_s = 0"),
+        @"settings: `leave_max_s` is 0: give a number of seconds above 0, up to 86,400"
+    );
+    insta::assert_snapshot!(
+        error("ratio = 0.2", "ratio = -1"),
+        @"settings: `retry.ratio` is -1: give 0 or more"
+    );
+    assert!(error("seeds", "sedes").contains("unknown field `sedes`"));
+    assert!(error("share_window_s = 4", "").contains("missing field `share_window_s`"));
+}
--- a/crates/daisynotch_router/src/direct/store_follower.rs
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -147,16 +147,16 @@
         .await?;
     let page = router.platform.decode_watch(&body)?;
     router.on_store_answer(true, "");
-    for event in page.events {
+    for event in &page.events {
         on_event(router, event);
     }
     Ok(page.at_revision.max(after))
 }
 
-fn on_event(router: &Rc<Router>, event: StoreEvent) {
+fn on_event(router: &Rc<Router>, event: &StoreEvent) {
     let prefixes = router.platform.prefixes();
     if event.key().starts_with(prefixes.configuration) {
-        if let StoreEvent::Written(item) = &event {
+        if let StoreEvent::Written(item) = event {
             on_configuration_item(router, item, "store");
         }
         return;
@@ -170,7 +170,7 @@
         return;
     }
     view.endpoints_revision = event.revision();
-    let changes = match &event {
+    let changes = match event {
         StoreEvent::Written(item) => {
             view.endpoints.insert(item.key.clone(), item.clone());
             match decode_endpoint(router, name, item) {
