--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -42,6 +42,8 @@
 /// Requests of one service that find no place before the rest are left for the next
 /// round: they rank lower, and looking costs time when most needed.
 const UNPLACED_MAX: usize = 6;
+/// What reading counts for against waiting: it takes the engine from all others too.
+const READING_WEIGHT: f64 = 2.0;
 /// What the choice between equal endpoints is spread over, so that all routers pick
 /// the same home for a prompt that none of them keeps.
 const HOME_SPREAD_MS: f64 = 15.0;
@@ -752,7 +754,7 @@
     let base_ms = pace.engine.base_ms();
     Some(Choice {
         endpoint: id,
-        cost_ms: backlog_ms + own_ms + base_ms * slowdown + failure_ms,
+        cost_ms: backlog_ms + READING_WEIGHT * own_ms + base_ms * slowdown + failure_ms,
         backlog_ms,
         expected_ms: backlog_ms + own_ms + base_ms,
         cached_tokens,
