--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -43,7 +43,7 @@
 /// round: they rank lower, and looking costs time when most needed.
 const UNPLACED_MAX: usize = 6;
 /// What reading counts for against waiting: it takes the engine from all others too.
-const READING_WEIGHT: f64 = 2.0;
+const READING_WEIGHT: f64 = 4.0;
 /// What the choice between equal endpoints is spread over, so that all routers pick
 /// the same home for a prompt that none of them keeps.
 const HOME_SPREAD_MS: f64 = 15.0;
