--- a/crates/daisynotch_core/src/direct/digest.rs
+++ b/crates/daisynotch_core/src/direct/digest.rs
@@ -92,8 +92,8 @@
     pub configuration_version: u64,
     /// The store's revision up to which it has seen the endpoints' entries.
     pub endpoints_revision: u64,
-    /// Requests that arrived in the latest second.
-    pub arrivals_per_s: u32,
+    /// Requests that arrive a second, for each whole core that it may use.
+    pub arrivals_per_core_s: u32,
     /// Its load on endpoints.
     pub endpoints: Vec<EndpointDigest>,
     /// What its teams asked and began.
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use daisynotch_objects::EndpointId;
+use daisynotch_objects::{EndpointId, RouterId};
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -244,6 +244,8 @@
     waiting: Vec<Waiting>,
     runs: HashMap<RunId, Run>,
     placed: Vec<PlacedParts>,
+    /// The endpoints that each router's latest digest named.
+    named_by: HashMap<RouterId, Vec<EndpointId>>,
     next_id: u64,
     routers: usize,
 }
@@ -262,6 +264,7 @@
             waiting: Vec::new(),
             runs: HashMap::new(),
             placed: Vec::new(),
+            named_by: HashMap::new(),
             next_id: 0,
             routers: 1,
         }
@@ -438,10 +441,21 @@
     pub fn on_digest(&mut self, digest: &Digest, now: Timestamp) {
         let router = digest.host.id();
         self.shares.on_peer(router, &digest.teams, now);
-        for (id, load) in &mut self.endpoints {
-            match digest.endpoints.iter().find(|named| named.endpoint == *id) {
-                Some(named) => load.on_peer(router, named, now),
-                None => load.forget_peer(router),
+        let named = digest
+            .endpoints
+            .iter()
+            .map(|named| named.endpoint)
+            .collect();
+        let named_before = self.named_by.insert(router, named);
+        for id in named_before.into_iter().flatten() {
+            let is_named = digest.endpoints.iter().any(|named| named.endpoint == id);
+            if !is_named && let Some(load) = self.endpoints.get_mut(&id) {
+                load.forget_peer(router);
+            }
+        }
+        for named in &digest.endpoints {
+            if let Some(load) = self.endpoints.get_mut(&named.endpoint) {
+                load.on_peer(router, named, now);
             }
         }
         for placed in &digest.placed {
@@ -451,6 +465,13 @@
         }
     }
 
+    /// Forgets the load of routers that fell silent.
+    pub fn expire(&mut self, now: Timestamp) {
+        for load in self.endpoints.values_mut() {
+            load.expire_peers(now);
+        }
+    }
+
     /// Gives what the other routers need to know; placements are given once.
     pub fn to_digest(
         &mut self,
@@ -722,7 +743,7 @@
     pace: &ServicePace,
     now: Timestamp,
 ) -> Option<Choice> {
-    let total = load.total(now);
+    let total = load.total();
     let slowdown = load.slowdown.0;
     let failure_ms = FAILURE_COST_MS * load.health.failure_share();
     let Some(engine) = load.engine else {
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -406,7 +406,7 @@
         seq: 1,
         configuration_version: 1,
         endpoints_revision: 1,
-        arrivals_per_s: 0,
+        arrivals_per_core_s: 0,
         endpoints: Vec::new(),
         teams: Vec::new(),
         placed: Vec::new(),
--- a/crates/daisynotch_core/src/direct/engine.rs
+++ b/crates/daisynotch_core/src/direct/engine.rs
@@ -21,11 +21,10 @@
 /// requests need the rest.
 const CACHE_PART: f64 = 0.8;
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 struct PeerLoad {
     heard_at: Timestamp,
     load: Load,
-    is_suspect: bool,
 }
 
 /// Work at an endpoint.
@@ -39,6 +38,24 @@
     pub(crate) memory_tokens: u64,
 }
 
+impl Load {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            unread_tokens: self.unread_tokens + other.unread_tokens,
+            running: self.running + other.running,
+            memory_tokens: self.memory_tokens + other.memory_tokens,
+        }
+    }
+
+    fn minus(self, other: Self) -> Self {
+        Self {
+            unread_tokens: self.unread_tokens.saturating_sub(other.unread_tokens),
+            running: self.running.saturating_sub(other.running),
+            memory_tokens: self.memory_tokens.saturating_sub(other.memory_tokens),
+        }
+    }
+}
+
 /// One endpoint with all that bears on placing work there.
 #[derive(Debug)]
 pub(crate) struct EndpointLoad {
@@ -51,6 +68,10 @@
     /// When a single request was last sent there to see whether it has recovered.
     pub(crate) tried_at: Timestamp,
     peers: HashMap<RouterId, PeerLoad>,
+    /// The sum over `peers`, since each decision looks at every endpoint.
+    peers_sum: Load,
+    /// Until when another router's suspicion counts.
+    suspected_until: Timestamp,
 }
 
 impl EndpointLoad {
@@ -65,18 +86,14 @@
             own: Load::default(),
             tried_at: Timestamp::default(),
             peers: HashMap::new(),
+            peers_sum: Load::default(),
+            suspected_until: Timestamp::default(),
         }
     }
 
     /// Gives the work of all routers.
-    pub(crate) fn total(&self, now: Timestamp) -> Load {
-        let peers = self.peers.values();
-        let fresh = peers.filter(|peer| now.since(peer.heard_at) < PEER_LOAD_MAX_AGE);
-        fresh.fold(self.own, |sum, peer| Load {
-            unread_tokens: sum.unread_tokens + peer.load.unread_tokens,
-            running: sum.running + peer.load.running,
-            memory_tokens: sum.memory_tokens + peer.load.memory_tokens,
-        })
+    pub(crate) fn total(&self) -> Load {
+        self.own.plus(self.peers_sum)
     }
 
     /// Takes another router's load.
@@ -86,17 +103,28 @@
             running: u32::from(digest.running),
             memory_tokens: u64::from(digest.memory_tokens),
         };
-        let peer = PeerLoad {
-            heard_at: now,
-            load,
-            is_suspect: digest.is_suspect,
-        };
-        self.peers.insert(router, peer);
+        if digest.is_suspect {
+            self.suspected_until = now + PEER_SUSPICION_MAX_AGE;
+        }
+        let heard_at = now;
+        let before = self.peers.insert(router, PeerLoad { heard_at, load });
+        let before = before.map(|before| before.load).unwrap_or_default();
+        self.peers_sum = self.peers_sum.minus(before).plus(load);
     }
 
     /// Forgets another router's load: its digest no longer names this endpoint.
     pub(crate) fn forget_peer(&mut self, router: RouterId) {
-        self.peers.remove(&router);
+        if let Some(before) = self.peers.remove(&router) {
+            self.peers_sum = self.peers_sum.minus(before.load);
+        }
+    }
+
+    /// Forgets the load of routers that fell silent.
+    pub(crate) fn expire_peers(&mut self, now: Timestamp) {
+        let is_fresh = |peer: &PeerLoad| now.since(peer.heard_at) < PEER_LOAD_MAX_AGE;
+        self.peers.retain(|_, peer| is_fresh(peer));
+        let loads = self.peers.values().map(|peer| peer.load);
+        self.peers_sum = loads.fold(Load::default(), Load::plus);
     }
 
     /// Gives what this router tells the others.
@@ -117,10 +145,7 @@
         if self.health.is_suspect(now) {
             return true;
         }
-        let suspected = self
-            .peers
-            .values()
-            .any(|peer| peer.is_suspect && now.since(peer.heard_at) < PEER_SUSPICION_MAX_AGE);
+        let suspected = now < self.suspected_until;
         suspected && !self.health.heard_within(now, PEER_SUSPICION_MAX_AGE)
     }
 }
--- a/crates/daisynotch_core/src/direct/hosts.rs
+++ b/crates/daisynotch_core/src/direct/hosts.rs
@@ -30,13 +30,14 @@
     pub configuration_version: u64,
     /// The store's revision up to which it has seen the endpoints.
     pub endpoints_revision: u64,
-    /// Requests that reached it in the latest second.
-    pub arrivals_per_s: u32,
+    /// Requests that reach it a second, for each whole core that it may use.
+    pub arrivals_per_core_s: u32,
     last_seq: u64,
 }
 
-/// Requests a second below which a router is never overdrawn: a few per cent of a core.
-const OVERDRAWN_MIN_PER_S: u32 = 60;
+/// Requests a second and core below which a router is never overdrawn: a tenth of what
+/// a core can take.
+const OVERDRAWN_MIN_PER_CORE_S: u32 = 120;
 /// How many times the others' mean a router may carry: twice what chance makes likely.
 const OVERDRAWN_FACTOR: f64 = 1.5;
 
@@ -69,7 +70,7 @@
             heard_at: now,
             configuration_version: digest.configuration_version,
             endpoints_revision: digest.endpoints_revision,
-            arrivals_per_s: digest.arrivals_per_s,
+            arrivals_per_core_s: digest.arrivals_per_core_s,
             last_seq: digest.seq,
         };
         self.hosts.insert(id, host);
@@ -118,41 +119,64 @@
     ///
     /// A caller takes an idle connection before a new one, and a router that refuses at
     /// once has idle connections: without this it draws all of an overload to itself.
-    pub fn is_overdrawn(&self, own_arrivals_per_s: u32, now: Timestamp) -> bool {
-        let serving = |host: &&Host| host.introduction.phase == HostPhase::Serving;
-        let others: Vec<u32> = self
-            .present(now)
-            .filter(serving)
-            .map(|host| host.arrivals_per_s)
-            .collect();
-        if others.is_empty() || own_arrivals_per_s < OVERDRAWN_MIN_PER_S {
-            return false;
-        }
-        let mean = others.iter().sum::<u32>() as f64 / others.len() as f64;
-        f64::from(own_arrivals_per_s) > OVERDRAWN_FACTOR * mean
+    pub fn is_overdrawn(&self, own_arrivals_per_core_s: u32, now: Timestamp) -> bool {
+        let others = self.present(now).filter(|host| is_serving(host));
+        let others: Vec<u32> = others.map(|host| host.arrivals_per_core_s).collect();
+        let mean = others.iter().sum::<u32>() as f64 / others.len().max(1) as f64;
+        !others.is_empty() && is_overdrawn(own_arrivals_per_core_s, mean)
     }
 
     /// Gives where callers may connect, this router first if it takes them.
+    ///
+    /// Some callers stay with one address for as long as it is given out; a router that
+    /// carries much more than the others is therefore left out until it does not.
     pub fn caller_addresses(
         &self,
         own: &HostIntroduction,
+        own_arrivals_per_core_s: u32,
         now: Timestamp,
         max: usize,
     ) -> Vec<SocketAddr> {
-        let serving = |host: &&Host| host.introduction.phase == HostPhase::Serving;
-        let mut hosts: Vec<&Host> = self.present(now).filter(serving).collect();
+        let mut hosts: Vec<&Host> = self.present(now).filter(|host| is_serving(host)).collect();
         if hosts.is_empty() {
-            hosts = self.hosts.values().filter(serving).collect();
+            hosts = self
+                .hosts
+                .values()
+                .filter(|host| is_serving(host))
+                .collect();
         }
         hosts.sort_unstable_by_key(|host| {
             let is_far = host.introduction.zone != own.zone;
             (is_far, host.introduction.caller_address)
         });
-        let own_address = (own.phase == HostPhase::Serving).then_some(own.caller_address);
-        let others = hosts.iter().map(|host| host.introduction.caller_address);
-        own_address.into_iter().chain(others).take(max).collect()
+        let serves_itself = own.phase == HostPhase::Serving;
+        let own_address = serves_itself.then_some((own.caller_address, own_arrivals_per_core_s));
+        let others = hosts
+            .iter()
+            .map(|host| (host.introduction.caller_address, host.arrivals_per_core_s));
+        let all: Vec<(SocketAddr, u32)> = own_address.into_iter().chain(others).collect();
+        let sum: u32 = all.iter().map(|(_, arrivals)| arrivals).sum();
+        let mean = f64::from(sum) / all.len().max(1) as f64;
+        let spared = all
+            .iter()
+            .filter(|(_, arrivals)| !is_overdrawn(*arrivals, mean));
+        let mut addresses: Vec<SocketAddr> = spared.map(|(address, _)| *address).collect();
+        if addresses.len() < all.len().div_ceil(2) {
+            addresses = all.iter().map(|(address, _)| *address).collect();
+        }
+        addresses.truncate(max);
+        addresses
     }
 }
 
+fn is_serving(host: &Host) -> bool {
+    host.introduction.phase == HostPhase::Serving
+}
+
+fn is_overdrawn(arrivals_per_core_s: u32, mean: f64) -> bool {
+    arrivals_per_core_s >= OVERDRAWN_MIN_PER_CORE_S
+        && f64::from(arrivals_per_core_s) > OVERDRAWN_FACTOR * mean
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/daisynotch_core/src/direct/hosts/tests.rs
+++ b/crates/daisynotch_core/src/direct/hosts/tests.rs
@@ -19,7 +19,7 @@
         seq,
         configuration_version: 1,
         endpoints_revision: 1,
-        arrivals_per_s: 100,
+        arrivals_per_core_s: 100,
         endpoints: Vec::new(),
         teams: Vec::new(),
         placed: Vec::new(),
@@ -33,7 +33,7 @@
 
 fn callers(table: &HostTable, now: Timestamp) -> Vec<String> {
     let own = introduction("own-a", "one", HostPhase::Serving);
-    let addresses = table.caller_addresses(&own, now, 64);
+    let addresses = table.caller_addresses(&own, 0, now, 64);
     addresses.iter().map(ToString::to_string).collect()
 }
 
@@ -101,3 +101,21 @@
         "there is nobody else"
     );
 }
+
+/// The load of the day on which a large team stayed with the one address that it had.
+#[test]
+fn a_router_that_carries_much_more_than_the_others_is_not_given_out() {
+    let mut table = HostTable::default();
+    for name in ["r-b", "r-c", "r-d", "r-e"] {
+        table.on_digest(&digest(name, "one", HostPhase::Serving, 1), at(0));
+    }
+    let mut hot = digest("r-c", "one", HostPhase::Serving, 2);
+    hot.arrivals_per_core_s = 2_000;
+    table.on_digest(&hot, at(1));
+    let given = callers(&table, at(2));
+    assert_eq!(given.len(), 4);
+    assert!(!given.contains(&hot.host.caller_address.to_string()));
+    let own = introduction("own-a", "one", HostPhase::Serving);
+    let given = table.caller_addresses(&own, 9_000, at(2), 64);
+    assert!(!given.contains(&own.caller_address));
+}
--- a/crates/daisynotch_router/src/direct/daemon.rs
+++ b/crates/daisynotch_router/src/direct/daemon.rs
@@ -292,6 +292,7 @@
         let now = router.now();
         let changes = router.endpoints.borrow_mut().expire(now);
         router.on_endpoint_changes(changes, "lapsed");
+        router.dispatcher.borrow_mut().expire(now);
         router.connections.expire();
         router.log.flush();
     }
--- a/crates/daisynotch_router/src/direct/directory.rs
+++ b/crates/daisynotch_router/src/direct/directory.rs
@@ -16,7 +16,7 @@
 /// The most addresses in one answer, by the platform's interface.
 const ADDRESSES_MAX: usize = 64;
 /// How long callers keep an answer: short, since a host that died is given out until then.
-const ADDRESS_TTL: Duration = Duration::from_secs(2);
+const ADDRESS_TTL: Duration = Duration::from_secs(1);
 /// Where operators read metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -26,10 +26,12 @@
         return OwnAnswer::new(StatusCode::NOT_FOUND, "unknown_path").into_response();
     }
     let own = router.introduction.borrow().clone();
-    let addresses = router
-        .hosts
-        .borrow()
-        .caller_addresses(&own, router.now(), ADDRESSES_MAX);
+    let arrivals = router.arrivals_per_core_s();
+    let addresses =
+        router
+            .hosts
+            .borrow()
+            .caller_addresses(&own, arrivals, router.now(), ADDRESSES_MAX);
     if addresses.is_empty() {
         let after = Duration::from_millis(300);
         let answer = OwnAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, "no_router", after);
--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -106,7 +106,7 @@
         seq,
         configuration_version: router.routes().map_or(0, |routes| routes.version),
         endpoints_revision: router.store_view.borrow().endpoints_revision,
-        arrivals_per_s: router.arrivals.per_s(now),
+        arrivals_per_core_s: router.arrivals_per_core_s(),
         endpoints,
         teams,
         placed,
@@ -148,7 +148,6 @@
             continue;
         }
         router.dispatcher.borrow_mut().on_digest(&digest, now);
-        router.pump();
     }
 }
 
--- a/crates/daisynotch_router/src/direct/settings.rs
+++ b/crates/daisynotch_router/src/direct/settings.rs
@@ -54,6 +54,8 @@
     /// Hosts that may know others; only their IP addresses count.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// The part of a processor core that the process may use.
+    pub cpu_cores: f64,
     /// Descriptors that the process may open.
     pub descriptors_max: usize,
     /// Memory that the process may use.
@@ -117,9 +119,10 @@
             }
             Err(SettingsError::BadValue {
                 key,
-                problem: format!("is {value}: give a number of seconds above 0, up to 86,400"),
+                problem: format!("is {value}: give a number above 0, up to 86,400"),
             })
         };
+        positive("cpu_cores", self.cpu_cores)?;
         positive("address_ttl_max_s", self.address_ttl_max_s)?;
         positive("leave_max_s", self.leave_max_s)?;
         positive("share_window_s", self.share_window_s)?;
--- a/crates/daisynotch_router/src/direct/settings/tests.rs
+++ b/crates/daisynotch_router/src/direct/settings/tests.rs
@@ -10,6 +10,7 @@
 metrics_address = "10.1.0.33:9464"
 store_address = "10.200.1.7:8781"
 seeds = ["10.1.0.33:8785"]
+cpu_cores = 0.25
 descriptors_max = 4100
 memory_max_mb = 110
 address_ttl_max_s = 5
@@ -48,7 +49,7 @@
     };
     insta::assert_snapshot!(
         error("leave_max_s = 8", "leave_max_s = 0"),
-        @"settings: `leave_max_s` is 0: give a number of seconds above 0, up to 86,400"
+        @"settings: `leave_max_s` is 0: give a number above 0, up to 86,400"
     );
     insta::assert_snapshot!(
         error("ratio = 0.2", "ratio = -1"),
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -48,7 +48,7 @@
     pub(crate) store_view: RefCell<StoreView>,
     /// Callers' connections that are open.
     pub(crate) open_callers: Cell<usize>,
-    /// Requests that arrived since the last digest but one, which tells the others.
+    /// Requests that arrive, which the others are told.
     pub(crate) arrivals: ArrivalRate,
     /// Whether the last call to the store got an answer.
     pub(crate) is_store_present: Cell<bool>,
@@ -94,15 +94,22 @@
         max.saturating_sub(self.open_callers.get())
     }
 
+    /// Gives the rate of arrivals for each whole core that the process may use.
+    pub(crate) fn arrivals_per_core_s(&self) -> u32 {
+        let per_s = self.arrivals.per_s(self.now());
+        (per_s / self.settings.borrow().cpu_cores) as u32
+    }
+
     /// Says whether callers should connect anew, so that they reach other routers too.
     pub(crate) fn should_spread(&self) -> bool {
         let max = self.settings.borrow().caller_connections_max();
         if self.connections_left() < max / 4 {
             return true;
         }
-        let now = self.now();
-        let arrivals_per_s = self.arrivals.per_s(now);
-        self.hosts.borrow().is_overdrawn(arrivals_per_s, now)
+        let arrivals_per_core_s = self.arrivals_per_core_s();
+        self.hosts
+            .borrow()
+            .is_overdrawn(arrivals_per_core_s, self.now())
     }
 
     /// Gives the configuration in force.
@@ -238,34 +245,28 @@
     }
 }
 
-/// Requests a second, over the latest whole second.
+/// The time over which the rate of arrivals is smoothed.
+const ARRIVALS_SMOOTHED_S: f64 = 0.5;
+
+/// Requests a second, smoothed.
 #[derive(Debug, Default)]
 pub(crate) struct ArrivalRate {
-    second: Cell<u64>,
-    counted: Cell<u32>,
-    last_per_s: Cell<u32>,
+    per_s: Cell<f64>,
+    at: Cell<Timestamp>,
 }
 
 impl ArrivalRate {
     /// Counts a request.
     pub(crate) fn add(&self, now: Timestamp) {
-        self.advance(now);
-        self.counted.set(self.counted.get().saturating_add(1));
+        self.per_s.set(self.per_s(now) + 1.0 / ARRIVALS_SMOOTHED_S);
     }
 
-    /// Gives the requests of the latest whole second.
-    pub(crate) fn per_s(&self, now: Timestamp) -> u32 {
-        self.advance(now);
-        self.last_per_s.get()
-    }
-
-    fn advance(&self, now: Timestamp) {
-        let second = now.0 / 1_000_000;
-        let passed = second.saturating_sub(self.second.replace(second));
-        if passed > 0 {
-            let counted = self.counted.replace(0);
-            self.last_per_s.set(if passed == 1 { counted } else { 0 });
-        }
+    /// Gives the rate.
+    pub(crate) fn per_s(&self, now: Timestamp) -> f64 {
+        let passed_s = now.since(self.at.replace(now)).as_secs_f64();
+        let decayed = self.per_s.get() * (-passed_s / ARRIVALS_SMOOTHED_S).exp();
+        self.per_s.set(decayed);
+        decayed
     }
 }
 
