--- a/crates/daisynotch_core/src/direct/digest.rs
+++ b/crates/daisynotch_core/src/direct/digest.rs
@@ -37,6 +37,10 @@
     pub peer_address: SocketAddr,
     /// Whether callers should be sent there.
     pub phase: HostPhase,
+    /// The processor time that it may use, in thousandths of a core.
+    pub cpu_millicores: u32,
+    /// Whether it carries more than it should, so that callers go elsewhere.
+    pub is_crowded: bool,
 }
 
 impl HostIntroduction {
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -402,6 +402,8 @@
             caller_address: "10.0.0.9:80".parse().unwrap(),
             peer_address: "10.0.0.9:7400".parse().unwrap(),
             phase: HostPhase::Serving,
+            cpu_millicores: 250,
+            is_crowded: false,
         },
         seq: 1,
         configuration_version: 1,
--- a/crates/daisynotch_core/src/direct/hosts.rs
+++ b/crates/daisynotch_core/src/direct/hosts.rs
@@ -41,6 +41,9 @@
 /// How many times the others' mean a router may carry: twice what chance makes likely.
 const OVERDRAWN_FACTOR: f64 = 1.5;
 
+/// Large routers without which small ones are given out too.
+const LARGE_MIN: usize = 3;
+
 /// All routers that are known.
 #[derive(Debug, Default)]
 pub struct HostTable {
@@ -123,49 +126,53 @@
         let others = self.present(now).filter(|host| is_serving(host));
         let others: Vec<u32> = others.map(|host| host.arrivals_per_core_s).collect();
         let mean = others.iter().sum::<u32>() as f64 / others.len().max(1) as f64;
-        !others.is_empty() && is_overdrawn(own_arrivals_per_core_s, mean)
+        !others.is_empty()
+            && own_arrivals_per_core_s >= OVERDRAWN_MIN_PER_CORE_S
+            && f64::from(own_arrivals_per_core_s) > OVERDRAWN_FACTOR * mean
     }
 
-    /// Gives where callers may connect, this router first if it takes them.
+    /// Gives where callers may connect, near routers first.
     ///
-    /// Some callers stay with one address for as long as it is given out; a router that
-    /// carries much more than the others is therefore left out until it does not.
+    /// Some callers stay with one address for as long as it is given out, all of a large
+    /// team with the same one. Routers that are crowded are left out, and small ones
+    /// where there are large ones, as long as enough remain.
     pub fn caller_addresses(
         &self,
         own: &HostIntroduction,
-        own_arrivals_per_core_s: u32,
         now: Timestamp,
         max: usize,
     ) -> Vec<SocketAddr> {
-        let mut hosts: Vec<&Host> = self.present(now).filter(|host| is_serving(host)).collect();
+        let present = self.present(now).filter(|host| is_serving(host));
+        let mut hosts: Vec<&HostIntroduction> = present.map(|host| &host.introduction).collect();
         if hosts.is_empty() {
-            hosts = self
-                .hosts
-                .values()
-                .filter(|host| is_serving(host))
-                .collect();
+            let all = self.hosts.values().filter(|host| is_serving(host));
+            hosts = all.map(|host| &host.introduction).collect();
+        }
+        if own.phase == HostPhase::Serving {
+            hosts.push(own);
         }
         hosts.sort_unstable_by_key(|host| {
-            let is_far = host.introduction.zone != own.zone;
-            (is_far, host.introduction.caller_address)
+            (
+                host.router != own.router,
+                host.zone != own.zone,
+                host.caller_address,
+            )
         });
-        let serves_itself = own.phase == HostPhase::Serving;
-        let own_address = serves_itself.then_some((own.caller_address, own_arrivals_per_core_s));
-        let others = hosts
-            .iter()
-            .map(|host| (host.introduction.caller_address, host.arrivals_per_core_s));
-        let all: Vec<(SocketAddr, u32)> = own_address.into_iter().chain(others).collect();
-        let sum: u32 = all.iter().map(|(_, arrivals)| arrivals).sum();
-        let mean = f64::from(sum) / all.len().max(1) as f64;
-        let spared = all
+        let roomy: Vec<&HostIntroduction> = hosts
             .iter()
-            .filter(|(_, arrivals)| !is_overdrawn(*arrivals, mean));
-        let mut addresses: Vec<SocketAddr> = spared.map(|(address, _)| *address).collect();
-        if addresses.len() < all.len().div_ceil(2) {
-            addresses = all.iter().map(|(address, _)| *address).collect();
+            .copied()
+            .filter(|host| !host.is_crowded)
+            .collect();
+        if roomy.len() >= hosts.len().div_ceil(2) {
+            hosts = roomy;
         }
-        addresses.truncate(max);
-        addresses
+        let largest = hosts.iter().map(|host| host.cpu_millicores).max();
+        let is_large = |host: &&HostIntroduction| host.cpu_millicores * 2 >= largest.unwrap_or(0);
+        if hosts.iter().filter(|host| is_large(host)).count() >= LARGE_MIN {
+            hosts.retain(is_large);
+        }
+        hosts.truncate(max);
+        hosts.iter().map(|host| host.caller_address).collect()
     }
 }
 
@@ -173,10 +180,5 @@
     host.introduction.phase == HostPhase::Serving
 }
 
-fn is_overdrawn(arrivals_per_core_s: u32, mean: f64) -> bool {
-    arrivals_per_core_s >= OVERDRAWN_MIN_PER_CORE_S
-        && f64::from(arrivals_per_core_s) > OVERDRAWN_FACTOR * mean
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/daisynotch_router/src/direct/daemon.rs
+++ b/crates/daisynotch_router/src/direct/daemon.rs
@@ -176,6 +176,8 @@
             caller_address: callers.local_addr()?,
             peer_address,
             phase: HostPhase::Starting,
+            cpu_millicores: (settings.cpu_cores * 1e3) as u32,
+            is_crowded: false,
         };
         let fields = json!({
             "router": settings.router.to_string(), "zone": settings.zone.to_string(),
@@ -282,7 +284,11 @@
 }
 
 async fn pump(router: Rc<Router>, mut ticks: mpsc::Receiver<Tick>) {
+    let mut last_tick = router.now();
     while ticks.recv().await.is_some() {
+        let now = router.now();
+        router.note_lag(now.since(last_tick).saturating_sub(PUMP_INTERVAL));
+        last_tick = now;
         router.pump();
     }
 }
--- a/crates/daisynotch_router/src/direct/directory.rs
+++ b/crates/daisynotch_router/src/direct/directory.rs
@@ -26,12 +26,10 @@
         return OwnAnswer::new(StatusCode::NOT_FOUND, "unknown_path").into_response();
     }
     let own = router.introduction.borrow().clone();
-    let arrivals = router.arrivals_per_core_s();
-    let addresses =
-        router
-            .hosts
-            .borrow()
-            .caller_addresses(&own, arrivals, router.now(), ADDRESSES_MAX);
+    let addresses = router
+        .hosts
+        .borrow()
+        .caller_addresses(&own, router.now(), ADDRESSES_MAX);
     if addresses.is_empty() {
         let after = Duration::from_millis(300);
         let answer = OwnAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, "no_router", after);
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -142,6 +142,14 @@
             RETRY_AFTER_DEFAULT,
         )));
     };
+    if router.is_behind() {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Err(refuse(OwnAnswer::not_run(
+            status,
+            "router_behind",
+            RETRY_AFTER_DEFAULT,
+        )));
+    }
     if let Some(problem) = problem {
         let (answer, mut fields) = plain(StatusCode::BAD_REQUEST, "malformed_header");
         fields["problem"] = problem.into();
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use daisynotch_core::Timestamp;
@@ -21,6 +22,12 @@
 use super::settings::DirectSettings;
 use crate::clock::Clock;
 
+/// How late ticks may be: a fraction of the objectives of streams.
+const LAG_MAX: Duration = Duration::from_millis(150);
+/// How long a router stays crowded once it was: callers that stay with one address come
+/// back as soon as it is given out again.
+const CROWDED_AT_LEAST: Duration = Duration::from_secs(6);
+
 /// What the store last said, as it said it, for routers that can't reach it.
 #[derive(Debug, Default)]
 pub(crate) struct StoreView {
@@ -50,6 +57,9 @@
     pub(crate) open_callers: Cell<usize>,
     /// Requests that arrive, which the others are told.
     pub(crate) arrivals: ArrivalRate,
+    /// By how much ticks are late, decaying.
+    lag: Cell<Duration>,
+    crowded_until: Cell<Timestamp>,
     /// Whether the last call to the store got an answer.
     pub(crate) is_store_present: Cell<bool>,
     verdicts: RefCell<HashMap<QueueId, oneshot::Sender<Verdict>>>,
@@ -79,6 +89,8 @@
             store_view: RefCell::default(),
             open_callers: Cell::new(0),
             arrivals: ArrivalRate::default(),
+            lag: Cell::default(),
+            crowded_until: Cell::default(),
             is_store_present: Cell::new(true),
             verdicts: RefCell::default(),
         }
@@ -102,14 +114,38 @@
 
     /// Says whether callers should connect anew, so that they reach other routers too.
     pub(crate) fn should_spread(&self) -> bool {
+        self.introduction.borrow().is_crowded
+    }
+
+    /// Takes the time by which the latest tick was late, and decides whether this router
+    /// carries more than it should.
+    pub(crate) fn note_lag(&self, lag: Duration) {
+        self.lag.set(lag.max(self.lag.get() / 2));
+        let now = self.now();
         let max = self.settings.borrow().caller_connections_max();
-        if self.connections_left() < max / 4 {
-            return true;
-        }
         let arrivals_per_core_s = self.arrivals_per_core_s();
-        self.hosts
-            .borrow()
-            .is_overdrawn(arrivals_per_core_s, self.now())
+        let is_pressed = self.is_behind()
+            || self.connections_left() < max / 4
+            || self.hosts.borrow().is_overdrawn(arrivals_per_core_s, now);
+        if is_pressed {
+            self.crowded_until.set(now + CROWDED_AT_LEAST);
+        }
+        let is_crowded = now < self.crowded_until.get();
+        let was_crowded =
+            std::mem::replace(&mut self.introduction.borrow_mut().is_crowded, is_crowded);
+        if is_crowded != was_crowded {
+            let fields = json!({
+                "is_crowded": is_crowded, "lag_ms": lag.as_millis() as u64,
+                "arrivals_per_core_s": arrivals_per_core_s,
+                "caller_connections": self.open_callers.get(),
+            });
+            self.log.write(Weight::Essential, "crowded", fields);
+        }
+    }
+
+    /// Says whether this process is so late that requests are better refused unread.
+    pub(crate) fn is_behind(&self) -> bool {
+        self.lag.get() > LAG_MAX
     }
 
     /// Gives the configuration in force.
