--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -635,7 +635,7 @@
             if spec.tried.contains(id) {
                 continue;
             }
-            let Some(mut choice) = choice(*id, load, spec, pace, now) else {
+            let Some(mut choice) = choice(*id, load, spec, pace) else {
                 continue;
             };
             choice.cost_ms += tie_break_ms(*id, load, session, now);
@@ -741,7 +741,6 @@
     load: &EndpointLoad,
     spec: &RequestSpec,
     pace: &ServicePace,
-    now: Timestamp,
 ) -> Option<Choice> {
     let total = load.total();
     let slowdown = load.slowdown.0;
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -19,5 +19,5 @@
 mod store_follower;
 mod stream_relay;
 
-pub use daemon::{DirectDaemon, DirectError, run};
+pub use daemon::{DirectAddresses, DirectDaemon, DirectError, run};
 pub use settings::{DirectSettings, RetrySettings};
--- a/crates/daisynotch_router/src/direct/connections.rs
+++ b/crates/daisynotch_router/src/direct/connections.rs
@@ -22,8 +22,9 @@
 
 /// How long a connection may take to open: several round trips within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-/// The time between two probes of a connection on which nothing moves.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(700);
+/// The time between two probes of a connection on which nothing moves: the least that the
+/// kernel takes, which counts in whole seconds.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// The probes without an answer after which a connection is dead.
 const KEEPALIVE_RETRIES: u32 = 2;
 /// How long sent bytes may stay without an acknowledgement.
--- a/crates/daisynotch_router/src/direct/daemon.rs
+++ b/crates/daisynotch_router/src/direct/daemon.rs
@@ -75,8 +75,7 @@
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut reload = signal(SignalKind::hangup())?;
-        let log = EventLog::start(settings.router.to_string(), std::io::stdout());
-        let daemon = DirectDaemon::start(settings, platform, log).await?;
+        let daemon = DirectDaemon::start(settings, platform, std::io::stdout()).await?;
         let mut ticks = daemon.timers.subscribe(SETTINGS_INTERVAL);
         let mut file = SettingsFile::new(path);
         loop {
@@ -142,8 +141,25 @@
     }
 }
 
+/// Where a running router listens.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub struct DirectAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the platform's question whether it is ready.
+    pub ready: SocketAddr,
+    /// For callers that ask where to connect.
+    pub directory: SocketAddr,
+    /// For operators.
+    pub metrics: SocketAddr,
+    /// For other routers.
+    pub peers: SocketAddr,
+}
+
 /// A running router; it must live within a [`LocalSet`].
 pub struct DirectDaemon {
+    addresses: DirectAddresses,
     router: Rc<Router>,
     timers: TimerService,
     stage: watch::Sender<LeaveStage>,
@@ -152,17 +168,27 @@
 
 impl DirectDaemon {
     /// Binds the addresses of the settings and starts all tasks.
-    pub(crate) async fn start(
+    ///
+    /// Log lines go to `sink`, which may be slow: nothing waits for it.
+    pub async fn start(
         settings: DirectSettings,
         platform: SharedPlatform,
-        log: EventLog,
+        sink: impl std::io::Write + Send + 'static,
     ) -> Result<Self, DirectError> {
+        let log = EventLog::start(settings.router.to_string(), sink);
         let callers = listen("caller_address", settings.caller_address).await?;
         let ready = listen("ready_address", settings.ready_address).await?;
         let directory = listen("directory_address", settings.directory_address).await?;
         let metrics_listener = listen("metrics_address", settings.metrics_address).await?;
         let peers_listener = listen("peer_address", settings.peer_address).await?;
         let peer_address = peers_listener.local_addr()?;
+        let addresses = DirectAddresses {
+            callers: callers.local_addr()?,
+            ready: ready.local_addr()?,
+            directory: directory.local_addr()?,
+            metrics: metrics_listener.local_addr()?,
+            peers: peer_address,
+        };
         let socket = UdpSocket::bind(peer_address).await;
         let socket = socket.map_err(|error| DirectError::Listen {
             key: "peer_address",
@@ -224,6 +250,7 @@
         let keeping_up = keep_up(Rc::clone(&router), timers.subscribe(UPKEEP_INTERVAL));
         tasks.push(tokio::task::spawn_local(keeping_up));
         Ok(Self {
+            addresses,
             router,
             timers,
             stage,
@@ -231,8 +258,13 @@
         })
     }
 
+    /// Gives where it listens.
+    pub fn addresses(&self) -> DirectAddresses {
+        self.addresses
+    }
+
     /// Leaves: no longer given out at once, ends when the last request has ended.
-    pub(crate) async fn leave(self) {
+    pub async fn leave(self) {
         let router = &self.router;
         let began_at = Instant::now();
         router.introduction.borrow_mut().phase = HostPhase::Leaving;
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -142,7 +142,7 @@
             RETRY_AFTER_DEFAULT,
         )));
     };
-    if router.is_behind() {
+    if router.is_behind(rand::rng().random()) {
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return Err(refuse(OwnAnswer::not_run(
             status,
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -22,8 +22,14 @@
 use super::settings::DirectSettings;
 use crate::clock::Clock;
 
-/// How late ticks may be: a fraction of the objectives of streams.
-const LAG_MAX: Duration = Duration::from_millis(150);
+/// How late ticks may be: a small part of the objectives of streams.
+const LAG_MAX: Duration = Duration::from_millis(60);
+/// What the share of requests that are read is multiplied by at each late tick.
+const ADMITTED_DECREASE: f64 = 0.85;
+/// What it grows by at each tick that is in time: from least to all in 2.5 s.
+const ADMITTED_INCREASE: f64 = 0.01;
+/// Its least value, from which the way back is found.
+const ADMITTED_MIN: f64 = 0.05;
 /// How long a router stays crowded once it was: callers that stay with one address come
 /// back as soon as it is given out again.
 const CROWDED_AT_LEAST: Duration = Duration::from_secs(6);
@@ -57,8 +63,8 @@
     pub(crate) open_callers: Cell<usize>,
     /// Requests that arrive, which the others are told.
     pub(crate) arrivals: ArrivalRate,
-    /// By how much ticks are late, decaying.
-    lag: Cell<Duration>,
+    /// The share of requests that the processor keeps up with.
+    admitted_share: Cell<f64>,
     crowded_until: Cell<Timestamp>,
     /// Whether the last call to the store got an answer.
     pub(crate) is_store_present: Cell<bool>,
@@ -89,7 +95,7 @@
             store_view: RefCell::default(),
             open_callers: Cell::new(0),
             arrivals: ArrivalRate::default(),
-            lag: Cell::default(),
+            admitted_share: Cell::new(1.0),
             crowded_until: Cell::default(),
             is_store_present: Cell::new(true),
             verdicts: RefCell::default(),
@@ -120,11 +126,16 @@
     /// Takes the time by which the latest tick was late, and decides whether this router
     /// carries more than it should.
     pub(crate) fn note_lag(&self, lag: Duration) {
-        self.lag.set(lag.max(self.lag.get() / 2));
+        let share = self.admitted_share.get();
+        self.admitted_share.set(if lag > LAG_MAX {
+            (share * ADMITTED_DECREASE).max(ADMITTED_MIN)
+        } else {
+            (share + ADMITTED_INCREASE).min(1.0)
+        });
         let now = self.now();
         let max = self.settings.borrow().caller_connections_max();
         let arrivals_per_core_s = self.arrivals_per_core_s();
-        let is_pressed = self.is_behind()
+        let is_pressed = lag > LAG_MAX
             || self.connections_left() < max / 4
             || self.hosts.borrow().is_overdrawn(arrivals_per_core_s, now);
         if is_pressed {
@@ -143,9 +154,10 @@
         }
     }
 
-    /// Says whether this process is so late that requests are better refused unread.
-    pub(crate) fn is_behind(&self) -> bool {
-        self.lag.get() > LAG_MAX
+    /// Says whether a request is refused unread, since this process is behind; `draw` is
+    /// uniform between 0 and 1.
+    pub(crate) fn is_behind(&self, draw: f64) -> bool {
+        draw > self.admitted_share.get()
     }
 
     /// Gives the configuration in force.
