Let four routers read the store and tell the others

Ruled out: fewer, longer watches (a silent store would be noticed later). Change: the first four present routers by a hash, whom the store answers, read it and keep an entry there; changes go out with digests, gaps are asked for. A silent store is noticed after 4.2 s instead of 10 s.

--- a/crates/daisynotch_core/src/direct/digest.rs
+++ b/crates/daisynotch_core/src/direct/digest.rs
@@ -41,6 +41,8 @@
     pub cpu_millicores: u32,
     /// Whether it carries more than it should, so that callers go elsewhere.
     pub is_crowded: bool,
+    /// Whether the store answered it lately, as far as it knows.
+    pub has_store: bool,
 }
 
 impl HostIntroduction {
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -404,6 +404,7 @@
             phase: HostPhase::Serving,
             cpu_millicores: 250,
             is_crowded: false,
+            has_store: true,
         },
         seq: 1,
         configuration_version: 1,
--- a/crates/daisynotch_core/src/direct/hosts.rs
+++ b/crates/daisynotch_core/src/direct/hosts.rs
@@ -89,6 +89,12 @@
         true
     }
 
+    /// Says whether a digest tells that the store answers a router again.
+    pub fn tells_store_return(&self, digest: &Digest) -> bool {
+        let known = self.hosts.get(&digest.host.id());
+        digest.host.has_store && known.is_some_and(|known| !known.introduction.has_store)
+    }
+
     /// Gives where digests go: all known routers, and places where one may be.
     pub fn peer_addresses(&mut self, now: Timestamp) -> Vec<SocketAddr> {
         self.hosts
@@ -111,6 +117,20 @@
             .filter(move |host| now.since(host.heard_at) < ABSENT_AFTER)
     }
 
+    /// Says whether this router reads the store for the others, which hear it from those
+    /// that do.
+    ///
+    /// The first few by a hash of their names do, of those that the store answers; each
+    /// router works this out alone, and when two disagree one more reads for a moment.
+    pub fn reads_store(&self, own: &HostIntroduction, readers: usize, now: Timestamp) -> bool {
+        let present = self.present(now).map(|host| &host.introduction);
+        let able = present.filter(|host| {
+            host.has_store && host.phase != HostPhase::Leaving && host.router != own.router
+        });
+        let before = able.filter(|host| host.id().0 < own.id().0).count();
+        before < readers
+    }
+
     /// Gives the number of routers that share work, this one included.
     pub fn fleet_len(&self) -> usize {
         let leaving = |host: &&Host| host.introduction.phase != HostPhase::Leaving;
--- a/crates/daisynotch_core/src/direct/hosts/tests.rs
+++ b/crates/daisynotch_core/src/direct/hosts/tests.rs
@@ -12,6 +12,7 @@
         phase,
         cpu_millicores: 250,
         is_crowded: false,
+        has_store: true,
     }
 }
 
@@ -140,3 +141,31 @@
     table.on_digest(&left, at(2));
     assert_eq!(table.caller_addresses(&own, at(3), 64).len(), 3);
 }
+
+#[test]
+fn a_few_routers_read_the_store_and_others_take_their_place() {
+    let names = ["r-b", "r-c", "r-d", "r-e", "r-f"];
+    let mut table = HostTable::default();
+    for name in names {
+        table.on_digest(&digest(name, "one", HostPhase::Serving, 1), at(0));
+    }
+    let readers = |table: &HostTable, now| {
+        let reads = |name: &&&str| {
+            let own = introduction(name, "one", HostPhase::Serving);
+            table.reads_store(&own, 2, now)
+        };
+        names.iter().filter(reads).copied().collect::<Vec<_>>()
+    };
+    let first = readers(&table, at(1));
+    assert_eq!(first.len(), 2);
+    let mut cut_off = digest(first[0], "one", HostPhase::Serving, 2);
+    cut_off.host.has_store = false;
+    table.on_digest(&cut_off, at(2));
+    // The one that is cut off goes on trying; another reads in its place.
+    assert_eq!(readers(&table, at(3)).len(), 3);
+    assert_eq!(
+        readers(&table, at(5_000)).len(),
+        5,
+        "nobody hears of another"
+    );
+}
--- a/crates/daisynotch_platform/src/ports.rs
+++ b/crates/daisynotch_platform/src/ports.rs
@@ -56,7 +56,7 @@
 }
 
 /// One change of a key.
-#[daisynotch_macros::value]
+#[daisynotch_macros::message]
 pub enum StoreEvent {
     /// It was written.
     Written(StoreItem),
@@ -175,8 +175,8 @@
     /// Reads the answer to [`Self::range`].
     fn decode_range(&self, body: &[u8]) -> Result<RangePage, DecodeError>;
 
-    /// Writes a call that waits for changes after a revision.
-    fn watch(&self, prefix: &str, after_revision: u64, wait: Duration) -> StoreCall;
+    /// Writes a call that waits for changes of any key after a revision.
+    fn watch(&self, after_revision: u64, wait: Duration) -> StoreCall;
 
     /// Reads the answer to [`Self::watch`].
     fn decode_watch(&self, body: &[u8]) -> Result<WatchPage, DecodeError>;
--- a/crates/daisynotch_router/src/direct/daemon.rs
+++ b/crates/daisynotch_router/src/direct/daemon.rs
@@ -21,7 +21,7 @@
 use super::peers;
 use super::settings::DirectSettings;
 use super::state::Router;
-use super::store_follower::{self, Followed};
+use super::store_follower;
 use crate::settings::SettingsError;
 use crate::timer::{Tick, TimerService};
 
@@ -204,6 +204,7 @@
             phase: HostPhase::Starting,
             cpu_millicores: (settings.cpu_cores * 1e3) as u32,
             is_crowded: false,
+            has_store: true,
         };
         let fields = json!({
             "router": settings.router.to_string(), "zone": settings.zone.to_string(),
@@ -231,10 +232,8 @@
                 ingress::accept(Rc::clone(&router), listener, served, stage_receiver.clone());
             tasks.push(tokio::task::spawn_local(accepting));
         }
-        for followed in [Followed::Configuration, Followed::Endpoints] {
-            let following = store_follower::follow(Rc::clone(&router), followed);
-            tasks.push(tokio::task::spawn_local(following));
-        }
+        let following = store_follower::follow(Rc::clone(&router));
+        tasks.push(tokio::task::spawn_local(following));
         let ticks = timers.subscribe(peers::DIGEST_INTERVAL);
         let sending = peers::send_digests(Rc::clone(&router), Rc::clone(&socket), ticks);
         tasks.push(tokio::task::spawn_local(sending));
--- a/crates/daisynotch_router/src/direct/ingress.rs
+++ b/crates/daisynotch_router/src/direct/ingress.rs
@@ -154,7 +154,7 @@
         Served::Readiness => directory::readiness(&router, path),
         Served::Directory => directory::directory(&router, path),
         Served::Metrics => directory::metrics(&router, path),
-        Served::Peers => peers::answer(&router, path),
+        Served::Peers => peers::answer(&router, request.uri()),
     };
     let is_last = *stage.borrow() != LeaveStage::Staying
         || (served == Served::Callers && router.should_spread());
--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use daisynotch_core::direct::{Digest, Host, HostPhase};
-use daisynotch_platform::ports::StoreItem;
+use daisynotch_platform::ports::{StoreEvent, StoreItem};
 use http_body_util::{BodyExt, Full};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -21,7 +21,7 @@
 use super::connections::Connection;
 use super::event_log::Weight;
 use super::state::Router;
-use super::store_follower::replace_endpoints;
+use super::store_follower::{on_endpoint_event, replace_endpoints};
 use crate::timer::Tick;
 
 /// How often digests are sent in a small fleet.
@@ -32,20 +32,31 @@
 const DATAGRAM_MAX_BYTES: usize = 60_000;
 /// Addresses of other routers that a digest names.
 const KNOWN_HOSTS_MAX: usize = 3;
-/// How long another router may be ahead before it is asked: a watch at the store is
-/// usually answered on all routers within this time.
+/// How long another router may be ahead of one that reads the store itself before it is
+/// asked: watches are answered on all readers within this time.
 const BEHIND_MAX: Duration = Duration::from_millis(200);
 /// How long the question to another router may take.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a change is told: a few turns of the largest fleets.
+const RECENT_TOLD: Duration = Duration::from_millis(1_200);
+/// Changes that one digest tells.
+const RECENT_MAX: usize = 6;
 /// Where routers ask each other for the store's state.
 pub(crate) const STORE_VIEW_PATH: &str = "/store-view";
 
-/// The store's state as one router knows it.
+/// The store's state as one router knows it; what the other one has is left out.
 #[derive(Debug, Serialize, Deserialize)]
 struct StoreViewMessage {
     configuration: Option<Bytes>,
-    endpoints: Vec<StoreItem>,
-    endpoints_revision: u64,
+    endpoints: Option<(Vec<StoreItem>, u64)>,
+}
+
+/// A digest with the latest changes in the store.
+#[derive(Debug, Serialize, Deserialize)]
+struct Datagram {
+    digest: Digest,
+    /// Each with the revision of the endpoints that it follows.
+    recent: Vec<(u64, StoreEvent)>,
 }
 
 /// Sends digests at every tick.
@@ -63,8 +74,11 @@
         if addresses.is_empty() {
             continue;
         }
-        let digest = make_digest(&router, seq);
-        let datagram = match postcard::to_stdvec(&digest) {
+        let datagram = Datagram {
+            digest: make_digest(&router, seq),
+            recent: take_recent(&router),
+        };
+        let datagram = match postcard::to_stdvec(&datagram) {
             Ok(datagram) if datagram.len() <= DATAGRAM_MAX_BYTES => datagram,
             Ok(datagram) => {
                 let fields = json!({"bytes": datagram.len()});
@@ -114,6 +128,20 @@
     }
 }
 
+/// Gives the latest changes, and forgets those that all routers have been told.
+fn take_recent(router: &Router) -> Vec<(u64, StoreEvent)> {
+    let now = router.now();
+    let mut view = router.store_view.borrow_mut();
+    view.recent
+        .retain(|change| now.since(change.at) < RECENT_TOLD);
+    let newest = view.recent.iter().rev().take(RECENT_MAX);
+    let mut newest: Vec<(u64, StoreEvent)> = newest
+        .map(|change| (change.after_revision, change.event.clone()))
+        .collect();
+    newest.reverse();
+    newest
+}
+
 /// Takes the digests of other routers.
 pub(crate) async fn receive_digests(router: Rc<Router>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
@@ -127,8 +155,8 @@
                 continue;
             }
         };
-        let digest: Digest = match postcard::from_bytes(&buffer[..length]) {
-            Ok(digest) => digest,
+        let datagram: Datagram = match postcard::from_bytes(&buffer[..length]) {
+            Ok(datagram) => datagram,
             Err(error) => {
                 let fields = json!({"from": from.to_string(), "error": error.to_string()});
                 router
@@ -143,11 +171,22 @@
             .with_label_values(&["received"])
             .inc();
         let now = router.now();
+        let Datagram { digest, recent } = datagram;
+        if router.hosts.borrow().tells_store_return(&digest) {
+            // Entries that lapsed in the outage may be written again.
+            router.endpoints.borrow_mut().on_store_return(now);
+        }
         let is_own = digest.host.router == router.introduction.borrow().router;
         if is_own || !router.hosts.borrow_mut().on_digest(&digest, now) {
             continue;
         }
         router.dispatcher.borrow_mut().on_digest(&digest, now);
+        for (after_revision, event) in &recent {
+            // A gap before it means that others were missed; then everything is asked for.
+            if router.store_view.borrow().endpoints_revision >= *after_revision {
+                on_endpoint_event(&router, event, "digest");
+            }
+        }
     }
 }
 
@@ -163,7 +202,8 @@
             continue;
         };
         let since = *behind_since.get_or_insert(now);
-        if router.phase() != HostPhase::Starting && now.since(since) < BEHIND_MAX {
+        let is_waiting_worth = router.phase() != HostPhase::Starting && router.reads_store();
+        if is_waiting_worth && now.since(since) < BEHIND_MAX {
             continue;
         }
         if let Err(reason) = ask(&router, address).await {
@@ -218,7 +258,10 @@
             .await
             .map_err(|error| format!("{error:?}"))?;
         let mut request = Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = hyper::Uri::from_static(STORE_VIEW_PATH);
+        let version = router.routes().map_or(0, |routes| routes.version);
+        let revision = router.store_view.borrow().endpoints_revision;
+        let target = format!("{STORE_VIEW_PATH}?{version}&{revision}");
+        *request.uri_mut() = target.parse().map_err(|error| format!("{error}"))?;
         let host = HeaderValue::from_str(&address.to_string());
         let headers = request.headers_mut();
         headers.insert(HOST, host.expect("an address is a header value"));
@@ -236,22 +279,33 @@
     if let Some(configuration) = &view.configuration {
         router.on_configuration(configuration, "router");
     }
-    let items = view.endpoints.into_iter();
-    let items = items.map(|item| (item.key.clone(), item)).collect();
-    replace_endpoints(router, items, view.endpoints_revision, "router");
+    if let Some((items, at_revision)) = view.endpoints {
+        let items = items.into_iter();
+        let items = items.map(|item| (item.key.clone(), item)).collect();
+        replace_endpoints(router, items, at_revision, "router");
+    }
     Ok(())
 }
 
-/// Answers another router's question.
-pub(crate) fn answer(router: &Router, path: &str) -> Response<AnswerBody> {
-    if path != STORE_VIEW_PATH {
+/// Answers another router's question, which says what it has already.
+pub(crate) fn answer(router: &Router, uri: &hyper::Uri) -> Response<AnswerBody> {
+    let known = uri.query().and_then(|query| query.split_once('&'));
+    let known = known.and_then(|(version, revision)| {
+        Some((version.parse::<u64>().ok()?, revision.parse::<u64>().ok()?))
+    });
+    let (Some((version, revision)), STORE_VIEW_PATH) = (known, uri.path()) else {
         return OwnAnswer::new(StatusCode::NOT_FOUND, "unknown_path").into_response();
-    }
+    };
     let view = router.store_view.borrow();
+    let own_version = router.routes().map_or(0, |routes| routes.version);
+    let configuration = view.configuration.clone().filter(|_| own_version > version);
+    let endpoints = (view.endpoints_revision > revision).then(|| {
+        let items = view.endpoints.values().cloned().collect();
+        (items, view.endpoints_revision)
+    });
     let message = StoreViewMessage {
-        configuration: view.configuration.clone(),
-        endpoints: view.endpoints.values().cloned().collect(),
-        endpoints_revision: view.endpoints_revision,
+        configuration,
+        endpoints,
     };
     match postcard::to_stdvec(&message) {
         Ok(body) => Response::new(AnswerBody::Whole(Some(Bytes::from(body)))),
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -1,7 +1,7 @@
 //! What the tasks of one router share; they all run on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +12,7 @@
     Dispatcher, Ended, EndpointChange, EndpointList, HostIntroduction, HostPhase, HostTable,
     QueueId, RequestSpec, RouteTable, RunId, Verdict,
 };
-use daisynotch_platform::ports::{SharedPlatform, StoreItem};
+use daisynotch_platform::ports::{SharedPlatform, StoreEvent, StoreItem};
 use serde_json::json;
 use tokio::sync::oneshot;
 
@@ -43,6 +43,17 @@
     pub(crate) endpoints: HashMap<String, StoreItem>,
     /// The revision of the last change of an endpoint's entry that was seen.
     pub(crate) endpoints_revision: u64,
+    /// The latest changes of endpoints' entries, each with the revision before it.
+    pub(crate) recent: VecDeque<RecentChange>,
+}
+
+/// A change that others may not have heard of.
+#[derive(Debug, Clone)]
+pub(crate) struct RecentChange {
+    pub(crate) at: Timestamp,
+    /// The revision of the endpoints that it follows.
+    pub(crate) after_revision: u64,
+    pub(crate) event: StoreEvent,
 }
 
 /// The state of one router.
@@ -233,6 +244,7 @@
         if self.is_store_present.replace(is_present) == is_present {
             return;
         }
+        self.introduction.borrow_mut().has_store = is_present;
         let event = if is_present {
             "store_regained"
         } else {
--- a/crates/daisynotch_router/src/direct/store_follower.rs
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -15,14 +15,23 @@
 use serde_json::json;
 
 use super::event_log::Weight;
-use super::state::Router;
+use super::state::{RecentChange, Router};
 use super::store_client::{StoreClient, StoreError};
 
 /// How long a call may take, waiting apart: a hundred times the store's usual 4 ms,
 /// several times over.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// How long a watch waits: a watch that went silent is noticed after this at the latest.
-const WATCH_WAIT: Duration = Duration::from_millis(8_000);
+/// How long a watch waits: a watch that went silent is noticed soon after this.
+const WATCH_WAIT: Duration = Duration::from_millis(3_000);
+/// How much longer its answer may take.
+const WATCH_SLACK: Duration = Duration::from_millis(1_200);
+/// Routers that read the store for all: any three may fail at once.
+const READERS: usize = 4;
+/// How often a router looks whether it is one of them.
+const READER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a router that starts listens for others before it reads the store itself:
+/// hosts start within 300 ms of each other.
+const FIRST_HEARD: Duration = Duration::from_millis(350);
 /// The pause after a failed call, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 100..300;
 /// How long this router's entry outlives it.
@@ -30,11 +39,12 @@
 /// How often the lease is renewed and the other routers' entries are listed.
 const RENEW_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Which part of the store a follower reads.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Followed {
-    Configuration,
-    Endpoints,
+impl Router {
+    /// Says whether this router reads the store for the others.
+    pub(crate) fn reads_store(&self) -> bool {
+        let own = self.introduction.borrow();
+        self.hosts.borrow().reads_store(&own, READERS, self.now())
+    }
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -51,19 +61,29 @@
     }
 }
 
-/// Follows one part of the store for as long as the router runs.
-pub(crate) async fn follow(router: Rc<Router>, followed: Followed) {
+/// Follows the store for as long as the router runs, while it is one of those that do.
+pub(crate) async fn follow(router: Rc<Router>) {
     let client = StoreClient::new(&router);
-    let prefixes = router.platform.prefixes();
-    let (prefix, purpose) = match followed {
-        Followed::Configuration => (prefixes.configuration, "watch_configuration"),
-        Followed::Endpoints => (prefixes.endpoints, "watch_endpoints"),
-    };
+    // Routers that start together hear of each other first.
+    tokio::time::sleep(FIRST_HEARD).await;
     let mut at_revision = None;
+    let mut was_reading = false;
     loop {
+        let is_reading = router.reads_store();
+        if is_reading != was_reading {
+            was_reading = is_reading;
+            let fields = json!({"reads": is_reading, "after": at_revision});
+            router.log.write(Weight::Essential, "store_reader", fields);
+            // What was heard from others since is listed, not guessed.
+            at_revision = None;
+        }
+        if !is_reading {
+            tokio::time::sleep(READER_CHECK_INTERVAL).await;
+            continue;
+        }
         let step = match at_revision {
-            None => list_all(&router, &client, followed, prefix).await,
-            Some(after) => watch(&router, &client, prefix, purpose, after).await,
+            None => list_all(&router, &client).await,
+            Some(after) => watch(&router, &client, after).await,
         };
         match step {
             Ok(at) => {
@@ -71,11 +91,10 @@
                 router.on_store_answer(true, "");
             }
             Err(error) if error.is_history_gone() => {
-                router.log.write(
-                    Weight::Essential,
-                    "store_history_gone",
-                    json!({"prefix": prefix, "after": at_revision}),
-                );
+                let fields = json!({"after": at_revision});
+                router
+                    .log
+                    .write(Weight::Essential, "store_history_gone", fields);
                 at_revision = None;
             }
             Err(error) => {
@@ -114,37 +133,23 @@
     }
 }
 
-async fn list_all(
-    router: &Rc<Router>,
-    client: &StoreClient,
-    followed: Followed,
-    prefix: &str,
-) -> Result<u64, FollowError> {
+async fn list_all(router: &Rc<Router>, client: &StoreClient) -> Result<u64, FollowError> {
+    let prefixes = router.platform.prefixes();
+    let prefix = prefixes.configuration;
     let (items, at) = list(router, client, prefix, "list", false).await?;
-    // What is missing may have lapsed while nobody could see the store.
-    match followed {
-        Followed::Configuration => items
-            .iter()
-            .for_each(|item| on_configuration_item(router, item, "store")),
-        Followed::Endpoints => {
-            let endpoints = items.into_iter().map(|item| (item.key.clone(), item));
-            replace_endpoints(router, endpoints.collect(), at, "store");
-        }
+    for item in &items {
+        router.on_configuration(&item.value, "store");
     }
-    Ok(at)
+    let (items, endpoints_at) = list(router, client, prefixes.endpoints, "list", false).await?;
+    let endpoints = items.into_iter().map(|item| (item.key.clone(), item));
+    replace_endpoints(router, endpoints.collect(), endpoints_at, "store");
+    // Changes between the two lists are watched for.
+    Ok(at.min(endpoints_at))
 }
 
-async fn watch(
-    router: &Rc<Router>,
-    client: &StoreClient,
-    prefix: &str,
-    purpose: &str,
-    after: u64,
-) -> Result<u64, FollowError> {
-    let call = router.platform.watch(prefix, after, WATCH_WAIT);
-    let body = client
-        .call(purpose, call, WATCH_WAIT + CALL_TIMEOUT)
-        .await?;
+async fn watch(router: &Rc<Router>, client: &StoreClient, after: u64) -> Result<u64, FollowError> {
+    let call = router.platform.watch(after, WATCH_WAIT);
+    let body = client.call("watch", call, WATCH_WAIT + WATCH_SLACK).await?;
     let page = router.platform.decode_watch(&body)?;
     router.on_store_answer(true, "");
     for event in &page.events {
@@ -157,11 +162,17 @@
     let prefixes = router.platform.prefixes();
     if event.key().starts_with(prefixes.configuration) {
         if let StoreEvent::Written(item) = event {
-            on_configuration_item(router, item, "store");
+            router.on_configuration(&item.value, "store");
         }
         return;
     }
-    let Some(name) = event.key().strip_prefix(prefixes.endpoints) else {
+    on_endpoint_event(router, event, "store");
+}
+
+/// Takes a change of an endpoint's entry, unless it or a later one was taken.
+pub(crate) fn on_endpoint_event(router: &Rc<Router>, event: &StoreEvent, source: &str) {
+    let prefix = router.platform.prefixes().endpoints;
+    let Some(name) = event.key().strip_prefix(prefix) else {
         return;
     };
     let now = router.now();
@@ -169,7 +180,12 @@
     if event.revision() <= view.endpoints_revision {
         return;
     }
-    view.endpoints_revision = event.revision();
+    let after_revision = std::mem::replace(&mut view.endpoints_revision, event.revision());
+    view.recent.push_back(RecentChange {
+        at: now,
+        after_revision,
+        event: event.clone(),
+    });
     let changes = match event {
         StoreEvent::Written(item) => {
             view.endpoints.insert(item.key.clone(), item.clone());
@@ -184,11 +200,7 @@
         }
     };
     drop(view);
-    router.on_endpoint_changes(changes, "store");
-}
-
-fn on_configuration_item(router: &Router, item: &StoreItem, source: &str) {
-    router.on_configuration(&item.value, source);
+    router.on_endpoint_changes(changes, source);
 }
 
 fn decode_endpoint(router: &Router, name: &str, item: &StoreItem) -> Option<EndpointEntry> {
@@ -219,6 +231,7 @@
         }
         view.endpoints_revision = at_revision;
         view.endpoints = items;
+        view.recent.clear();
     }
     let entries = {
         let view = router.store_view.borrow();
@@ -233,12 +246,19 @@
     router.on_endpoint_changes(changes, source);
 }
 
-/// Keeps this router's entry in the store, and finds the entries of others.
+/// Keeps this router's entry in the store while it reads there, and finds the others.
+///
+/// A router that starts where its seeds are gone finds the fleet by these few entries.
 pub(crate) async fn register(router: Rc<Router>) {
     let client = StoreClient::new(&router);
     let mut lease: Option<Lease> = None;
     let mut listed_at: Option<Timestamp> = None;
+    tokio::time::sleep(FIRST_HEARD).await;
     loop {
+        if !router.reads_store() {
+            tokio::time::sleep(READER_CHECK_INTERVAL).await;
+            continue;
+        }
         let step = register_once(&router, &client, &mut lease, &mut listed_at).await;
         let pause = match step {
             Ok(()) => RENEW_INTERVAL,
