Keep idle capacity for teams that are not ahead of others

Ruled out: stale sums (digests every 75 ms). Change: a team that used 1.5 times as much as the hungriest is refused idle capacity.

--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -570,7 +570,8 @@
             })
         };
         let waited = now.since(spec.arrived_at);
-        let may_place = before.requests < UNPLACED_MAX;
+        let is_ahead = rank.is_beyond_share && self.shares.is_ahead(rank.used_part);
+        let may_place = before.requests < UNPLACED_MAX && !is_ahead;
         let choice = if may_place {
             self.choose(spec, now)
         } else {
--- a/crates/daisynotch_core/src/direct/shares.rs
+++ b/crates/daisynotch_core/src/direct/shares.rs
@@ -20,6 +20,11 @@
 /// The part of a window's tokens that may be asked for here before shares are worked out
 /// anew, since a team can turn hot within the interval.
 const REFRESH_GROWTH_PART: f64 = 0.02;
+/// How far a team may be ahead of the one that got least, before idle capacity is kept
+/// for that one: less than the factor of two at which service counts as unfair.
+const AHEAD_FACTOR: f64 = 1.5;
+/// The part of a share that a team must still ask for to count as one that got too little.
+const HUNGRY_PART: f64 = 0.1;
 /// Age from which another router's sums no longer count.
 const PEER_SUMS_MAX_AGE: Duration = Duration::from_millis(1_500);
 
@@ -54,6 +59,8 @@
     /// For each team: tokens it may have begun in a window, and tokens begun elsewhere.
     shares: HashMap<u32, (u64, u64)>,
     refreshed_at: Option<Timestamp>,
+    /// The least used part of the share among teams that ask for much more than they got.
+    hungry_least_used: Option<f64>,
     /// Tokens that were asked for here since the shares were worked out.
     asked_since: u64,
 }
@@ -68,6 +75,7 @@
             peers: HashMap::new(),
             shares: HashMap::new(),
             refreshed_at: None,
+            hungry_least_used: None,
             asked_since: 0,
         }
     }
@@ -149,10 +157,18 @@
         tokens_per_s.map_or(f64::INFINITY, |tokens| tokens as f64 * window_s)
     }
 
+    /// Says whether a team with this used part is so far ahead of another one that still
+    /// asks that idle capacity should go to that one.
+    pub fn is_ahead(&self, used_part: f64) -> bool {
+        let least_used = self.hungry_least_used.unwrap_or(f64::INFINITY);
+        used_part > AHEAD_FACTOR * least_used.max(1.0)
+    }
+
     fn refresh(&mut self, now: Timestamp) {
         self.refreshed_at = Some(now);
         self.asked_since = 0;
         self.shares.clear();
+        self.hungry_least_used = None;
         if self.settings.tokens_per_s.is_none() {
             return;
         }
@@ -174,11 +190,21 @@
             .collect();
         by_asked.sort_unstable_by_key(|(_, asked)| *asked);
         let even = even_share(&by_asked, capacity);
-        // A team's first request of a window may be larger than its share so far.
         self.shares = asked
             .iter()
             .map(|(team, (_, begun))| (*team, (even, *begun)))
             .collect();
+        if even == u64::MAX {
+            return;
+        }
+        let own = &self.own;
+        let used = asked.iter().filter_map(|(team, (asked, begun_elsewhere))| {
+            let begun_here: u64 = own.get(team).map_or(0, |own| own.begun.iter().sum());
+            let begun = begun_here + begun_elsewhere;
+            let is_hungry = asked.saturating_sub(begun) as f64 > HUNGRY_PART * even as f64;
+            is_hungry.then_some(begun as f64 / even.max(1) as f64)
+        });
+        self.hungry_least_used = used.min_by(f64::total_cmp);
     }
 
     fn advance(&mut self, now: Timestamp) -> usize {
--- a/crates/daisynotch_core/src/direct/shares/tests.rs
+++ b/crates/daisynotch_core/src/direct/shares/tests.rs
@@ -71,3 +71,29 @@
     shares.on_asked(HOT, 1_000_000, at(0));
     assert!(shares.used_part(HOT, 1_000_000, at(1)) <= 0.0);
 }
+
+/// Many small requests find idle capacity more often than few; they must not get it all.
+#[test]
+fn idle_capacity_goes_to_teams_that_are_not_ahead() {
+    let mut shares = shares();
+    for team in [HOT, OTHER] {
+        shares.on_asked(team, 50_000, at(0));
+    }
+    shares.on_begun(HOT, 6_000, at(0));
+    shares.on_begun(OTHER, 2_100, at(0));
+    let hot = shares.used_part(HOT, 100, at(200));
+    let other = shares.used_part(OTHER, 100, at(200));
+    assert!(hot > 1.0 && other > 1.0, "{hot} {other}");
+    assert!(shares.is_ahead(hot));
+    assert!(!shares.is_ahead(other));
+}
+
+#[test]
+fn a_team_alone_is_never_ahead() {
+    let mut shares = shares();
+    shares.on_asked(HOT, 50_000, at(0));
+    shares.on_begun(HOT, 40_000, at(0));
+    let hot = shares.used_part(HOT, 100, at(200));
+    assert!(hot > 5.0);
+    assert!(!shares.is_ahead(hot));
+}
