--- a/crates/daisynotch_core/src/direct/hosts.rs
+++ b/crates/daisynotch_core/src/direct/hosts.rs
@@ -35,9 +35,9 @@
     last_seq: u64,
 }
 
-/// Requests a second and core below which a router is never overdrawn: a tenth of what
-/// a core can take.
-const OVERDRAWN_MIN_PER_CORE_S: u32 = 120;
+/// Requests a second and core below which a router is never overdrawn: a tenth of the
+/// streams that a core can take (the bench `throughput`).
+const OVERDRAWN_MIN_PER_CORE_S: u32 = 300;
 /// How many times the others' mean a router may carry: twice what chance makes likely.
 const OVERDRAWN_FACTOR: f64 = 1.5;
 
@@ -143,8 +143,12 @@
     /// A caller takes an idle connection before a new one, and a router that refuses at
     /// once has idle connections: without this it draws all of an overload to itself.
     pub fn is_overdrawn(&self, own_arrivals_per_core_s: u32, now: Timestamp) -> bool {
-        let others = self.present(now).filter(|host| is_serving(host));
-        let others: Vec<u32> = others.map(|host| host.arrivals_per_core_s).collect();
+        // Small routers are idle while large ones carry the callers, and say nothing.
+        let serving = || self.present(now).filter(|host| is_serving(host));
+        let largest = serving().map(|host| host.introduction.cpu_millicores).max();
+        let large =
+            serving().filter(|host| host.introduction.cpu_millicores * 2 >= largest.unwrap_or(0));
+        let others: Vec<u32> = large.map(|host| host.arrivals_per_core_s).collect();
         let mean = others.iter().sum::<u32>() as f64 / others.len().max(1) as f64;
         !others.is_empty()
             && own_arrivals_per_core_s >= OVERDRAWN_MIN_PER_CORE_S
--- a/crates/daisynotch_core/src/direct/hosts/tests.rs
+++ b/crates/daisynotch_core/src/direct/hosts/tests.rs
@@ -98,6 +98,11 @@
         table.on_digest(&digest(name, "one", HostPhase::Serving, 1), at(0));
     }
     assert!(!table.is_overdrawn(120, at(1)));
+    let mut idle = digest("r-e", "one", HostPhase::Serving, 1);
+    idle.host.cpu_millicores = 60;
+    idle.arrivals_per_core_s = 0;
+    table.on_digest(&idle, at(0));
+    assert!(!table.is_overdrawn(140, at(1)), "small routers are idle");
     assert!(table.is_overdrawn(1_650, at(1)));
     assert!(
         !table.is_overdrawn(1_650, at(5_000)),
