Give up a stream's endpoint only after a second of silence, and log what refusals rest on

Change: work is given up after 1 s of silence, new work still avoids the engine after 350 ms. Lines on refusals have the team's use of its share and the backlog, lines on endpoints their name; `daisynotch trace ID LOG...` joins the lines on a request.

--- a/crates/daisynotch/src/args.rs
+++ b/crates/daisynotch/src/args.rs
@@ -37,6 +37,7 @@
     report burn --router ADDRESS... --key-value ADDRESS
                                      print error budgets and burn rates
     credential TOKEN                 print a token's digest for the objects
+    trace ID LOG...                  join the log lines of routers on a request
     demo                             run a small fleet in this process
     standin KIND --listen ADDRESS    run a fake `key-value`, `engine` or `bookings`
 
@@ -104,6 +105,10 @@
     Credential {
         token: String,
     },
+    Trace {
+        id: String,
+        logs: Vec<PathBuf>,
+    },
     Demo(DemoOptions),
 }
 
@@ -182,6 +187,14 @@
             Some("credential") => Command::Credential {
                 token: raw.free_from_str()?,
             },
+            Some("trace") => {
+                let id = raw.free_from_str()?;
+                let mut logs: Vec<PathBuf> = vec![raw.free_from_str()?];
+                while let Some(log) = raw.opt_free_from_str()? {
+                    logs.push(log);
+                }
+                Command::Trace { id, logs }
+            }
             Some("demo") => Command::Demo(DemoOptions {
                 seconds: raw.opt_value_from_str("--seconds")?.unwrap_or(DEMO_SECONDS),
                 seed: raw.opt_value_from_str("--seed")?.unwrap_or(DEMO_SEED),
--- a/crates/daisynotch/src/commands.rs
+++ b/crates/daisynotch/src/commands.rs
@@ -12,6 +12,7 @@
 pub(crate) mod report;
 pub(crate) mod standin;
 pub(crate) mod status;
+pub(crate) mod trace;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
--- a/crates/daisynotch/src/main.rs
+++ b/crates/daisynotch/src/main.rs
@@ -55,6 +55,7 @@
         Command::Standin { kind, listen } => {
             commands::standin::run(kind, listen, printer).await?;
         }
+        Command::Trace { id, logs } => commands::trace::run(&id, &logs, printer)?,
         Command::Credential { token } => commands::credential::run(&token, printer),
         Command::Demo(options) => commands::demo::run(options, printer).await?,
     }
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -163,6 +163,10 @@
         reason: RefuseReason,
         /// When to come back.
         retry_after: Duration,
+        /// The part of its share that the team would have used, in hundredths.
+        share_used_percent: u32,
+        /// The reading before it at the best endpoint, if one could be tried.
+        backlog: Option<Duration>,
     },
 }
 
@@ -430,11 +434,11 @@
         self.refresh_due(run.endpoint);
     }
 
-    /// Says whether the endpoint of a run owes an answer for too long.
-    pub fn is_silent(&self, run: RunId, now: Timestamp) -> bool {
+    /// Says whether a run should be given up, since its endpoint sends nothing any more.
+    pub fn is_lost(&self, run: RunId, now: Timestamp) -> bool {
         let run = self.runs.get(&run);
         let load = run.and_then(|run| self.endpoints.get(&run.endpoint));
-        load.is_some_and(|load| load.health.is_silent(now))
+        load.is_some_and(|load| load.health.is_lost(now))
     }
 
     /// Takes another router's digest.
@@ -558,6 +562,16 @@
         now: Timestamp,
     ) -> Option<Verdict> {
         let spec = &waiting.spec;
+        let waited = now.since(spec.arrived_at);
+        let is_ahead = rank.is_beyond_share && self.shares.is_ahead(rank.used_part);
+        let may_place = before.requests < UNPLACED_MAX && !is_ahead;
+        let choice = if may_place {
+            self.choose(spec, now)
+        } else {
+            None
+        };
+        let backlog_ms = choice.as_ref().map(|choice| choice.backlog_ms);
+        let backlog = backlog_ms.map(|ms| Duration::from_secs_f64(ms / 1e3));
         let refuse = |reason, after_ms: f64| {
             let (low, high) = RETRY_AFTER_RANGE_MS;
             // Spread by the identifier, so that those refused together return apart.
@@ -567,16 +581,10 @@
             Some(Verdict::Refuse {
                 reason,
                 retry_after,
+                share_used_percent: (rank.used_part * 100.0) as u32,
+                backlog,
             })
         };
-        let waited = now.since(spec.arrived_at);
-        let is_ahead = rank.is_beyond_share && self.shares.is_ahead(rank.used_part);
-        let may_place = before.requests < UNPLACED_MAX && !is_ahead;
-        let choice = if may_place {
-            self.choose(spec, now)
-        } else {
-            None
-        };
         if choice.is_none() && may_place && !self.has_endpoint(&spec.service) {
             let kept = spec.objective.mul_f64(NO_ENDPOINT_KEPT_PART);
             return if waited < kept {
@@ -590,7 +598,6 @@
         } else {
             ENGINE_BACKLOG_MAX_MS
         };
-        let backlog_ms = choice.as_ref().map_or(0.0, |choice| choice.backlog_ms);
         if let Some(choice) = choice
             && choice.backlog_ms <= backlog_max_ms
         {
@@ -613,7 +620,7 @@
         }
         let pace = self.paces.get(&spec.service);
         let reading_ms = pace.map_or(0.0, |pace| pace.engine.reading_ms(before.tokens as f64));
-        refuse(RefuseReason::NoRoom, reading_ms + backlog_ms)
+        refuse(RefuseReason::NoRoom, reading_ms + backlog_ms.unwrap_or(0.0))
     }
 
     fn has_endpoint(&self, service: &str) -> bool {
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -185,6 +185,7 @@
         Verdict::Refuse {
             reason,
             retry_after,
+            ..
         } => Some((*reason, *retry_after)),
         Verdict::Send(_) => None,
     });
@@ -269,8 +270,8 @@
     let mut here = dispatcher(10_000_000);
     let mut there = dispatcher(10_000_000);
     let lost = sent(ask(&mut here, spec(1, 7, 8_000, at(0)), at(0)));
-    assert!(!here.is_silent(lost.run, at(500)));
-    assert!(here.is_silent(lost.run, at(1_500)));
+    assert!(!here.is_lost(lost.run, at(900)));
+    assert!(here.is_lost(lost.run, at(1_600)));
     let next = sent(ask(&mut here, spec(1, 7, 8_000, at(1_500)), at(1_500)));
     assert_ne!(next.endpoint, lost.endpoint);
     let (endpoints, _, _) = here.to_digest(at(1_500));
--- a/crates/daisynotch_core/src/direct/health.rs
+++ b/crates/daisynotch_core/src/direct/health.rs
@@ -18,6 +18,9 @@
 const PAUSE_MAX: Duration = Duration::from_millis(1_600);
 /// Silence beyond what was expected after which an endpoint is suspect.
 const SILENCE_MAX: Duration = Duration::from_millis(350);
+/// The same after which work there is given up for another endpoint: an engine that is
+/// only behind would have begun by then.
+const LOST_AFTER: Duration = Duration::from_millis(1_000);
 
 /// What is known of one endpoint's health.
 #[derive(Debug, Clone, Default)]
@@ -62,15 +65,20 @@
         }
     }
 
-    /// Says whether the endpoint owes an answer for too long.
-    pub(crate) fn is_silent(&self, now: Timestamp) -> bool {
-        self.answer_due_at
-            .is_some_and(|due_at| now.since(due_at.max(self.heard_at)) > SILENCE_MAX)
+    /// Says whether work there should be given up, since nothing comes any more.
+    pub(crate) fn is_lost(&self, now: Timestamp) -> bool {
+        self.silence(now) > LOST_AFTER
+    }
+
+    /// Gives the time for which the endpoint has owed an answer and sent no byte.
+    fn silence(&self, now: Timestamp) -> Duration {
+        let due_at = self.answer_due_at.map(|due_at| due_at.max(self.heard_at));
+        due_at.map_or(Duration::ZERO, |due_at| now.since(due_at))
     }
 
     /// Says whether new requests should go elsewhere.
     pub(crate) fn is_suspect(&self, now: Timestamp) -> bool {
-        now < self.paused_until || self.is_silent(now)
+        now < self.paused_until || self.silence(now) > SILENCE_MAX
     }
 
     /// Says whether it gave a sign of life lately.
--- a/crates/daisynotch_core/src/direct/health/tests.rs
+++ b/crates/daisynotch_core/src/direct/health/tests.rs
@@ -42,3 +42,14 @@
     health.expect_answer(None);
     assert!(!health.is_suspect(at(10_000)));
 }
+
+/// Work at an engine that is only behind is not given up: there is no better place for it.
+#[test]
+fn work_is_given_up_later_than_an_endpoint_is_passed_over() {
+    let mut health = Health::default();
+    health.expect_answer(Some(at(100)));
+    assert!(health.is_suspect(at(700)) && !health.is_lost(at(700)));
+    assert!(health.is_lost(at(1_200)));
+    health.on_heard(at(1_200));
+    assert!(!health.is_lost(at(1_300)));
+}
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -1,6 +1,6 @@
 //! A router that dispatches on its own, on a platform that an adapter speaks for.
 //!
-//! One thread runs everything, so the parts share a [`state::Router`] without locks.
+//! One thread runs everything, so the parts share one state without locks.
 //! `docs/design/platform.md` lays out the programs, `docs/design/direct-dispatch.md`
 //! the decisions.
 
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -75,6 +75,8 @@
     /// The longest pause between two pieces of a stream.
     pub(super) pause_max: Duration,
     pub(super) failures: Vec<String>,
+    /// What a refusal was decided on: the team's use of its share, and the backlog.
+    pub(super) refused_on: Option<(u32, Option<Duration>)>,
 }
 
 /// How one send went without an answer that can be passed on.
@@ -419,7 +421,10 @@
             Ok(Ok(Verdict::Refuse {
                 reason,
                 retry_after,
+                share_used_percent,
+                backlog,
             })) => {
+                self.history.refused_on = Some((share_used_percent, backlog));
                 let mut answer = self.not_run(reason.as_str(), retry_after);
                 if reason == RefuseReason::BeyondShare && self.history.runs == 0 {
                     answer.status = StatusCode::TOO_MANY_REQUESTS;
@@ -488,7 +493,7 @@
             }
             RouteKind::ResumableStream if may_run_again => loop {
                 tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
-                if guard.is_silent() {
+                if guard.is_lost() {
                     return;
                 }
             },
@@ -617,6 +622,8 @@
             "answer_start_ms": history.answer_start.map(ms),
             "pause_max_ms": ms(history.pause_max),
             "total_ms": ms(self.arrived_at.elapsed()),
+            "share_used_percent": history.refused_on.map(|(percent, _)| percent),
+            "backlog_ms": history.refused_on.and_then(|(_, backlog)| backlog).map(ms),
             "configuration": self.configuration_version,
         });
         router.log.write(weight, "request", fields);
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use daisynotch_core::Timestamp;
 use daisynotch_core::direct::{
     Dispatcher, Ended, EndpointChange, EndpointList, HostIntroduction, HostPhase, HostTable,
     QueueId, RequestSpec, RouteTable, RunId, Verdict,
 };
+use daisynotch_core::{EndpointId, Timestamp};
 use daisynotch_platform::ports::{SharedPlatform, StoreEvent, StoreItem};
 use serde_json::json;
 use tokio::sync::oneshot;
@@ -67,6 +67,8 @@
     pub(crate) introduction: RefCell<HostIntroduction>,
     pub(crate) routes: RefCell<Option<Rc<RouteTable>>>,
     pub(crate) endpoints: RefCell<EndpointList>,
+    /// The names of endpoints in use, for logs.
+    endpoint_names: RefCell<HashMap<EndpointId, Arc<str>>>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) hosts: RefCell<HostTable>,
     pub(crate) store_view: RefCell<StoreView>,
@@ -102,6 +104,7 @@
             introduction: RefCell::new(introduction),
             routes: RefCell::new(None),
             endpoints: RefCell::default(),
+            endpoint_names: RefCell::default(),
             hosts: RefCell::default(),
             store_view: RefCell::default(),
             open_callers: Cell::new(0),
@@ -223,13 +226,18 @@
         let mut dispatcher = self.dispatcher.borrow_mut();
         for change in changes {
             let fields = match &change {
-                EndpointChange::Usable(entry) => json!({
+                EndpointChange::Usable(entry) => {
+                    let name = Arc::clone(&entry.name);
+                    self.endpoint_names.borrow_mut().insert(entry.id(), name);
+                    json!({
                     "endpoint": &*entry.name, "service": &*entry.service, "state": "usable",
                     "address": entry.address.to_string(), "source": source,
-                }),
+                    })
+                }
                 EndpointChange::Closed(id) => {
                     self.connections.forget(*id);
-                    json!({"endpoint_id": id.0, "state": "closed", "source": source})
+                    let name = self.endpoint_names.borrow_mut().remove(id);
+                    json!({"endpoint": name.as_deref(), "state": "closed", "source": source})
                 }
             };
             self.log.write(Weight::Essential, "endpoint", fields);
@@ -364,11 +372,11 @@
         }
     }
 
-    /// Says whether the endpoint owes an answer for too long.
-    pub(crate) fn is_silent(&self) -> bool {
+    /// Says whether the run should be given up, since its endpoint sends nothing any more.
+    pub(crate) fn is_lost(&self) -> bool {
         let now = self.router.now();
         self.run
-            .is_some_and(|run| self.router.dispatcher.borrow().is_silent(run, now))
+            .is_some_and(|run| self.router.dispatcher.borrow().is_lost(run, now))
     }
 
     /// Ends the run.
