--- a/crates/daisynotch/src/args/tests.rs
+++ b/crates/daisynotch/src/args/tests.rs
@@ -27,6 +27,7 @@
         report burn --router ADDRESS... --key-value ADDRESS
                                          print error budgets and burn rates
         credential TOKEN                 print a token's digest for the objects
+        trace ID LOG...                  join the log lines of routers on a request
         demo                             run a small fleet in this process
         standin KIND --listen ADDRESS    run a fake `key-value`, `engine` or `bookings`
 
