--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -14,20 +14,22 @@
 mod hosts;
 mod pace;
 mod part_cache;
+mod placement;
+mod request;
 mod retry_budget;
 mod routes;
 mod shares;
 mod waiting;
 
 pub use digest::{Digest, EndpointDigest, HostIntroduction, HostPhase, PlacedParts, TeamDigest};
-pub use dispatcher::{
-    Dispatcher, DispatcherSettings, Ended, Grant, QueueId, RefuseReason, RequestSpec, RunId,
-    Verdict,
-};
+pub use dispatcher::Dispatcher;
 pub use endpoints::{EndpointChange, EndpointEntry, EndpointList, EndpointState};
 pub use event_framer::EventFramer;
 pub use hosts::{Host, HostTable};
 pub use part_cache::{Part, Parts};
+pub use request::{
+    DispatcherSettings, Ended, Grant, QueueId, RefuseReason, RequestSpec, RunId, Verdict,
+};
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 pub use routes::{
     CallerLimits, EngineLimits, Route, RouteKind, RouteTable, ServiceView, TeamEntry,
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -1,22 +1,21 @@
 //! Decides for each request of this router's callers: send it where, keep it, or refuse it.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use daisynotch_objects::{EndpointId, RouterId};
-use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::digest::{Digest, EndpointDigest, PlacedParts, TeamDigest};
 use super::endpoints::{EndpointChange, EndpointEntry};
 use super::engine::EndpointLoad;
-use super::pace::EnginePace;
-use super::part_cache::Parts;
-use super::retry_budget::{RetryBudget, RetryBudgetSettings};
+use super::placement::{Choice, ServicePace, choice, far_cost_ms, tie_break_ms};
+use super::request::{
+    DispatcherSettings, Ended, Grant, QueueId, RefuseReason, RequestSpec, RunId, Verdict,
+};
+use super::retry_budget::RetryBudget;
 use super::routes::{EngineLimits, RouteTable};
-use super::shares::{ShareSettings, TeamShares};
+use super::shares::TeamShares;
 use super::waiting::{Rank, Waiting};
 use crate::time::Timestamp;
 
@@ -42,23 +41,8 @@
 /// Requests of one service that find no place before the rest are left for the next
 /// round: they rank lower, and looking costs time when most needed.
 const UNPLACED_MAX: usize = 6;
-/// What reading counts for against waiting: it takes the engine from all others too.
-const READING_WEIGHT: f64 = 4.0;
-/// What the choice between equal endpoints is spread over, so that all routers pick
-/// the same home for a prompt that none of them keeps.
-const HOME_SPREAD_MS: f64 = 15.0;
-/// The same for endpoints without prompts: less than one open request counts for.
-const CHANCE_SPREAD_MS: f64 = 1.0;
-/// What another availability zone costs for each kilobyte of the request.
-const FAR_MS_PER_KB: f64 = 0.15;
-/// What a share of failures of 1 adds to an endpoint's cost.
-const FAILURE_COST_MS: f64 = 400.0;
 /// The pause between single requests to an endpoint that is passed over.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
-/// The part of an engine's memory that running requests may fill.
-const MEMORY_USED_PART: f64 = 0.85;
-/// A plain service's time before its first answer was seen.
-const PLAIN_FIRST_MS: f64 = 30.0;
 /// What one more answer weighs in a plain service's usual time.
 const PLAIN_GAIN: f64 = 0.05;
 /// When a caller comes back to a service without endpoints.
@@ -66,137 +50,6 @@
 /// Bounds of the time after which a refused caller is told to come back.
 const RETRY_AFTER_RANGE_MS: (f64, f64) = (150.0, 2_000.0);
 
-/// Identifies a request that waits here.
-#[daisynotch_macros::number]
-pub struct QueueId(pub u64);
-
-/// Identifies a request that was sent to an endpoint.
-#[daisynotch_macros::number]
-pub struct RunId(pub u64);
-
-/// What the decisions on one request need.
-#[derive(Debug, Clone)]
-pub struct RequestSpec {
-    /// The service that may run it.
-    pub service: Arc<str>,
-    /// Its team, as a hash of the name; none on anonymous routes.
-    pub team: Option<u32>,
-    /// Its rank; 0 is the most urgent.
-    pub priority: u32,
-    /// The parts of its prompt.
-    pub parts: Parts,
-    /// Its prompt's length.
-    pub prompt_tokens: u32,
-    /// The expected length of its answer.
-    pub answer_tokens: u32,
-    /// The bytes to be sent.
-    pub body_bytes: usize,
-    /// When it arrived.
-    pub arrived_at: Timestamp,
-    /// The time within which its answer should begin.
-    pub objective: Duration,
-    /// When the caller, or the operator, gives up.
-    pub give_up_at: Timestamp,
-    /// Endpoints that are not to be tried again.
-    pub tried: SmallVec<[EndpointId; 2]>,
-    /// Whether its answer must come from another attempt that was under way.
-    pub is_repeat: bool,
-}
-
-impl RequestSpec {
-    /// Gives the tokens by which teams share: a generated token counts twice.
-    pub fn shared_tokens(&self) -> u64 {
-        u64::from(self.prompt_tokens) + 2 * u64::from(self.answer_tokens)
-    }
-}
-
-/// Permission to send a request.
-#[daisynotch_macros::value]
-pub struct Grant {
-    /// Names the run until it ends.
-    pub run: RunId,
-    /// The endpoint.
-    pub endpoint: EndpointId,
-    /// The endpoint's name, for its own check.
-    pub endpoint_name: Arc<str>,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// The time until the answer begins, as expected.
-    pub expected: Duration,
-    /// Prompt tokens that the endpoint is taken to keep already.
-    pub cached_tokens: u32,
-    /// Prompt tokens that stand before this request there.
-    pub tokens_ahead: u64,
-}
-
-/// Why a request is refused.
-#[daisynotch_macros::value]
-#[derive(Copy)]
-pub enum RefuseReason {
-    /// No endpoint of the service is known.
-    NoEndpoint,
-    /// The team has had its share and there is no idle capacity.
-    BeyondShare,
-    /// It can't begin in time.
-    NoRoom,
-}
-
-impl RefuseReason {
-    /// Gives the word for logs and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::NoEndpoint => "no_endpoint",
-            Self::BeyondShare => "beyond_share",
-            Self::NoRoom => "no_room",
-        }
-    }
-}
-
-/// The decision on a waiting request.
-#[daisynotch_macros::value]
-pub enum Verdict {
-    /// Send it.
-    Send(Grant),
-    /// Tell the caller that it did not run, and when to come back.
-    Refuse {
-        /// Why.
-        reason: RefuseReason,
-        /// When to come back.
-        retry_after: Duration,
-        /// The part of its share that the team would have used, in hundredths.
-        share_used_percent: u32,
-        /// The reading before it at the best endpoint, if one could be tried.
-        backlog: Option<Duration>,
-    },
-}
-
-/// How a run ended.
-#[daisynotch_macros::value]
-#[derive(Copy)]
-pub enum Ended {
-    /// With a whole answer.
-    Done,
-    /// With an answer that says that the work failed.
-    ErrorAnswer,
-    /// The endpoint said that it did not run it.
-    Refused,
-    /// No connection could be made.
-    Unreachable,
-    /// The connection broke or gave bytes that are no answer.
-    Broken,
-    /// The caller left, or its time was over.
-    Cancelled,
-}
-
-/// The settings of the decisions.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct DispatcherSettings {
-    /// What teams share.
-    pub shares: ShareSettings,
-    /// How much may be sent once more.
-    pub retry_budget: RetryBudgetSettings,
-}
-
 #[derive(Debug)]
 struct Run {
     endpoint: EndpointId,
@@ -211,12 +64,6 @@
     has_begun: bool,
 }
 
-#[derive(Debug, Default)]
-struct ServicePace {
-    engine: EnginePace,
-    plain_ms: Option<f64>,
-}
-
 /// Requests of one service that found no place in this round.
 #[derive(Debug, Clone, Copy, Default)]
 struct Unplaced {
@@ -224,17 +71,6 @@
     tokens: u64,
 }
 
-/// A candidate with what sending there would cost.
-#[derive(Debug, Clone, Copy)]
-struct Choice {
-    endpoint: EndpointId,
-    cost_ms: f64,
-    backlog_ms: f64,
-    expected_ms: f64,
-    cached_tokens: u32,
-    tokens_ahead: u64,
-}
-
 /// All decisions of one router.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -648,7 +484,7 @@
             };
             choice.cost_ms += tie_break_ms(*id, load, session, now);
             if load.entry.zone != self.own_zone {
-                choice.cost_ms += FAR_MS_PER_KB * spec.body_bytes as f64 / 1e3;
+                choice.cost_ms += far_cost_ms(spec);
             }
             let slot = if load.is_suspect(now) {
                 if now.since(load.tried_at) < TRIAL_INTERVAL {
@@ -733,62 +569,5 @@
     }
 }
 
-/// Decides between equal endpoints: engines by the session, which returns; others by chance.
-fn tie_break_ms(id: EndpointId, load: &EndpointLoad, session: u32, now: Timestamp) -> f64 {
-    let (seed, spread_ms) = match load.engine {
-        Some(_) => (u64::from(session), HOME_SPREAD_MS),
-        None => (now.0, CHANCE_SPREAD_MS),
-    };
-    let hash = xxh3_64_with_seed(&id.0.to_le_bytes(), seed);
-    spread_ms * f64::from(hash as u32) / f64::from(u32::MAX)
-}
-
-/// Works out what sending a request to an endpoint costs; none if it has no room.
-fn choice(
-    id: EndpointId,
-    load: &EndpointLoad,
-    spec: &RequestSpec,
-    pace: &ServicePace,
-) -> Option<Choice> {
-    let total = load.total();
-    let slowdown = load.slowdown.0;
-    let failure_ms = FAILURE_COST_MS * load.health.failure_share();
-    let Some(engine) = load.engine else {
-        let usual_ms = pace.plain_ms.unwrap_or(PLAIN_FIRST_MS) * slowdown;
-        let busy = f64::from(total.running) / f64::from(load.entry.slots.max(1));
-        // Below its slots an endpoint answers at its usual speed; beyond them work queues.
-        let backlog_ms = usual_ms * (busy - 1.0).max(0.0).ceil();
-        return Some(Choice {
-            endpoint: id,
-            cost_ms: usual_ms * (1.0 + busy) + failure_ms,
-            backlog_ms,
-            expected_ms: usual_ms * (1.0 + busy.floor()),
-            cached_tokens: 0,
-            tokens_ahead: 0,
-        });
-    };
-    let memory =
-        total.memory_tokens + u64::from(spec.prompt_tokens) + u64::from(spec.answer_tokens);
-    let is_full = total.running >= engine.slots
-        || memory as f64 > engine.memory_tokens as f64 * MEMORY_USED_PART;
-    // A request larger than what is left may still run alone.
-    if is_full && total.running > 0 {
-        return None;
-    }
-    let cached_tokens = load.cache.cached_tokens(&spec.parts);
-    let unread = f64::from(spec.prompt_tokens.saturating_sub(cached_tokens));
-    let backlog_ms = pace.engine.reading_ms(total.unread_tokens as f64) * slowdown;
-    let own_ms = pace.engine.reading_ms(unread) * slowdown;
-    let base_ms = pace.engine.base_ms();
-    Some(Choice {
-        endpoint: id,
-        cost_ms: backlog_ms + READING_WEIGHT * own_ms + base_ms * slowdown + failure_ms,
-        backlog_ms,
-        expected_ms: backlog_ms + own_ms + base_ms,
-        cached_tokens,
-        tokens_ahead: total.unread_tokens,
-    })
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -1,7 +1,12 @@
 //! Each test replays the load pattern that its decision answers.
 
+use smallvec::SmallVec;
+
 use super::*;
-use crate::direct::{CallerLimits, EndpointState, HostIntroduction, HostPhase, Part, ServiceView};
+use crate::direct::{
+    CallerLimits, EndpointState, HostIntroduction, HostPhase, Part, Parts, RetryBudgetSettings,
+    ServiceView, ShareSettings,
+};
 use crate::message::Incarnation;
 
 const ENGINES: usize = 4;
@@ -86,7 +91,6 @@
         objective: Duration::from_millis(500),
         give_up_at: now + Duration::from_secs(5),
         tried: SmallVec::new(),
-        is_repeat: false,
     }
 }
 
--- a/crates/daisynotch_core/src/direct/waiting.rs
+++ b/crates/daisynotch_core/src/direct/waiting.rs
@@ -6,7 +6,7 @@
 
 use std::cmp::Ordering;
 
-use super::dispatcher::{QueueId, RequestSpec};
+use super::request::{QueueId, RequestSpec};
 use crate::time::Timestamp;
 
 /// What decides between waiting requests; less goes first.
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -13,6 +13,7 @@
 mod ingress;
 mod metrics;
 mod peers;
+mod send;
 mod settings;
 mod state;
 mod store_client;
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -8,10 +8,10 @@
 use daisynotch_core::direct::{
     Ended, Grant, RefuseReason, RequestSpec, Route, RouteKind, RouteTable, TeamEntry, Verdict,
 };
-use daisynotch_platform::ports::{InboundMarks, OutboundMarks};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use daisynotch_platform::ports::InboundMarks;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_ENCODING, HOST, HeaderValue};
+use hyper::header::{HOST, HeaderValue};
 use hyper::http::request::Parts as RequestHead;
 use hyper::http::response::Parts as AnswerHead;
 use hyper::{Request, Response, StatusCode};
@@ -21,9 +21,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::answer::{AnswerBody, OwnAnswer, strip_connection_headers};
-use super::connections::{Connection, SendError};
 use super::event_log::Weight;
-use super::state::{Router, RunGuard};
+use super::send::{Begun, SendFailure};
+use super::state::Router;
 use super::stream_relay;
 
 /// The deadline of a request that states none: the longest that callers use.
@@ -34,10 +34,6 @@
 const PLAIN_ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
 /// When a caller comes back after a refusal without a better estimate.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(300);
-/// How often a waiting resumable stream looks whether its endpoint fell silent.
-pub(super) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// The silence, in objectives, after which a repeatable plain request is sent elsewhere.
-const PLAIN_PATIENCE_OBJECTIVES: f64 = 2.5;
 /// The part of the answer's longest length that is expected without a caller's guess.
 const ANSWER_LENGTH_PART: f64 = 0.5;
 
@@ -79,27 +75,6 @@
     pub(super) refused_on: Option<(u32, Option<Duration>)>,
 }
 
-/// How one send went without an answer that can be passed on.
-pub(super) enum SendFailure {
-    /// The endpoint did not run the request.
-    NotRun(Ended, String),
-    /// It may have.
-    Unknown(Ended, String),
-    /// The time was over.
-    TimedOut,
-    /// The endpoint fell silent and another one may be tried.
-    Silent,
-}
-
-/// An answer that has begun.
-pub(super) struct Begun {
-    pub(super) head: AnswerHead,
-    pub(super) incoming: Incoming,
-    pub(super) connection: Connection,
-    pub(super) guard: RunGuard,
-    pub(super) grant: Grant,
-}
-
 /// Answers a caller's request.
 pub(crate) async fn answer(
     router: &Rc<Router>,
@@ -203,7 +178,6 @@
         objective: route.objective,
         give_up_at: now + give_up,
         tried: smallvec::SmallVec::new(),
-        is_repeat: false,
     };
     router
         .dispatcher
@@ -396,7 +370,7 @@
             && Instant::now() < self.give_up_at
     }
 
-    fn take_repeat(&self) -> bool {
+    pub(super) fn take_repeat(&self) -> bool {
         let now = self.router.now();
         let mut dispatcher = self.router.dispatcher.borrow_mut();
         dispatcher.take_repeat(&self.spec.service, now)
@@ -436,146 +410,6 @@
         }
     }
 
-    async fn send(
-        &mut self,
-        grant: Grant,
-        resume_after: Option<&str>,
-    ) -> Result<Begun, SendFailure> {
-        let guard = self.router.guard(grant.run);
-        let watch = self.patience(&guard, &grant);
-        let exchange = self.exchange(&grant, resume_after);
-        let sent = tokio::select! {
-            sent = tokio::time::timeout_at(self.give_up_at, exchange) => sent,
-            () = watch => {
-                guard.end(Ended::Broken);
-                return if self.take_repeat() {
-                    Err(SendFailure::Silent)
-                } else {
-                    let reason = "silent, and the retry budget is spent".to_owned();
-                    Err(SendFailure::Unknown(Ended::Broken, reason))
-                };
-            }
-        };
-        let (answer, connection) = match sent {
-            Ok(Ok(begun)) => begun,
-            Ok(Err(failure)) => {
-                let (SendFailure::NotRun(ended, _) | SendFailure::Unknown(ended, _)) = failure
-                else {
-                    return Err(failure);
-                };
-                guard.end(ended);
-                return Err(failure);
-            }
-            Err(_) => {
-                guard.end(Ended::Cancelled);
-                return Err(SendFailure::TimedOut);
-            }
-        };
-        guard.on_bytes();
-        let (head, incoming) = answer.into_parts();
-        Ok(Begun {
-            head,
-            incoming,
-            connection,
-            guard,
-            grant,
-        })
-    }
-
-    /// Ends when a repeatable request should rather be sent elsewhere.
-    async fn patience(&self, guard: &RunGuard, grant: &Grant) {
-        let may_run_again =
-            self.route.kind.may_repeat() && self.history.runs + 1 < self.route.attempts_max;
-        match self.route.kind {
-            RouteKind::Safe if may_run_again => {
-                let patience = self.route.objective.mul_f64(PLAIN_PATIENCE_OBJECTIVES);
-                tokio::time::sleep(patience.max(grant.expected * 3)).await;
-            }
-            RouteKind::ResumableStream if may_run_again => loop {
-                tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
-                if guard.is_lost() {
-                    return;
-                }
-            },
-            _ => std::future::pending().await,
-        }
-    }
-
-    /// Sends the request on one connection and checks the head of the answer.
-    async fn exchange(
-        &self,
-        grant: &Grant,
-        resume_after: Option<&str>,
-    ) -> Result<(Response<Incoming>, Connection), SendFailure> {
-        let unreachable = |error: SendError| match error {
-            SendError::NotSent(reason) => SendFailure::NotRun(Ended::Unreachable, reason),
-            SendError::NoAnswer(reason) => SendFailure::Unknown(Ended::Broken, reason),
-        };
-        let kept = self.router.connections.take(grant.endpoint);
-        let mut connection = match kept {
-            Some(connection) => connection,
-            None => self.open(grant).await.map_err(unreachable)?,
-        };
-        let answer = match connection.send(self.request(grant, resume_after)).await {
-            Ok(answer) => answer,
-            // The endpoint closed a kept connection before anything was written.
-            Err(SendError::NotSent(_)) => {
-                connection = self.open(grant).await.map_err(unreachable)?;
-                let request = self.request(grant, resume_after);
-                connection.send(request).await.map_err(unreachable)?
-            }
-            Err(error) => return Err(unreachable(error)),
-        };
-        self.check(&answer)?;
-        Ok((answer, connection))
-    }
-
-    async fn open(&self, grant: &Grant) -> Result<Connection, SendError> {
-        self.router.metrics.connections_opened.inc();
-        Connection::open(grant.address).await
-    }
-
-    /// Checks that an answer is this request's and that the endpoint vouches for it.
-    fn check(&self, answer: &Response<Incoming>) -> Result<(), SendFailure> {
-        let headers = answer.headers();
-        let marks = self.router.platform.read_answer(headers, &self.attempt_id);
-        let status = answer.status();
-        let broken = |reason: &str| Err(SendFailure::Unknown(Ended::Broken, reason.to_owned()));
-        if marks.is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
-            let reason = format!("status {status}");
-            return Err(SendFailure::NotRun(Ended::Refused, reason));
-        }
-        if !marks.is_for_attempt {
-            return broken("the answer is another request's");
-        }
-        if !marks.is_signed {
-            return broken("the answer is not signed");
-        }
-        if headers.contains_key(CONTENT_ENCODING) {
-            return broken("the answer's bytes were encoded on the way");
-        }
-        Ok(())
-    }
-
-    fn request(&self, grant: &Grant, resume_after: Option<&str>) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.head.method.clone();
-        let target = self.head.uri.path_and_query().cloned();
-        *request.uri_mut() = target.map_or_else(hyper::Uri::default, hyper::Uri::from);
-        let mut headers = self.head.headers.clone();
-        strip_connection_headers(&mut headers);
-        let left = self.deadline_at.min(self.give_up_at) - Instant::now();
-        let marks = OutboundMarks {
-            endpoint_name: &grant.endpoint_name,
-            team: self.team.as_ref().map(|team| &*team.name),
-            deadline: left,
-            resume_after: resume_after.or(self.marks.resume_after.as_deref()),
-        };
-        self.router.platform.mark_outbound(&mut headers, &marks);
-        *request.headers_mut() = headers;
-        request
-    }
-
     /// Writes the line on how the request ended, and counts it.
     pub(super) fn log_end(&self, outcome: &str, status: StatusCode) {
         let kind = match self.route.kind {
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -10,7 +10,8 @@
 use tokio::time::Instant;
 
 use super::answer::{AnswerBody, BrokenOff};
-use super::forward::{Begun, Call, SILENCE_CHECK_INTERVAL, pass_on};
+use super::forward::{Call, pass_on};
+use super::send::{Begun, SILENCE_CHECK_INTERVAL};
 
 /// Pieces that wait for a caller that reads slowly.
 const PIECES_MAX: usize = 16;
