Use entries that lapsed for 1.7 s at most, and ask a store that is away by few

Cause (found by reading, not by a run): a router whose connection to the store was reset took the return for one of the store, and told the others so; an endpoint that left then would have been used for 2.3 s, while it serves for 2 s. In an outage of the store every router took its turn as a reader, with a call each 0.2 s.

--- a/crates/daisynotch_core/src/direct/endpoints.rs
+++ b/crates/daisynotch_core/src/direct/endpoints.rs
@@ -15,10 +15,13 @@
 
 use crate::time::Timestamp;
 
-/// How long an entry that vanished right after an outage of the store is kept.
+/// How long after the store's return an entry that vanishes may be one that lapsed.
 ///
 /// Owners that live write theirs again within about two seconds of its return.
-const LAPSED_KEPT: Duration = Duration::from_millis(2_300);
+const LAPSES_SEEN_FOR: Duration = Duration::from_millis(2_300);
+/// How long such an entry is used after it vanished: below the two seconds for which an
+/// endpoint that did leave still serves, since the outage may have been this router's alone.
+const LAPSED_KEPT: Duration = Duration::from_millis(1_700);
 /// How long the reports of an endpoint that has gone are remembered.
 const GONE_REMEMBERED: Duration = Duration::from_secs(30);
 
@@ -93,7 +96,7 @@
 impl EndpointList {
     /// Notes that the store answers again after an outage.
     pub fn on_store_return(&mut self, now: Timestamp) {
-        self.lapses_until = now + LAPSED_KEPT;
+        self.lapses_until = now + LAPSES_SEEN_FOR;
     }
 
     /// Takes a report; an older one than the last is ignored.
@@ -154,13 +157,12 @@
     pub fn expire(&mut self, now: Timestamp) -> Vec<EndpointChange> {
         self.gone
             .retain(|_, (_, at)| now.since(*at) < GONE_REMEMBERED);
-        if now < self.lapses_until {
-            return Vec::new();
-        }
-        let lapsed = self
-            .known
-            .iter()
-            .filter(|(_, known)| known.lapsed_at.is_some());
+        let is_over = |known: &Known| {
+            known
+                .lapsed_at
+                .is_some_and(|at| now.since(at) >= LAPSED_KEPT)
+        };
+        let lapsed = self.known.iter().filter(|(_, known)| is_over(known));
         let lapsed: Vec<Arc<str>> = lapsed.map(|(name, _)| Arc::clone(name)).collect();
         lapsed
             .iter()
--- a/crates/daisynotch_core/src/direct/endpoints/tests.rs
+++ b/crates/daisynotch_core/src/direct/endpoints/tests.rs
@@ -89,3 +89,17 @@
     assert_eq!(changes[0], EndpointChange::Closed(entry("a", 10, 5).id()));
     assert_eq!(changes.len(), 2);
 }
+
+/// The outage may have been this router's alone, and the endpoint may really have left.
+#[test]
+fn an_endpoint_that_left_after_an_outage_is_closed_before_it_stops_to_serve() {
+    let mut list = EndpointList::default();
+    let back_at = Timestamp::default() + 10 * SECOND;
+    list.write(entry("a", 10, 5));
+    list.on_store_return(back_at);
+    let left_at = back_at + 2 * SECOND;
+    assert_eq!(list.remove("a", left_at), []);
+    assert_eq!(list.expire(left_at + SECOND), []);
+    let changes = list.expire(left_at + Duration::from_millis(1_750));
+    assert_eq!(changes, [EndpointChange::Closed(entry("a", 10, 5).id())]);
+}
--- a/crates/daisynotch_core/src/direct/hosts.rs
+++ b/crates/daisynotch_core/src/direct/hosts.rs
@@ -123,11 +123,16 @@
     /// The first few by a hash of their names do, of those that the store answers; each
     /// router works this out alone, and when two disagree one more reads for a moment.
     pub fn reads_store(&self, own: &HostIntroduction, readers: usize, now: Timestamp) -> bool {
-        let present = self.present(now).map(|host| &host.introduction);
-        let able = present.filter(|host| {
-            host.has_store && host.phase != HostPhase::Leaving && host.router != own.router
-        });
-        let before = able.filter(|host| host.id().0 < own.id().0).count();
+        let others = || {
+            let present = self.present(now).map(|host| &host.introduction);
+            present.filter(|host| host.phase != HostPhase::Leaving && host.router != own.router)
+        };
+        // Where the store answers nobody, a few go on asking for all.
+        let is_any_able = others().any(|host| host.has_store);
+        let before = others()
+            .filter(|host| host.has_store || !is_any_able)
+            .filter(|host| host.id().0 < own.id().0)
+            .count();
         before < readers
     }
 
--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -28,6 +28,9 @@
 pub(crate) const DIGEST_INTERVAL: Duration = Duration::from_millis(75);
 /// Datagrams that one router sends in one interval at most; a larger fleet is told in turns.
 const FANOUT_MAX: usize = 24;
+/// The same for a router without work: the fleet of 78 still hears it every 0.5 s, below
+/// the silence after which it is taken as absent.
+const IDLE_FANOUT_MAX: usize = 12;
 /// The largest datagram that is sent: what a datagram holds at all.
 const DATAGRAM_MAX_BYTES: usize = 60_000;
 /// Addresses of other routers that a digest names.
@@ -78,6 +81,8 @@
             digest: make_digest(&router, seq),
             recent: take_recent(&router),
         };
+        let is_idle = datagram.digest.endpoints.is_empty() && datagram.recent.is_empty();
+        let fanout = if is_idle { IDLE_FANOUT_MAX } else { FANOUT_MAX };
         let datagram = match postcard::to_stdvec(&datagram) {
             Ok(datagram) if datagram.len() <= DATAGRAM_MAX_BYTES => datagram,
             Ok(datagram) => {
@@ -95,7 +100,7 @@
                 continue;
             }
         };
-        for step in 0..addresses.len().min(FANOUT_MAX) {
+        for step in 0..addresses.len().min(fanout) {
             let address = addresses[(turn + step) % addresses.len()];
             // A lost datagram is replaced by the next; a full link must not be waited for.
             if let Ok(sent) = socket.try_send_to(&datagram, address) {
@@ -103,7 +108,7 @@
                 router.metrics.digests.with_label_values(&["sent"]).inc();
             }
         }
-        turn = (turn + FANOUT_MAX) % addresses.len();
+        turn = (turn + fanout) % addresses.len();
     }
 }
 
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -81,6 +81,8 @@
     crowded_until: Cell<Timestamp>,
     /// Whether the last call to the store got an answer.
     pub(crate) is_store_present: Cell<bool>,
+    /// When that last changed.
+    store_changed_at: Cell<Timestamp>,
     verdicts: RefCell<HashMap<QueueId, oneshot::Sender<Verdict>>>,
 }
 
@@ -112,6 +114,7 @@
             admitted_share: Cell::new(1.0),
             crowded_until: Cell::default(),
             is_store_present: Cell::new(true),
+            store_changed_at: Cell::default(),
             verdicts: RefCell::default(),
         }
     }
@@ -253,6 +256,7 @@
             return;
         }
         self.introduction.borrow_mut().has_store = is_present;
+        self.store_changed_at.set(self.now());
         let event = if is_present {
             "store_regained"
         } else {
@@ -265,6 +269,16 @@
         }
     }
 
+    /// Counts the store as present again some time after a loss, on a router that does not
+    /// read there now: only another try can tell.
+    pub(crate) fn forget_store_loss(&self, after: Duration) {
+        let is_over = self.now().since(self.store_changed_at.get()) > after;
+        if !self.is_store_present.get() && is_over {
+            self.is_store_present.set(true);
+            self.introduction.borrow_mut().has_store = true;
+        }
+    }
+
     /// Lets a request wait for its place.
     pub(crate) fn submit(self: &Rc<Self>, spec: RequestSpec) -> QueuedRequest {
         let (sender, verdict) = oneshot::channel();
--- a/crates/daisynotch_router/src/direct/store_follower.rs
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -32,8 +32,13 @@
 /// How long a router that starts listens for others before it reads the store itself:
 /// hosts start within 300 ms of each other.
 const FIRST_HEARD: Duration = Duration::from_millis(350);
-/// The pause after a failed call, in milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 100..300;
+/// The pause after a failed call; each failure in a row doubles it. A call has a price
+/// also when it is refused.
+const PAUSE_FIRST: Duration = Duration::from_millis(100);
+/// The longest pause: well below the seconds within which changes must be in force.
+const PAUSE_MAX: Duration = Duration::from_millis(800);
+/// How long a router that no longer reads counts as one that the store does not answer.
+const REFUSED_FOR: Duration = Duration::from_secs(5);
 /// How long this router's entry outlives it.
 const LEASE_TTL: Duration = Duration::from_secs(30);
 /// How often the lease is renewed and the other routers' entries are listed.
@@ -68,6 +73,7 @@
     tokio::time::sleep(FIRST_HEARD).await;
     let mut at_revision = None;
     let mut was_reading = false;
+    let mut failures_in_row = 0;
     loop {
         let is_reading = router.reads_store();
         if is_reading != was_reading {
@@ -78,6 +84,7 @@
             at_revision = None;
         }
         if !is_reading {
+            router.forget_store_loss(REFUSED_FOR);
             tokio::time::sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
@@ -88,6 +95,7 @@
         match step {
             Ok(at) => {
                 at_revision = Some(at);
+                failures_in_row = 0;
                 router.on_store_answer(true, "");
             }
             Err(error) if error.is_history_gone() => {
@@ -99,8 +107,10 @@
             }
             Err(error) => {
                 router.on_store_answer(false, &error.to_string());
-                let pause_ms = rand::rng().random_range(PAUSE_MS);
-                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                let pause = PAUSE_FIRST * 2_u32.saturating_pow(failures_in_row);
+                failures_in_row += 1;
+                let spread = rand::rng().random_range(0.75..1.25);
+                tokio::time::sleep(pause.min(PAUSE_MAX).mul_f64(spread)).await;
             }
         }
     }
