Keep a paused stream unless its engine is silent to all, and a repeat is paid for

Ruled out: the change of the configuration (the cut came 0.9 s after the last event). Change: 1.4 s, no byte from that engine to any stream of this router, and the budget is asked before the stream is given up. Test: an_engine_that_sends_to_others_is_not_quiet.

--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -277,6 +277,13 @@
         load.is_some_and(|load| load.health.is_lost(now))
     }
 
+    /// Says whether no byte came from the endpoint of a run within a time.
+    pub fn is_endpoint_quiet(&self, run: RunId, window: Duration, now: Timestamp) -> bool {
+        let run = self.runs.get(&run);
+        let load = run.and_then(|run| self.endpoints.get(&run.endpoint));
+        load.is_none_or(|load| !load.health.heard_within(now, window))
+    }
+
     /// Takes another router's digest.
     pub fn on_digest(&mut self, digest: &Digest, now: Timestamp) {
         let router = digest.host.id();
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -294,6 +294,20 @@
     }
 }
 
+/// A stream that pauses while others at its engine go on is not at a dead engine.
+#[test]
+fn an_engine_that_sends_to_others_is_not_quiet() {
+    let mut dispatcher = dispatcher(10_000_000);
+    let paused = sent(ask(&mut dispatcher, spec(1, 7, 2_000, at(0)), at(0)));
+    let other = sent(ask(&mut dispatcher, spec(1, 7, 2_000, at(1)), at(1)));
+    assert_eq!(paused.endpoint, other.endpoint);
+    let window = Duration::from_millis(1_400);
+    dispatcher.on_bytes(paused.run, at(100));
+    dispatcher.on_bytes(other.run, at(2_000));
+    assert!(!dispatcher.is_endpoint_quiet(paused.run, window, at(2_100)));
+    assert!(dispatcher.is_endpoint_quiet(paused.run, window, at(3_500)));
+}
+
 #[test]
 fn when_all_endpoints_failed_single_requests_try_them_again() {
     let mut dispatcher = dispatcher(10_000_000);
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -393,6 +393,14 @@
             .is_some_and(|run| self.router.dispatcher.borrow().is_lost(run, now))
     }
 
+    /// Says whether no stream of this router got a byte from the endpoint lately.
+    pub(crate) fn is_endpoint_quiet(&self, window: Duration) -> bool {
+        let now = self.router.now();
+        let dispatcher = self.router.dispatcher.borrow();
+        self.run
+            .is_some_and(|run| dispatcher.is_endpoint_quiet(run, window, now))
+    }
+
     /// Ends the run.
     pub(crate) fn end(mut self, ended: Ended) {
         self.finish(ended);
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -17,7 +17,7 @@
 const PIECES_MAX: usize = 16;
 /// The silence within a stream after which a resumable one goes on elsewhere: below the
 /// two seconds after which callers leave, with time for another endpoint to begin.
-const STREAM_SILENCE_MAX: Duration = Duration::from_millis(900);
+const STREAM_SILENCE_MAX: Duration = Duration::from_millis(1_400);
 
 type Pieces = mpsc::Sender<Result<Bytes, BrokenOff>>;
 
@@ -27,6 +27,8 @@
     Whole,
     /// It broke off or fell silent.
     Broken(String),
+    /// It fell silent, and the repeat elsewhere is paid for.
+    Silent,
     /// The caller left.
     CallerLeft,
     /// The time was over.
@@ -45,7 +47,7 @@
     let mut framer = EventFramer::default();
     loop {
         let pumped = pump(&mut call, &mut begun, &mut framer, &pieces).await;
-        let reason = match pumped {
+        let goes_on = match pumped {
             Pumped::Whole => {
                 begun.guard.end(Ended::Done);
                 if begun.connection.is_usable() {
@@ -65,12 +67,19 @@
                 break_off(&call, &pieces, "timed_out").await;
                 return;
             }
-            Pumped::Broken(reason) => reason,
+            Pumped::Broken(reason) => {
+                call.history.failures.push(reason);
+                call.may_repeat()
+            }
+            Pumped::Silent => {
+                let reason = "the endpoint fell silent".to_owned();
+                call.history.failures.push(reason);
+                true
+            }
         };
         begun.guard.end(Ended::Broken);
         drop(begun.connection);
-        call.history.failures.push(reason);
-        if !call.may_repeat() {
+        if !goes_on {
             break_off(&call, &pieces, "broke_off").await;
             return;
         }
@@ -115,8 +124,12 @@
             () = pieces.closed() => return Pumped::CallerLeft,
             () = tokio::time::sleep_until(call.give_up_at) => return Pumped::TimedOut,
             () = tokio::time::sleep(SILENCE_CHECK_INTERVAL), if is_resumable => {
-                if heard_at.elapsed() > STREAM_SILENCE_MAX {
-                    return Pumped::Broken("the stream fell silent".to_owned());
+                // A pause is no reason to end an answer: an engine that only reads long
+                // prompts goes on with other streams, and one without a way on is kept.
+                let is_silent = heard_at.elapsed() > STREAM_SILENCE_MAX
+                    && begun.guard.is_endpoint_quiet(STREAM_SILENCE_MAX);
+                if is_silent && call.may_repeat() {
+                    return Pumped::Silent;
                 }
                 continue;
             }
