--- a/crates/daisynotch_core/src/entry.rs
+++ b/crates/daisynotch_core/src/entry.rs
@@ -4,8 +4,10 @@
 //! each at most once at a time, however many grants arrive. See
 //! `docs/design/tickets.md`.
 
+mod grants;
 mod hedge;
 mod limits;
+mod moves;
 mod watch;
 
 use std::collections::{BTreeSet, HashMap};
@@ -14,8 +16,8 @@
 use crate::catalogue::Catalogue;
 use crate::cost::Cost;
 use crate::message::{
-    ForwardedGrant, Grant, LengthClass, Peer, PeerMessage, PrefixFingerprint, Progress, Release,
-    ReleaseReason, Running, ShardId, Ticket, TicketSeq,
+    LengthClass, Peer, PeerMessage, PrefixFingerprint, Progress, Release, ReleaseReason, Running,
+    ShardId, Ticket, TicketSeq,
 };
 use crate::seeded_fault::{SeededFault, is_seeded};
 use crate::time::Timestamp;
@@ -304,203 +306,6 @@
         }
     }
 
-    /// Resends everything whose scheduler is no longer the one that was asked.
-    pub fn rehome(
-        &mut self,
-        scheduler_of: impl Fn(ShardId) -> Option<Peer>,
-        now: Timestamp,
-    ) -> Vec<EntryEvent> {
-        let mut requests: Vec<RequestId> = self.requests.keys().copied().collect();
-        requests.sort_unstable();
-        let mut events = Vec::new();
-        for request in requests {
-            let open = self.requests.get_mut(&request).expect("it was just listed");
-            let Some(to) = scheduler_of(open.shard) else {
-                continue;
-            };
-            match &mut open.state {
-                State::Waiting { asked, resend_at } => {
-                    if asked.is_some_and(|(peer, _)| peer != to) {
-                        *resend_at = now;
-                    }
-                    events.extend(self.send_due(request, |_| Some(to), now));
-                }
-                State::Running { scheduler, .. } if *scheduler != to => {
-                    *scheduler = to;
-                    let message = PeerMessage::Running(running_of(open));
-                    let to = to.router;
-                    events.push(EntryEvent::Send { to, message });
-                }
-                State::Running { .. } => {}
-            }
-        }
-        events.extend(self.rehome_hedges(scheduler_of));
-        events
-    }
-
-    /// Moves requests that wait where every endpoint is leaving to another shard.
-    pub fn leave_closed_shards(
-        &mut self,
-        catalogue: &Catalogue,
-        now: Timestamp,
-    ) -> Vec<EntryEvent> {
-        let is_stuck = |open: &OpenRequest| {
-            matches!(open.state, State::Waiting { .. }) && !catalogue.takes_work(open.shard)
-        };
-        let stuck = self.requests.iter().filter(|(_, open)| is_stuck(open));
-        let mut stuck: Vec<RequestId> = stuck.map(|(request, _)| *request).collect();
-        stuck.sort_unstable();
-        let mut events = Vec::new();
-        for request in stuck {
-            let open = &self.requests[&request];
-            let Some(shard) = self.home_shard(open.spec.pool, catalogue) else {
-                continue;
-            };
-            let message = PeerMessage::Withdraw {
-                shard: open.shard,
-                seq: open.ticket,
-            };
-            if let State::Waiting {
-                asked: Some((asked, _)),
-                ..
-            } = open.state
-            {
-                let to = asked.router;
-                events.push(EntryEvent::Send { to, message });
-            }
-            self.renumber(request);
-            let open = self.requests.get_mut(&request).expect("it was just listed");
-            open.shard = shard;
-            open.state = State::Waiting {
-                asked: None,
-                resend_at: now,
-            };
-        }
-        events
-    }
-
-    /// Resends everything that one router schedules, which may have lost it.
-    pub fn resend_to(&mut self, router: RouterId, now: Timestamp) -> Vec<EntryEvent> {
-        self.resend(|to| to == router, now)
-    }
-
-    /// Resends everything, since all schedulers may have dropped it.
-    pub fn resend_all(&mut self, now: Timestamp) -> Vec<EntryEvent> {
-        self.resend(|_| true, now)
-    }
-
-    fn resend(&mut self, is_due: impl Fn(RouterId) -> bool, now: Timestamp) -> Vec<EntryEvent> {
-        let mut requests: Vec<RequestId> = self.requests.keys().copied().collect();
-        requests.sort_unstable();
-        let mut events = Vec::new();
-        for request in requests {
-            let open = self.requests.get_mut(&request).expect("it was just listed");
-            match &mut open.state {
-                State::Waiting { asked, resend_at } => {
-                    let Some((to, _)) = asked.filter(|(to, _)| is_due(to.router)) else {
-                        continue;
-                    };
-                    *resend_at = now;
-                    events.extend(self.send_due(request, |_| Some(to), now));
-                }
-                State::Running { scheduler, .. } if is_due(scheduler.router) => {
-                    let to = scheduler.router;
-                    let message = PeerMessage::Running(running_of(open));
-                    events.push(EntryEvent::Send { to, message });
-                }
-                State::Running { .. } => {}
-            }
-        }
-        events.extend(self.resend_hedges(is_due));
-        events
-    }
-
-    /// Takes in a grant: dispatches, or gives the slot back.
-    pub fn on_grant(&mut self, from: Peer, grant: &Grant, now: Timestamp) -> EntryEvent {
-        if let Some(event) = self.on_hedge_grant(from, grant, now) {
-            return event;
-        }
-        let request = self.tickets.get(&grant.seq).copied();
-        if let Some(request) = request
-            && self.may_use(request, |asked| asked == from, grant, now)
-        {
-            return EntryEvent::Dispatch(self.start(request, from, grant, now));
-        }
-        if let Some(request) = request
-            && self.runs_under(request, from, grant)
-        {
-            let message = PeerMessage::Running(running_of(&self.requests[&request]));
-            let to = from.router;
-            return EntryEvent::Send { to, message };
-        }
-        give_back(from.router, grant.seq, grant.endpoint)
-    }
-
-    /// Takes in a grant of a scheduler that got the ticket from the one that was asked.
-    ///
-    /// The request moves to the shard that granted, so that a successor of that
-    /// shard's scheduler hears of it.
-    pub fn on_forwarded_grant(
-        &mut self,
-        from: Peer,
-        forwarded: &ForwardedGrant,
-        now: Timestamp,
-    ) -> EntryEvent {
-        let grant = &forwarded.grant;
-        let request = self.tickets.get(&grant.seq).copied();
-        if let Some(request) = request
-            && self.may_use(request, |asked| asked == forwarded.asked, grant, now)
-            && let Some(open) = self.requests.get_mut(&request)
-        {
-            open.shard = forwarded.shard;
-            return EntryEvent::Dispatch(self.start(request, from, grant, now));
-        }
-        self.on_grant(from, grant, now)
-    }
-
-    /// Answers a scheduler that asks what became of a grant.
-    pub fn on_query(&self, from: Peer, seq: TicketSeq, endpoint: EndpointId) -> EntryEvent {
-        if let Some(event) = self.on_hedge_query(from, seq, endpoint) {
-            return event;
-        }
-        let open = self
-            .tickets
-            .get(&seq)
-            .map(|request| &self.requests[request]);
-        match open.map(|open| (open, &open.state)) {
-            Some((
-                open,
-                State::Running {
-                    endpoint: runs_on, ..
-                },
-            )) if *runs_on == endpoint => {
-                let message = PeerMessage::Running(running_of(open));
-                let to = from.router;
-                EntryEvent::Send { to, message }
-            }
-            _ => give_back(from.router, seq, endpoint),
-        }
-    }
-
-    /// Takes in that a router doesn't schedule what it was asked to.
-    pub fn on_not_scheduler(&mut self, from: Peer, seqs: &[TicketSeq], now: Timestamp) {
-        for seq in seqs {
-            let Some(open) = self
-                .tickets
-                .get(seq)
-                .and_then(|id| self.requests.get_mut(id))
-            else {
-                continue;
-            };
-            if let State::Waiting { asked, resend_at } = &mut open.state
-                && asked.is_some_and(|(peer, _)| peer == from)
-            {
-                *asked = None;
-                *resend_at = now + TICKET_REJECTED_RESEND_AFTER;
-            }
-        }
-    }
-
     /// Takes in that a streamed request went out, so that its first token is awaited.
     pub fn on_sent(&mut self, request: RequestId, now: Timestamp) {
         if let Some(open) = self.requests.get(&request)
@@ -668,42 +473,6 @@
         withdrawal.into_iter().chain([refuse]).collect()
     }
 
-    /// Chooses the shard that a request waits in: this zone's, or else the pool's first
-    /// of those that have an endpoint which takes new work.
-    fn home_shard(&self, pool: PoolId, catalogue: &Catalogue) -> Option<ShardId> {
-        let mut shards = catalogue.shards_of(pool);
-        shards.retain(|shard| catalogue.takes_work(*shard));
-        let local = shards.iter().find(|shard| shard.zone == self.zone);
-        local.or(shards.first()).copied()
-    }
-
-    /// Chooses a shard by its endpoints, so that a backlog waits in every shard of the pool.
-    fn spread_shard(&self, pool: PoolId, catalogue: &Catalogue) -> Option<ShardId> {
-        let view = catalogue.pools.get(&pool);
-        let shards = view.map(|view| &view.shards).into_iter().flatten();
-        let staying = |endpoints: &[EndpointId]| {
-            let endpoints = endpoints.iter();
-            let staying = endpoints.filter(|id| !catalogue.endpoints[id].leaving);
-            staying.count() as u64
-        };
-        let total: u64 = shards
-            .clone()
-            .map(|(_, endpoints)| staying(endpoints))
-            .sum();
-        if total == 0 {
-            return self.home_shard(pool, catalogue);
-        }
-        let mut place = (self.next_request.wrapping_mul(SPREAD_STEP) >> 32) % total;
-        for (zone, endpoints) in shards {
-            let count = staying(endpoints);
-            if place < count {
-                return Some(ShardId { pool, zone: *zone });
-            }
-            place -= count;
-        }
-        self.home_shard(pool, catalogue)
-    }
-
     fn mint_ticket(&mut self, request: RequestId) -> TicketSeq {
         let ticket = TicketSeq(self.next_ticket);
         self.next_ticket += 1;
@@ -711,63 +480,6 @@
         ticket
     }
 
-    fn may_use(
-        &self,
-        request: RequestId,
-        was_asked: impl Fn(Peer) -> bool,
-        grant: &Grant,
-        now: Timestamp,
-    ) -> bool {
-        let State::Waiting {
-            asked: Some((asked, sent_at)),
-            ..
-        } = self.requests[&request].state
-        else {
-            return is_seeded(SeededFault::DispatchWhileRunning);
-        };
-        let valid = Duration::from_millis(grant.valid_after_sent_ms);
-        let is_valid = now.since(sent_at) < valid || is_seeded(SeededFault::IgnoreValidity);
-        was_asked(asked) && is_valid
-    }
-
-    fn runs_under(&self, request: RequestId, from: Peer, grant: &Grant) -> bool {
-        matches!(
-            self.requests[&request].state,
-            State::Running { scheduler, endpoint, .. }
-                if scheduler == from && endpoint == grant.endpoint
-        )
-    }
-
-    fn start(
-        &mut self,
-        request: RequestId,
-        scheduler: Peer,
-        grant: &Grant,
-        now: Timestamp,
-    ) -> Dispatch {
-        self.leave_queue(request);
-        let open = self
-            .requests
-            .get_mut(&request)
-            .expect("the ticket names an open request");
-        self.limits.on_dispatch(&open.holders, now);
-        self.retry_budget.on_dispatch();
-        open.attempts += 1;
-        self.hedges.budget.on_dispatched();
-        open.state = State::Running {
-            scheduler,
-            endpoint: grant.endpoint,
-            cost: Cost::default(),
-            reported: Reported::default(),
-            is_answered: false,
-        };
-        Dispatch {
-            request,
-            endpoint: grant.endpoint,
-            ticket: grant.seq,
-        }
-    }
-
     fn try_again(
         &mut self,
         request: RequestId,
@@ -848,16 +560,3 @@
         cost,
     }
 }
-
-fn give_back(to: RouterId, seq: TicketSeq, endpoint: EndpointId) -> EntryEvent {
-    let release = Release {
-        seq,
-        endpoint,
-        reason: ReleaseReason::Unused,
-        cost: Cost::default(),
-        first_token_ms: None,
-        token_gap_us: None,
-    };
-    let message = PeerMessage::Release(release);
-    EntryEvent::Send { to, message }
-}
--- a/crates/daisynotch_core/src/entry/hedge.rs
+++ b/crates/daisynotch_core/src/entry/hedge.rs
@@ -7,9 +7,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::{
-    Dispatch, Entry, EntryEvent, OpenRequest, RequestId, State, give_back, running_of, ticket_of,
-};
+use super::grants::give_back;
+use super::{Dispatch, Entry, EntryEvent, OpenRequest, RequestId, State, running_of, ticket_of};
 use crate::cost::Cost;
 use crate::message::{
     Grant, Peer, PeerMessage, Progress, Release, ReleaseReason, ShardId, TicketSeq,
--- a/crates/daisynotch_core/src/node.rs
+++ b/crates/daisynotch_core/src/node.rs
@@ -3,6 +3,8 @@
 //! Messages that a router sends to itself never leave the core; they are handled
 //! before [`Node::handle`] returns.
 
+mod outputs;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,14 +13,12 @@
 
 use crate::catalogue::Catalogue;
 use crate::configuration::{
-    self, ConfigurationAction, ConfigurationState, Follower, FollowerSettings, Replica, ServiceRead,
+    ConfigurationAction, ConfigurationState, Follower, FollowerSettings, Replica, ServiceRead,
 };
 use crate::cost::Cost;
-use crate::entry::{Dispatch, Entry, EntryEvent, Refusal, RequestId, RequestSpec};
+use crate::entry::{Dispatch, Entry, Refusal, RequestId, RequestSpec};
 use crate::host_list::ListedHost;
-use crate::membership::{
-    Changes, Introduction, Membership, MembershipChange, MembershipSettings, OwnState,
-};
+use crate::membership::{Changes, Introduction, Membership, MembershipChange, MembershipSettings};
 use crate::message::{Heartbeat, Peer, PeerMessage, ReleaseReason, ShardId, TicketSeq};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerSettings};
 use crate::seeded_fault::{SeededFault, is_seeded};
@@ -557,92 +557,6 @@
             self.run_scheduler(actions);
         }
     }
-
-    fn send_heartbeats(&mut self, now: Timestamp) {
-        let own = OwnState {
-            revision: self.catalogue.revision,
-            leaving: self.leaving,
-            open_requests: u32::try_from(self.entry.open_requests()).unwrap_or(u32::MAX),
-        };
-        for (router, heartbeat) in self.membership.heartbeats(own, now) {
-            self.send(router, PeerMessage::Heartbeat(heartbeat));
-        }
-    }
-
-    fn follow_configuration(&mut self, now: Timestamp) {
-        let own = &self.settings.own;
-        let members = self.membership.members();
-        let is_relay = || {
-            let routers = members.iter().filter(|(_, member)| !member.leaving);
-            let local = routers.filter(|(_, member)| member.zone == own.zone);
-            let local = local.map(|(router, _)| *router);
-            configuration::is_relay(own.peer.router, own.zone, local)
-        };
-        let actions = self.follower.tick(is_relay, now);
-        self.run_configuration(actions);
-    }
-
-    fn run_configuration(&mut self, actions: impl IntoIterator<Item = ConfigurationAction>) {
-        for action in actions {
-            match action {
-                ConfigurationAction::Ask { to, request } => {
-                    self.send(to, PeerMessage::ConfigurationRequest(request));
-                }
-                ConfigurationAction::ReadHead
-                | ConfigurationAction::ReadService
-                | ConfigurationAction::TakePayload { .. } => self.configuration.push(action),
-            }
-        }
-    }
-
-    fn send_ticket(&mut self, request: RequestId, now: Timestamp) {
-        let membership = &self.membership;
-        let event = self
-            .entry
-            .send_due(request, |shard| membership.scheduler_peer_of(shard), now);
-        self.run_entry(event);
-    }
-
-    fn run_entry(&mut self, events: impl IntoIterator<Item = EntryEvent>) {
-        for event in events {
-            match event {
-                EntryEvent::Send { to, message } => self.send(to, message),
-                EntryEvent::Dispatch(dispatch) => self.outputs.push(Output::Dispatch(dispatch)),
-                EntryEvent::Refuse { request, refusal } => {
-                    self.outputs.push(Output::Refuse { request, refusal });
-                }
-            }
-        }
-    }
-
-    fn run_scheduler(&mut self, actions: impl IntoIterator<Item = SchedulerAction>) {
-        for action in actions {
-            match action {
-                SchedulerAction::Grant { to, grant } => {
-                    self.send(to.router, PeerMessage::Grant(grant));
-                }
-                SchedulerAction::Query { to, seq, endpoint } => {
-                    self.send(to.router, PeerMessage::Query { endpoint, seq });
-                }
-                SchedulerAction::Share { to, message } => {
-                    if let Some(router) = self.membership.scheduler_of(to) {
-                        self.send(router, message);
-                    }
-                }
-                SchedulerAction::ForwardedGrant { to, grant } => {
-                    self.send(to.router, PeerMessage::ForwardedGrant(grant));
-                }
-            }
-        }
-    }
-
-    fn send(&mut self, to: RouterId, message: PeerMessage) {
-        if to == self.settings.own.peer.router {
-            self.local.push_back(message);
-        } else {
-            self.outputs.push(Output::Send { to, message });
-        }
-    }
 }
 
 /// Gives a seed that differs between routers and their starts.
