--- a/crates/daisynotch_core/tests/fairness/cluster.rs
+++ b/crates/daisynotch_core/tests/fairness/cluster.rs
@@ -10,18 +10,20 @@
     reason = "tests and benches each use a part of it, and it is no public interface"
 )]
 
+mod fleet;
+
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-use std::fmt::Write as _;
 use std::sync::Arc;
 
 use daisynotch_core::{
-    Catalogue, Cost, Dispatch, Incarnation, Input, Introduction, LengthClass, MembershipSettings,
-    Node, NodeSettings, Output, Peer, PeerMessage, PoolId, ReleaseReason, RequestId, RequestSpec,
-    Revision, RouterId, SchedulerSettings, TeamId, Timestamp, ZoneId,
+    Cost, Dispatch, Incarnation, Input, Introduction, LengthClass, Node, Output, Peer, PeerMessage,
+    PoolId, ReleaseReason, RequestId, RequestSpec, RouterId, TeamId, Timestamp, ZoneId,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use fleet::{catalogue, node, team_id, zone_id};
+
 /// Time that an endpoint takes for one cost unit.
 pub const UNIT_US: u64 = 20_000;
 /// The most that one request costs.
@@ -587,53 +589,3 @@
     let bytes = postcard::to_allocvec(message).expect("a message can be written");
     bytes.len() as u64
 }
-
-fn node(own: Introduction, all: &[Introduction], catalogue: &Arc<Catalogue>) -> Node {
-    let settings = NodeSettings {
-        own,
-        membership: MembershipSettings::default(),
-        scheduler: SchedulerSettings::default(),
-    };
-    let mut node = Node::new(settings, Timestamp(0));
-    node.handle(Input::Configured(Arc::clone(catalogue)), Timestamp(0));
-    for other in all.iter().filter(|other| other.peer != own.peer) {
-        node.handle(Input::Connected(*other), Timestamp(0));
-    }
-    node
-}
-
-/// Gives objects with a plain pool, whose endpoints keep the number of slots that is set.
-fn catalogue(setup: &Setup) -> Catalogue {
-    let mut text = String::from("[pool.atelier-app]\nkind = \"plain\"\n");
-    writeln!(text, "slots = {}", setup.slots).expect("a string grows");
-    let shares: HashSet<u32> = setup.teams.iter().filter_map(|team| team.share).collect();
-    for share in shares {
-        writeln!(text, "[share.s{share}]").expect("a string grows");
-    }
-    for (at, team) in setup.teams.iter().enumerate() {
-        writeln!(text, "[team.t{at}]\nweight = {}", team.weight).expect("a string grows");
-        if let Some(share) = team.share {
-            writeln!(text, "share = \"s{share}\"").expect("a string grows");
-        }
-    }
-    let mut name = 0;
-    for (zone, count) in setup.endpoints.iter().enumerate() {
-        for _ in 0..*count {
-            name += 1;
-            let line = format!(
-                "[endpoint.e{name}]\npool = \"atelier-app\"\nzone = \"z{zone}\"\naddress = \"127.0.0.1:9\""
-            );
-            writeln!(text, "{line}").expect("a string grows");
-        }
-    }
-    let objects = text.parse().expect("the objects can be read");
-    Catalogue::new(Revision(1), &objects)
-}
-
-fn zone_id(at: usize) -> ZoneId {
-    ZoneId::from(&format!("z{at}").parse().expect("it is a name"))
-}
-
-fn team_id(at: usize) -> TeamId {
-    TeamId::from(&format!("t{at}").parse().expect("it is a name"))
-}
