Hold back teams that lead the least served one, also before shares bind

Cause: room at an engine is known first to the router whose request made it, which refills it; and in the first second of a rush no share of the 4 s window binds. Ruled out: teams beyond their share, order inside one router, slow routers. Change: the reading that an engine may have before a request is divided by the square of its team's lead, 75 ms at least; teams that lead go behind others within their share.

--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -25,6 +25,8 @@
 /// The same for requests beyond their team's share, which must not delay others, where
 /// the share is just used up; it shrinks with the square of what the team has used.
 const ENGINE_BACKLOG_BEYOND_SHARE_MS: f64 = 40.0;
+/// The least of it for requests within the share: an engine has work until digests are new.
+const ENGINE_BACKLOG_LEADING_MS: f64 = 75.0;
 /// The part of the objective that is planned with; the rest is for the way back.
 const OBJECTIVE_USED_PART: f64 = 0.85;
 /// How long a request that can no longer be on time is kept, as a part of the time
@@ -365,14 +367,16 @@
     }
 
     fn rank(&mut self, spec: &RequestSpec, tokens_before: u64, now: Timestamp) -> Rank {
-        let used_part = spec.team.map_or(0.0, |team| {
-            let tokens = tokens_before + spec.shared_tokens();
-            self.shares.used_part(team, tokens, now)
+        let tokens = tokens_before + spec.shared_tokens();
+        let (used_part, lead) = spec.team.map_or((0.0, 0.0), |team| {
+            let used_part = self.shares.used_part(team, tokens, now);
+            (used_part, self.shares.lead(team, tokens, now))
         });
         Rank {
             is_late: self.is_late(spec, now),
             is_beyond_share: used_part > 1.0,
             used_part,
+            lead,
             priority: spec.priority,
             arrived_at: spec.arrived_at,
         }
@@ -436,11 +440,7 @@
                 refuse(RefuseReason::NoEndpoint, NO_ENDPOINT_RETURN_MS)
             };
         }
-        let backlog_max_ms = if rank.is_beyond_share {
-            ENGINE_BACKLOG_BEYOND_SHARE_MS / (rank.used_part * rank.used_part)
-        } else {
-            ENGINE_BACKLOG_MAX_MS
-        };
+        let backlog_max_ms = backlog_max_ms(&rank);
         if let Some(choice) = choice
             && choice.backlog_ms <= backlog_max_ms
         {
@@ -576,5 +576,17 @@
     }
 }
 
+/// Gives the reading that an engine may have before it for a request of this rank.
+///
+/// Room that opens at an engine is seen first by the router whose request made it. With less
+/// for teams that lead, such a router leaves room to the teams of the others.
+fn backlog_max_ms(rank: &Rank) -> f64 {
+    if rank.is_beyond_share {
+        return ENGINE_BACKLOG_BEYOND_SHARE_MS / (rank.used_part * rank.used_part);
+    }
+    let lead = rank.lead.max(1.0);
+    (ENGINE_BACKLOG_MAX_MS / (lead * lead)).max(ENGINE_BACKLOG_LEADING_MS)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -214,6 +214,39 @@
 
 /// The load of the day on which 2,200 requests of one team waited at one router, and
 /// each arrival looked for a place for all of them.
+/// The first seconds of a rush: no team has used up its share of the window yet, and the
+/// router whose own requests end refills the engines before the others know of the room.
+#[test]
+fn at_the_start_of_a_rush_a_team_that_got_little_goes_first() {
+    let mut dispatcher = dispatcher(20_000);
+    let asked_elsewhere = TeamDigest {
+        team: 2,
+        asked_tokens: 200_000,
+        begun_tokens: 4_000,
+    };
+    // Each engine has about 150 ms to read before it.
+    let engines: Vec<EndpointId> = dispatcher.endpoints.keys().copied().collect();
+    let endpoints = engines.into_iter().map(|endpoint| EndpointDigest {
+        endpoint,
+        unread_tokens: 14_000,
+        running: 4,
+        memory_tokens: 14_000,
+        is_suspect: false,
+    });
+    let busy = Digest {
+        endpoints: endpoints.collect(),
+        teams: vec![asked_elsewhere],
+        ..digest()
+    };
+    dispatcher.on_digest(&busy, at(0));
+    dispatcher.shares.on_asked(1, 200_000, at(0));
+    dispatcher.shares.on_begun(1, 30_000, at(0));
+    let much = spec(1, 3, 400, at(10));
+    assert!(dispatcher.shares.used_part(1, much.shared_tokens(), at(10)) < 1.0);
+    assert_eq!(ask(&mut dispatcher, much, at(10)), None);
+    sent(ask(&mut dispatcher, spec(2, 4, 400, at(10)), at(10)));
+}
+
 #[test]
 fn an_overload_of_one_team_does_not_pile_up() {
     let mut dispatcher = dispatcher(20_000);
--- a/crates/daisynotch_core/src/direct/shares.rs
+++ b/crates/daisynotch_core/src/direct/shares.rs
@@ -25,6 +25,9 @@
 const AHEAD_FACTOR: f64 = 1.5;
 /// The part of a share that a team must still ask for to count as one that got too little.
 const HUNGRY_PART: f64 = 0.1;
+/// The part of its share that every team may begin before anyone is held back for one that
+/// got less; a single long prompt is up to a tenth of a share.
+const LEAD_FLOOR_PART: f64 = 0.2;
 /// Age from which another router's sums no longer count.
 const PEER_SUMS_MAX_AGE: Duration = Duration::from_millis(1_500);
 
@@ -59,8 +62,13 @@
     /// For each team: tokens it may have begun in a window, and tokens begun elsewhere.
     shares: HashMap<u32, (u64, u64)>,
     refreshed_at: Option<Timestamp>,
+    /// The share of those who ask for more than it; what it would be at least while there is
+    /// enough for all.
+    reference: u64,
     /// The least used part of the share among teams that ask for much more than they got.
     hungry_least_used: Option<f64>,
+    /// The least part of the share, or of what the team asks if that is less, among the same.
+    hungry_least_served: Option<f64>,
     /// Tokens that were asked for here since the shares were worked out.
     asked_since: u64,
 }
@@ -75,7 +83,9 @@
             peers: HashMap::new(),
             shares: HashMap::new(),
             refreshed_at: None,
+            reference: 0,
             hungry_least_used: None,
+            hungry_least_served: None,
             asked_since: 0,
         }
     }
@@ -135,6 +145,19 @@
     ///
     /// Above 1 it is beyond its share.
     pub fn used_part(&mut self, team: u32, tokens: u64, now: Timestamp) -> f64 {
+        self.refresh_when_due(now);
+        let Some((share, begun_elsewhere)) = self.shares.get(&team) else {
+            return 0.0;
+        };
+        let begun = self.begun_here(team) + begun_elsewhere + tokens;
+        begun as f64 / (*share).max(1) as f64
+    }
+
+    fn begun_here(&self, team: u32) -> u64 {
+        self.own.get(&team).map_or(0, |own| own.begun.iter().sum())
+    }
+
+    fn refresh_when_due(&mut self, now: Timestamp) {
         self.advance(now);
         let is_fresh = self
             .refreshed_at
@@ -143,11 +166,6 @@
         if !is_fresh || has_grown {
             self.refresh(now);
         }
-        let Some((share, begun_elsewhere)) = self.shares.get(&team) else {
-            return 0.0;
-        };
-        let begun_here: u64 = self.own.get(&team).map_or(0, |own| own.begun.iter().sum());
-        (begun_here + begun_elsewhere + tokens) as f64 / (*share).max(1) as f64
     }
 
     /// Gives the tokens of one window; without bound where nothing is divided.
@@ -157,6 +175,23 @@
         tokens_per_s.map_or(f64::INFINITY, |tokens| tokens as f64 * window_s)
     }
 
+    /// Gives how far a team with some more tokens would lead the one that got least of what
+    /// it may have and still asks; above 1 it should let that one go first.
+    ///
+    /// This holds also while the window's tokens would do for all: at the start of a rush
+    /// none of them is used, and all are asked for within a second.
+    pub fn lead(&mut self, team: u32, tokens: u64, now: Timestamp) -> f64 {
+        self.refresh_when_due(now);
+        let (Some(least_served), Some((_, begun_elsewhere))) =
+            (self.hungry_least_served, self.shares.get(&team))
+        else {
+            return 0.0;
+        };
+        let begun = self.begun_here(team) + begun_elsewhere + tokens;
+        let part = begun as f64 / self.reference.max(1) as f64;
+        part / (AHEAD_FACTOR * least_served.max(LEAD_FLOOR_PART))
+    }
+
     /// Says whether a team with this used part is so far ahead of another one that still
     /// asks that idle capacity should go to that one.
     pub fn is_ahead(&self, used_part: f64) -> bool {
@@ -169,6 +204,7 @@
         self.asked_since = 0;
         self.shares.clear();
         self.hungry_least_used = None;
+        self.hungry_least_served = None;
         if self.settings.tokens_per_s.is_none() {
             return;
         }
@@ -194,17 +230,23 @@
             .iter()
             .map(|(team, (_, begun))| (*team, (even, *begun)))
             .collect();
-        if even == u64::MAX {
-            return;
+        self.reference = match even {
+            u64::MAX => (capacity / by_asked.len().max(1) as f64) as u64,
+            even => even,
+        };
+        for (team, (asked, begun_elsewhere)) in &asked {
+            let begun = self.begun_here(*team) + begun_elsewhere;
+            let hunger = asked.saturating_sub(begun) as f64;
+            if hunger <= HUNGRY_PART * self.reference as f64 {
+                continue;
+            }
+            let part_of = |tokens: u64| begun as f64 / tokens.max(1) as f64;
+            let least =
+                |slot: Option<f64>, part: f64| Some(slot.map_or(part, |slot| slot.min(part)));
+            self.hungry_least_used = least(self.hungry_least_used, part_of(even));
+            let owed = self.reference.min(*asked);
+            self.hungry_least_served = least(self.hungry_least_served, part_of(owed));
         }
-        let own = &self.own;
-        let used = asked.iter().filter_map(|(team, (asked, begun_elsewhere))| {
-            let begun_here: u64 = own.get(team).map_or(0, |own| own.begun.iter().sum());
-            let begun = begun_here + begun_elsewhere;
-            let is_hungry = asked.saturating_sub(begun) as f64 > HUNGRY_PART * even as f64;
-            is_hungry.then_some(begun as f64 / even.max(1) as f64)
-        });
-        self.hungry_least_used = used.min_by(f64::total_cmp);
     }
 
     fn advance(&mut self, now: Timestamp) -> usize {
--- a/crates/daisynotch_core/src/direct/shares/tests.rs
+++ b/crates/daisynotch_core/src/direct/shares/tests.rs
@@ -97,3 +97,45 @@
     assert!(hot > 5.0);
     assert!(!shares.is_ahead(hot));
 }
+
+/// At the start of a rush every team is within its share of the window, and the router that
+/// sees room first would take it all.
+#[test]
+fn within_the_share_a_team_leads_one_that_got_little() {
+    let mut shares = shares();
+    for team in [HOT, OTHER] {
+        shares.on_asked(team, 50_000, at(0));
+    }
+    shares.on_begun(HOT, 1_600, at(0));
+    shares.on_begun(OTHER, 500, at(0));
+    assert!(shares.used_part(HOT, 0, at(200)) < 1.0);
+    let hot = shares.lead(HOT, 0, at(200));
+    let other = shares.lead(OTHER, 0, at(200));
+    assert!(hot > 2.0 && other <= 1.0, "{hot} {other}");
+}
+
+/// In the first second less is asked than the window holds, though more than engines take.
+#[test]
+fn a_team_leads_before_the_shares_bind() {
+    let mut shares = shares();
+    for team in [HOT, OTHER] {
+        shares.on_asked(team, 1_900, at(0));
+    }
+    shares.on_begun(HOT, 1_200, at(0));
+    shares.on_begun(OTHER, 300, at(0));
+    assert!(shares.used_part(HOT, 0, at(200)) < 0.001);
+    let hot = shares.lead(HOT, 0, at(200));
+    let other = shares.lead(OTHER, 0, at(200));
+    assert!(hot > 1.5 && other <= 1.0, "{hot} {other}");
+}
+
+#[test]
+fn a_small_team_that_gets_what_it_asks_holds_nobody_back() {
+    let mut shares = shares();
+    shares.on_asked(HOT, 50_000, at(0));
+    shares.on_begun(HOT, 1_600, at(0));
+    shares.on_asked(OTHER, 400, at(0));
+    shares.on_begun(OTHER, 350, at(0));
+    let hot = shares.lead(HOT, 0, at(200));
+    assert!(hot <= 1.0, "{hot}");
+}
--- a/crates/daisynotch_core/src/direct/waiting.rs
+++ b/crates/daisynotch_core/src/direct/waiting.rs
@@ -18,13 +18,23 @@
     pub(crate) is_beyond_share: bool,
     /// The part of the share that the team would have used, this request included.
     pub(crate) used_part: f64,
+    /// How far its team leads the one that got least; see [`super::shares`].
+    pub(crate) lead: f64,
     pub(crate) priority: u32,
     pub(crate) arrived_at: Timestamp,
 }
 
 impl Rank {
     pub(crate) fn compare(&self, other: &Self) -> Ordering {
-        let key = |rank: &Self| (rank.is_beyond_share, rank.is_late, rank.priority);
+        let key = |rank: &Self| {
+            let is_leading = rank.lead > 1.0;
+            (
+                rank.is_beyond_share,
+                rank.is_late,
+                is_leading,
+                rank.priority,
+            )
+        };
         let order = key(self).cmp(&key(other));
         if self.is_beyond_share && order.is_eq() {
             return self.used_part.total_cmp(&other.used_part);
