Close a crowded router's listener in turns, and keep connections that came back

Ruled out: descriptors (637 connections open of 4,100), callers that move when refused (they come back to the address), our closing of their connections (no change when kept). Change: a router that is crowded for 2 s closes its listener for a part of each 200 ms that follows the lateness of its ticks, in place of refusing unread; options that detect silent connections are set on the listening socket and inherited. Pressure is decided in the core.

--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -15,6 +15,7 @@
 mod pace;
 mod part_cache;
 mod placement;
+mod pressure;
 mod request;
 mod retry_budget;
 mod routes;
@@ -27,6 +28,7 @@
 pub use event_framer::EventFramer;
 pub use hosts::{Host, HostTable};
 pub use part_cache::{Part, Parts};
+pub use pressure::Pressure;
 pub use request::{
     DispatcherSettings, Ended, Grant, QueueId, RefuseReason, RequestSpec, RunId, Verdict,
 };
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -11,6 +11,7 @@
 mod event_log;
 mod forward;
 mod ingress;
+mod listener;
 mod metrics;
 mod peers;
 mod send;
--- a/crates/daisynotch_router/src/direct/connections.rs
+++ b/crates/daisynotch_router/src/direct/connections.rs
@@ -6,6 +6,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -28,7 +29,7 @@
 /// The probes without an answer after which a connection is dead.
 const KEEPALIVE_RETRIES: u32 = 2;
 /// How long sent bytes may stay without an acknowledgement.
-const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(1_500);
+pub(crate) const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(1_500);
 /// How long an idle connection is used again: below the idle time-outs of servers,
 /// which are whole seconds.
 const REUSED_WITHIN: Duration = Duration::from_millis(900);
@@ -105,9 +106,11 @@
 }
 
 /// Lets the kernel find out when the other side is gone without a word.
-pub(crate) fn probe_when_idle(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
+///
+/// Connections that are accepted may have the options of the socket that listened.
+pub(crate) fn probe_when_idle(socket: &impl AsFd) -> std::io::Result<()> {
+    let socket = SockRef::from(socket);
+    socket.set_tcp_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
--- a/crates/daisynotch_router/src/direct/daemon.rs
+++ b/crates/daisynotch_router/src/direct/daemon.rs
@@ -16,6 +16,7 @@
 
 use super::event_log::{EventLog, Weight};
 use super::ingress::{self, LeaveStage, Served};
+use super::listener::Listener;
 use super::metrics::Metrics;
 use super::peers;
 use super::settings::DirectSettings;
@@ -221,6 +222,7 @@
             (peers_listener, Served::Peers),
         ];
         for (listener, served) in listeners {
+            let listener = Listener::new(listener)?;
             let accepting =
                 ingress::accept(Rc::clone(&router), listener, served, stage_receiver.clone());
             tasks.push(tokio::task::spawn_local(accepting));
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -119,7 +119,11 @@
             RETRY_AFTER_DEFAULT,
         )));
     };
-    if router.is_behind(rand::rng().random()) {
+    if router
+        .pressure
+        .borrow()
+        .is_behind(rand::rng().random(), now)
+    {
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return Err(refuse(OwnAnswer::not_run(
             status,
--- a/crates/daisynotch_router/src/direct/ingress.rs
+++ b/crates/daisynotch_router/src/direct/ingress.rs
@@ -4,17 +4,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use daisynotch_core::Timestamp;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use super::answer::AnswerBody;
-use super::connections::probe_when_idle;
+use super::listener::Listener;
 use super::state::Router;
 use super::{directory, forward, peers};
 use crate::stall::StallGuard;
@@ -50,11 +51,19 @@
 /// Accepts connections until the router closes.
 pub(crate) async fn accept(
     router: Rc<Router>,
-    listener: TcpListener,
+    mut listener: Listener,
     served: Served,
     mut stage: watch::Receiver<LeaveStage>,
 ) {
     loop {
+        let pause = match served {
+            Served::Callers => router.pressure.borrow().accept_pause(router.now()),
+            _ => None,
+        };
+        if let Some(pause) = pause {
+            router.metrics.listener_pauses.inc();
+            listener = listener.close_for(pause).await;
+        }
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = closing(&mut stage), if served == Served::Callers => return,
@@ -62,7 +71,7 @@
         match accepted {
             // Closed at once: the caller goes to another router.
             Ok(_) if served == Served::Callers && router.connections_left() == 0 => {}
-            Ok((stream, _)) => {
+            Ok(stream) => {
                 let connection = serve(Rc::clone(&router), stream, served, stage.clone());
                 tokio::task::spawn_local(connection);
             }
@@ -92,16 +101,17 @@
     mut stage: watch::Receiver<LeaveStage>,
 ) {
     let _open = (served == Served::Callers).then(|| OpenCaller::new(&router));
-    if let Err(error) = probe_when_idle(&stream) {
-        log::debug!("a connection can't be probed: {error}");
-    }
     let limits = router
         .routes()
         .map(|routes| routes.limits)
         .unwrap_or_default();
     let service = {
-        let stage = stage.clone();
-        service_fn(move |request| answer(Rc::clone(&router), request, served, stage.clone()))
+        let connection = Connection {
+            served,
+            stage: stage.clone(),
+            connected_at: router.now(),
+        };
+        service_fn(move |request| answer(Rc::clone(&router), request, connection.clone()))
     };
     let stream = TokioIo::new(StallGuard::new(stream, WRITE_STALL_TIMEOUT));
     let connection = http1::Builder::new()
@@ -142,23 +152,37 @@
     }
 }
 
+/// What is known of a connection when a request comes on it.
+#[derive(Clone)]
+struct Connection {
+    served: Served,
+    stage: watch::Receiver<LeaveStage>,
+    connected_at: Timestamp,
+}
+
+impl Connection {
+    /// Says whether the connection should end with this answer.
+    fn is_last(&self, router: &Router) -> bool {
+        *self.stage.borrow() != LeaveStage::Staying
+            || (self.served == Served::Callers
+                && router.pressure.borrow().should_reconnect(self.connected_at))
+    }
+}
+
 async fn answer(
     router: Rc<Router>,
     request: Request<Incoming>,
-    served: Served,
-    stage: watch::Receiver<LeaveStage>,
+    connection: Connection,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let path = request.uri().path();
-    let mut response = match served {
+    let mut response = match connection.served {
         Served::Callers => forward::answer(&router, request).await,
         Served::Readiness => directory::readiness(&router, path),
         Served::Directory => directory::directory(&router, path),
         Served::Metrics => directory::metrics(&router, path),
         Served::Peers => peers::answer(&router, request.uri()),
     };
-    let is_last = *stage.borrow() != LeaveStage::Staying
-        || (served == Served::Callers && router.should_spread());
-    if is_last {
+    if connection.is_last(&router) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/daisynotch_router/src/direct/metrics.rs
+++ b/crates/daisynotch_router/src/direct/metrics.rs
@@ -36,6 +36,8 @@
     pub(crate) digest_sent_bytes: IntCounter,
     /// Connections to endpoints that were opened.
     pub(crate) connections_opened: IntCounter,
+    /// Times that the listener for callers was closed for a moment, see [`daisynotch_core::direct::Pressure`].
+    pub(crate) listener_pauses: IntCounter,
     /// The version of the configuration in force.
     pub(crate) configuration_version: IntGauge,
     /// Other routers that were heard lately.
@@ -80,6 +82,10 @@
                 "daisynotch_endpoint_connections_opened_total",
                 "Connections to endpoints opened.",
             )?,
+            listener_pauses: IntCounter::new(
+                "daisynotch_listener_pauses_total",
+                "Times that the listener for callers was closed for a moment.",
+            )?,
             configuration_version: IntGauge::new(
                 "daisynotch_configuration_version",
                 "Version of the configuration in force.",
@@ -112,6 +118,7 @@
         registry.register(Box::new(self.digests.clone()))?;
         registry.register(Box::new(self.digest_sent_bytes.clone()))?;
         registry.register(Box::new(self.connections_opened.clone()))?;
+        registry.register(Box::new(self.listener_pauses.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.routers_present.clone()))
     }
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use daisynotch_core::direct::{
     Dispatcher, Ended, EndpointChange, EndpointList, HostIntroduction, HostPhase, HostTable,
-    QueueId, RequestSpec, RouteTable, RunId, Verdict,
+    Pressure, QueueId, RequestSpec, RouteTable, RunId, Verdict,
 };
 use daisynotch_core::{EndpointId, Timestamp};
 use daisynotch_platform::ports::{SharedPlatform, StoreEvent, StoreItem};
@@ -22,18 +22,6 @@
 use super::settings::DirectSettings;
 use crate::clock::Clock;
 
-/// How late ticks may be: a small part of the objectives of streams.
-const LAG_MAX: Duration = Duration::from_millis(60);
-/// What the share of requests that are read is multiplied by at each late tick.
-const ADMITTED_DECREASE: f64 = 0.85;
-/// What it grows by at each tick that is in time: from least to all in 2.5 s.
-const ADMITTED_INCREASE: f64 = 0.01;
-/// Its least value, from which the way back is found.
-const ADMITTED_MIN: f64 = 0.05;
-/// How long a router stays crowded once it was: callers that stay with one address come
-/// back as soon as it is given out again.
-const CROWDED_AT_LEAST: Duration = Duration::from_secs(6);
-
 /// What the store last said, as it said it, for routers that can't reach it.
 #[derive(Debug, Default)]
 pub(crate) struct StoreView {
@@ -76,9 +64,8 @@
     pub(crate) open_callers: Cell<usize>,
     /// Requests that arrive, which the others are told.
     pub(crate) arrivals: ArrivalRate,
-    /// The share of requests that the processor keeps up with.
-    admitted_share: Cell<f64>,
-    crowded_until: Cell<Timestamp>,
+    /// Whether the processor keeps up.
+    pub(crate) pressure: RefCell<Pressure>,
     /// Whether the last call to the store got an answer.
     pub(crate) is_store_present: Cell<bool>,
     /// When that last changed.
@@ -111,8 +98,7 @@
             store_view: RefCell::default(),
             open_callers: Cell::new(0),
             arrivals: ArrivalRate::default(),
-            admitted_share: Cell::new(1.0),
-            crowded_until: Cell::default(),
+            pressure: RefCell::default(),
             is_store_present: Cell::new(true),
             store_changed_at: Cell::default(),
             verdicts: RefCell::default(),
@@ -135,33 +121,18 @@
         (per_s / self.settings.borrow().cpu_cores) as u32
     }
 
-    /// Says whether callers should connect anew, so that they reach other routers too.
-    pub(crate) fn should_spread(&self) -> bool {
-        self.introduction.borrow().is_crowded
-    }
-
     /// Takes the time by which the latest tick was late, and decides whether this router
     /// carries more than it should.
     pub(crate) fn note_lag(&self, lag: Duration) {
-        let share = self.admitted_share.get();
-        self.admitted_share.set(if lag > LAG_MAX {
-            (share * ADMITTED_DECREASE).max(ADMITTED_MIN)
-        } else {
-            (share + ADMITTED_INCREASE).min(1.0)
-        });
         let now = self.now();
         let max = self.settings.borrow().caller_connections_max();
         let arrivals_per_core_s = self.arrivals_per_core_s();
-        let is_pressed = lag > LAG_MAX
-            || self.connections_left() < max / 4
+        let is_overdrawn = self.connections_left() < max / 4
             || self.hosts.borrow().is_overdrawn(arrivals_per_core_s, now);
-        if is_pressed {
-            self.crowded_until.set(now + CROWDED_AT_LEAST);
-        }
-        let is_crowded = now < self.crowded_until.get();
-        let was_crowded =
-            std::mem::replace(&mut self.introduction.borrow_mut().is_crowded, is_crowded);
-        if is_crowded != was_crowded {
+        let mut pressure = self.pressure.borrow_mut();
+        if pressure.on_tick(lag, is_overdrawn, now) {
+            let is_crowded = pressure.is_crowded();
+            self.introduction.borrow_mut().is_crowded = is_crowded;
             let fields = json!({
                 "is_crowded": is_crowded, "lag_ms": lag.as_millis() as u64,
                 "arrivals_per_core_s": arrivals_per_core_s,
@@ -171,12 +142,6 @@
         }
     }
 
-    /// Says whether a request is refused unread, since this process is behind; `draw` is
-    /// uniform between 0 and 1.
-    pub(crate) fn is_behind(&self, draw: f64) -> bool {
-        draw > self.admitted_share.get()
-    }
-
     /// Gives the configuration in force.
     pub(crate) fn routes(&self) -> Option<Rc<RouteTable>> {
         self.routes.borrow().clone()
