Add the emulator: loads, engines and policies in simulated time

Five loads of the worst kinds are kept in experiments/ and are rows of the policy bench. Runs repeat exactly (a test; sums over hash maps did not).

--- a/crates/daisynotch/src/args.rs
+++ b/crates/daisynotch/src/args.rs
@@ -38,6 +38,7 @@
                                      print error budgets and burn rates
     credential TOKEN                 print a token's digest for the objects
     trace ID LOG...                  join the log lines of routers on a request
+    experiment FILE                  play a load with several policies in simulated time
     demo                             run a small fleet in this process
     standin KIND --listen ADDRESS    run a fake `key-value`, `engine` or `bookings`
 
@@ -54,6 +55,7 @@
     --summary TEXT                   apply: what the change is for
     --samples FILE                   report: a file of samples to keep and extend
     --html FILE                      report: write a page with the curves
+    --plot FILE                      experiment: draw what each policy earned, in SVG
     --seconds N                      demo: how long callers send requests
     --seed N                         demo: the seed of the callers' choices
     -h, --help                       print this text
@@ -109,6 +111,10 @@
         id: String,
         logs: Vec<PathBuf>,
     },
+    Experiment {
+        file: PathBuf,
+        plot: Option<PathBuf>,
+    },
     Demo(DemoOptions),
 }
 
@@ -195,6 +201,11 @@
                 }
                 Command::Trace { id, logs }
             }
+            Some("experiment") => {
+                let plot = raw.opt_value_from_str("--plot")?;
+                let file = raw.free_from_str()?;
+                Command::Experiment { file, plot }
+            }
             Some("demo") => Command::Demo(DemoOptions {
                 seconds: raw.opt_value_from_str("--seconds")?.unwrap_or(DEMO_SECONDS),
                 seed: raw.opt_value_from_str("--seed")?.unwrap_or(DEMO_SEED),
--- a/crates/daisynotch/src/args/tests.rs
+++ b/crates/daisynotch/src/args/tests.rs
@@ -28,6 +28,7 @@
                                          print error budgets and burn rates
         credential TOKEN                 print a token's digest for the objects
         trace ID LOG...                  join the log lines of routers on a request
+        experiment FILE                  play a load with several policies in simulated time
         demo                             run a small fleet in this process
         standin KIND --listen ADDRESS    run a fake `key-value`, `engine` or `bookings`
 
@@ -44,6 +45,7 @@
         --summary TEXT                   apply: what the change is for
         --samples FILE                   report: a file of samples to keep and extend
         --html FILE                      report: write a page with the curves
+        --plot FILE                      experiment: draw what each policy earned, in SVG
         --seconds N                      demo: how long callers send requests
         --seed N                         demo: the seed of the callers' choices
         -h, --help                       print this text
--- a/crates/daisynotch/src/commands.rs
+++ b/crates/daisynotch/src/commands.rs
@@ -7,6 +7,7 @@
 pub(crate) mod diff;
 pub(crate) mod drain;
 pub(crate) mod edit_source;
+pub(crate) mod experiment;
 pub(crate) mod get;
 pub(crate) mod history;
 pub(crate) mod report;
@@ -42,6 +43,12 @@
     /// A file holds no objects.
     #[error("`{}`: {error}", path.display())]
     Malformed { path: PathBuf, error: ParseError },
+    /// A file holds no experiment.
+    #[error("`{}`: {error}", path.display())]
+    BadExperiment {
+        path: PathBuf,
+        error: daisynotch_emulator::ExperimentError,
+    },
     /// The objects have errors.
     #[error("nothing was changed, the objects have errors:\n{0}")]
     BadObjects(String),
@@ -78,6 +85,7 @@
         match self {
             Self::Unreadable { .. }
             | Self::Malformed { .. }
+            | Self::BadExperiment { .. }
             | Self::BadObjects(_)
             | Self::Edit(_) => 2,
             Self::Conflict(_) => 3,
--- a/crates/daisynotch/src/main.rs
+++ b/crates/daisynotch/src/main.rs
@@ -56,6 +56,9 @@
             commands::standin::run(kind, listen, printer).await?;
         }
         Command::Trace { id, logs } => commands::trace::run(&id, &logs, printer)?,
+        Command::Experiment { file, plot } => {
+            commands::experiment::run(&file, plot.as_deref(), printer)?;
+        }
         Command::Credential { token } => commands::credential::run(&token, printer),
         Command::Demo(options) => commands::demo::run(options, printer).await?,
     }
--- a/crates/daisynotch/tests/commands.rs
+++ b/crates/daisynotch/tests/commands.rs
@@ -211,3 +211,44 @@
     let page = std::fs::read_to_string(&page).expect("the page is written");
     assert!(page.contains("Router 127.0.0.1:1 is missing"), "{page}");
 }
+
+#[test]
+fn an_experiment_prints_a_line_for_each_policy_and_draws_a_plot() {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let text = include_str!("../../../experiments/rush.toml")
+        .replace("length_s = 8.0", "length_s = 1.0")
+        .replace("seeds = [1, 2, 3]", "seeds = [1]");
+    let (file, plot) = (folder.join("experiment.toml"), folder.join("plot.svg"));
+    std::fs::write(&file, text).unwrap();
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_daisynotch"))
+        .arg("experiment")
+        .arg(&file)
+        .arg("--plot")
+        .arg(&plot)
+        .output()
+        .unwrap();
+    let printed = String::from_utf8(output.stdout).unwrap();
+    assert!(output.status.success(), "{printed}");
+    assert_eq!(printed.lines().count(), 6, "{printed}");
+    assert!(std::fs::read_to_string(plot).unwrap().starts_with("<svg"));
+}
+
+#[test]
+fn a_wrong_experiment_is_named_with_its_key() {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let text = include_str!("../../../experiments/rush.toml").replace("routers = 6", "routers = 0");
+    let file = folder.join("wrong-experiment.toml");
+    std::fs::write(&file, text).unwrap();
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_daisynotch"))
+        .arg("experiment")
+        .arg(&file)
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert!(error.contains("wrong-experiment.toml"), "{error}");
+    assert!(
+        error.contains("`fleet.routers` is 0, but must be 1 or more"),
+        "{error}"
+    );
+}
--- a/crates/daisynotch_core/benches/policy.rs
+++ b/crates/daisynotch_core/benches/policy.rs
@@ -1,7 +1,9 @@
 //! Measures the policy under load: real [`daisynotch_core::Node`]s under a virtual clock.
 //!
 //! `cargo bench -p daisynotch_core --bench policy -- --scenario crest --routers 9`.
-//! Seeds are fixed, so that every run prints the same table.
+//! Seeds are fixed, so that every run prints the same table. The loads of `experiments/` are
+//! played too, with the decisions without schedulers and their baselines; docs/design/emulator.md
+//! says what the columns mean.
 
 #[path = "policy/engine.rs"]
 mod engine;
@@ -12,6 +14,7 @@
 #[path = "policy/scenario.rs"]
 mod scenario;
 
+use daisynotch_emulator::Experiment;
 use fleet::Policy;
 use scenario::SCENARIOS;
 
@@ -35,4 +38,21 @@
             );
         }
     }
+    play_experiments(only.as_deref());
+}
+
+/// Prints a table for each load of the repository.
+fn play_experiments(only: Option<&str>) {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../experiments");
+    let files = std::fs::read_dir(folder).expect("the repository has experiments");
+    let mut paths: Vec<_> = files.map(|file| file.expect("a file").path()).collect();
+    paths.sort();
+    for path in paths {
+        let text = std::fs::read_to_string(&path).expect("an experiment can be read");
+        let experiment: Experiment = text.parse().expect("an experiment is right");
+        if only.is_none_or(|only| only == experiment.name) {
+            println!("\n{}", experiment.name);
+            println!("{}", daisynotch_emulator::run(&experiment).to_table());
+        }
+    }
 }
--- /dev/null
+++ b/crates/daisynotch_emulator/src/load.rs
@@ -0,0 +1,103 @@
+//! The requests of an experiment, the same for every policy.
+
+use daisynotch_core::direct::Part;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::experiment::{Experiment, FaultKind};
+
+/// Names parts of prompts so that kinds and sessions don't meet.
+const SHARED_PARTS: u32 = 1_000;
+const SESSION_PARTS: u32 = 1 << 16;
+const OWN_PARTS: u32 = 1 << 24;
+
+/// A caller's request.
+#[derive(Debug, Clone)]
+pub(crate) struct Request {
+    pub(crate) arrives_us: u64,
+    /// Its kind, as a place in the experiment's demand.
+    pub(crate) demand: usize,
+    pub(crate) team: u32,
+    pub(crate) router: usize,
+    pub(crate) parts: Vec<Part>,
+}
+
+/// Draws all requests of one seed.
+pub(crate) fn requests(experiment: &Experiment, seed: u64) -> Vec<Request> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let sharing = &experiment.sharing;
+    let weights: Vec<f64> = (0..sharing.teams)
+        .map(|rank| f64::from(rank + 1).powf(-sharing.skew))
+        .collect();
+    let total: f64 = weights.iter().sum();
+    let routers = experiment.fleet.routers;
+    let pinned: Vec<Option<usize>> = weights
+        .iter()
+        .map(|_| {
+            let is_pinned = rng.random::<f64>() < experiment.fleet.pinned_teams_part;
+            is_pinned.then(|| rng.random_range(0..routers))
+        })
+        .collect();
+    let mut requests = Vec::new();
+    for (index, demand) in experiment.demand.iter().enumerate() {
+        for (team, weight) in (0_u32..).zip(&weights) {
+            let usual_per_s = demand.per_s * weight / total;
+            let times_max = factor_max(experiment, team);
+            let mut at_s = 0.0;
+            loop {
+                // A thinned process: gaps at the highest rate, of which some are passed over.
+                at_s -= rng.random::<f64>().max(1e-12).ln() / (usual_per_s * times_max);
+                if at_s >= experiment.length_s {
+                    break;
+                }
+                let is_passed = rng.random::<f64>() * times_max > factor(experiment, team, at_s);
+                let own_tokens = demand.own_tokens as f64 * rng.random_range(0.5..1.5);
+                let session = rng.random_range(0..demand.sessions);
+                let router = pinned[team as usize].unwrap_or_else(|| rng.random_range(0..routers));
+                if is_passed {
+                    continue;
+                }
+                let kind = index as u32;
+                let session_id = SESSION_PARTS * (kind + 1) + team * demand.sessions + session;
+                let parts = [
+                    (SHARED_PARTS + kind, demand.shared_tokens),
+                    (session_id, demand.session_tokens),
+                    (
+                        OWN_PARTS + requests.len() as u32,
+                        own_tokens.max(1.0) as u32,
+                    ),
+                ];
+                let parts = parts.into_iter().filter(|(_, tokens)| *tokens > 0);
+                requests.push(Request {
+                    arrives_us: (at_s * 1e6) as u64,
+                    demand: index,
+                    team,
+                    router,
+                    parts: parts.map(|(id, tokens)| Part { id, tokens }).collect(),
+                });
+            }
+        }
+    }
+    requests.sort_by_key(|request| request.arrives_us);
+    requests
+}
+
+fn factor(experiment: &Experiment, team: u32, at_s: f64) -> f64 {
+    let active = experiment
+        .faults
+        .iter()
+        .filter(|fault| (fault.at_s..fault.at_s + fault.for_s).contains(&at_s));
+    active
+        .map(|fault| match fault.kind {
+            FaultKind::Burst => fault.times,
+            FaultKind::HotTeam if fault.team == team => fault.times,
+            _ => 1.0,
+        })
+        .product()
+}
+
+fn factor_max(experiment: &Experiment, team: u32) -> f64 {
+    let starts = experiment.faults.iter().map(|fault| fault.at_s);
+    let factors = starts.map(|at_s| factor(experiment, team, at_s));
+    factors.fold(1.0, f64::max)
+}
