Weigh reading six times against waiting

Cause: long prompts leave the engine that keeps them for one with less before it, and are read again, which takes the engine from all others.

--- a/crates/daisynotch_core/src/direct/placement.rs
+++ b/crates/daisynotch_core/src/direct/placement.rs
@@ -13,7 +13,7 @@
 use crate::time::Timestamp;
 
 /// What reading counts for against waiting: it takes the engine from all others too.
-const READING_WEIGHT: f64 = 4.0;
+const READING_WEIGHT: f64 = 6.0;
 /// What the choice between equal endpoints is spread over, so that all routers pick
 /// the same home for a prompt that none of them keeps.
 const HOME_SPREAD_MS: f64 = 15.0;
