Name the endpoint, the configuration and the run in three kinds of log line

A request whose time ended at an endpoint counted no run and named no failure; a refused credential did not say which configuration did not know it. Lines on endpoints that were closed twice had no name.

--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -109,7 +109,11 @@
     };
     let id = marks.attempt_id.as_ref();
     let id = id.map(|id| String::from_utf8_lossy(id.as_bytes()).into_owned());
-    let refuse = |answer: OwnAnswer| (answer, json!({"id": id, "path": head.uri.path()}));
+    let version = router.routes().map(|routes| routes.version);
+    let refuse = |answer: OwnAnswer| {
+        let fields = json!({"id": id, "path": head.uri.path(), "configuration": version});
+        (answer, fields)
+    };
     let plain = |status, reason| refuse(OwnAnswer::new(status, reason));
     let Some(routes) = router.routes() else {
         let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -357,6 +361,10 @@
                     self.history.runs += 1;
                 }
                 Err(SendFailure::TimedOut) => {
+                    self.history
+                        .failures
+                        .push(format!("{endpoint_name}: no answer in time"));
+                    self.history.runs += 1;
                     return Err(OwnAnswer::new(StatusCode::GATEWAY_TIMEOUT, "timed_out"));
                 }
             }
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -204,8 +204,11 @@
                 }
                 EndpointChange::Closed(id) => {
                     self.connections.forget(*id);
-                    let name = self.endpoint_names.borrow_mut().remove(id);
-                    json!({"endpoint": name.as_deref(), "state": "closed", "source": source})
+                    let Some(name) = self.endpoint_names.borrow_mut().remove(id) else {
+                        // It was closed before, as one that drains is before it goes.
+                        continue;
+                    };
+                    json!({"endpoint": &*name, "state": "closed", "source": source})
                 }
             };
             self.log.write(Weight::Essential, "endpoint", fields);
