--- a/crates/daisynotch_core/src/direct/shares.rs
+++ b/crates/daisynotch_core/src/direct/shares.rs
@@ -6,6 +6,7 @@
 //! more get the same. Work beyond the share is served only from idle capacity.
 
 use std::collections::HashMap;
+use std::hash::{BuildHasherDefault, Hasher};
 use std::time::Duration;
 
 use daisynotch_objects::RouterId;
@@ -40,6 +41,30 @@
     pub window: Duration,
 }
 
+/// Teams are known by hashes of their names, which need not be hashed again.
+type TeamMap<V> = HashMap<u32, V, BuildHasherDefault<TeamHasher>>;
+
+/// Spreads a team's hash over the bits that a map looks at.
+#[derive(Debug, Default, Clone, Copy)]
+struct TeamHasher(u64);
+
+impl Hasher for TeamHasher {
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.write_u32(u32::from(*byte));
+        }
+    }
+
+    fn write_u32(&mut self, team: u32) {
+        // Fibonacci hashing: 2^64 over the golden ratio.
+        self.0 = (self.0 ^ u64::from(team)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    }
+
+    fn finish(&self) -> u64 {
+        self.0
+    }
+}
+
 #[derive(Debug, Default, Clone)]
 struct Sums {
     asked: [u64; BUCKETS],
@@ -49,18 +74,20 @@
 #[derive(Debug)]
 struct PeerSums {
     heard_at: Timestamp,
-    teams: HashMap<u32, (u64, u64)>,
+    teams: Vec<TeamDigest>,
 }
 
 /// The sums and shares of all teams.
 #[derive(Debug)]
 pub struct TeamShares {
     settings: ShareSettings,
-    own: HashMap<u32, Sums>,
+    own: TeamMap<Sums>,
     bucket_index: u64,
     peers: HashMap<RouterId, PeerSums>,
-    /// For each team: tokens it may have begun in a window, and tokens begun elsewhere.
-    shares: HashMap<u32, (u64, u64)>,
+    /// What each team asked for on all routers, and what it began on the others.
+    sums: TeamMap<(u64, u64)>,
+    /// Tokens that one team may begin in a window; none while there is enough for all.
+    even_share: Option<u64>,
     refreshed_at: Option<Timestamp>,
     /// The share of those who ask for more than it; what it would be at least while there is
     /// enough for all.
@@ -78,10 +105,11 @@
     pub fn new(settings: ShareSettings) -> Self {
         Self {
             settings,
-            own: HashMap::new(),
+            own: TeamMap::default(),
             bucket_index: 0,
             peers: HashMap::new(),
-            shares: HashMap::new(),
+            sums: TeamMap::default(),
+            even_share: None,
             refreshed_at: None,
             reference: 0,
             hungry_least_used: None,
@@ -116,15 +144,7 @@
 
     /// Takes another router's sums.
     pub fn on_peer(&mut self, router: RouterId, teams: &[TeamDigest], now: Timestamp) {
-        let teams = teams
-            .iter()
-            .map(|team| {
-                (
-                    team.team,
-                    (u64::from(team.asked_tokens), u64::from(team.begun_tokens)),
-                )
-            })
-            .collect();
+        let teams = teams.to_vec();
         let heard_at = now;
         self.peers.insert(router, PeerSums { heard_at, teams });
     }
@@ -146,11 +166,12 @@
     /// Above 1 it is beyond its share.
     pub fn used_part(&mut self, team: u32, tokens: u64, now: Timestamp) -> f64 {
         self.refresh_when_due(now);
-        let Some((share, begun_elsewhere)) = self.shares.get(&team) else {
+        let (Some(share), Some((_, begun_elsewhere))) = (self.even_share, self.sums.get(&team))
+        else {
             return 0.0;
         };
         let begun = self.begun_here(team) + begun_elsewhere + tokens;
-        begun as f64 / (*share).max(1) as f64
+        begun as f64 / share.max(1) as f64
     }
 
     fn begun_here(&self, team: u32) -> u64 {
@@ -183,7 +204,7 @@
     pub fn lead(&mut self, team: u32, tokens: u64, now: Timestamp) -> f64 {
         self.refresh_when_due(now);
         let (Some(least_served), Some((_, begun_elsewhere))) =
-            (self.hungry_least_served, self.shares.get(&team))
+            (self.hungry_least_served, self.sums.get(&team))
         else {
             return 0.0;
         };
@@ -202,7 +223,8 @@
     fn refresh(&mut self, now: Timestamp) {
         self.refreshed_at = Some(now);
         self.asked_since = 0;
-        self.shares.clear();
+        self.sums.clear();
+        self.even_share = None;
         self.hungry_least_used = None;
         self.hungry_least_served = None;
         if self.settings.tokens_per_s.is_none() {
@@ -210,31 +232,22 @@
         }
         self.peers
             .retain(|_, peer| now.since(peer.heard_at) < PEER_SUMS_MAX_AGE);
-        let mut asked: HashMap<u32, (u64, u64)> = HashMap::new();
         for (team, sums) in &self.own {
-            asked.entry(*team).or_default().0 += sums.asked.iter().sum::<u64>();
+            self.sums.entry(*team).or_default().0 += sums.asked.iter().sum::<u64>();
         }
-        for (team, (asked_there, begun_there)) in self.peers.values().flat_map(|peer| &peer.teams) {
-            let sums = asked.entry(*team).or_default();
-            sums.0 += asked_there;
-            sums.1 += begun_there;
+        for there in self.peers.values().flat_map(|peer| &peer.teams) {
+            let sums = self.sums.entry(there.team).or_default();
+            sums.0 += u64::from(there.asked_tokens);
+            sums.1 += u64::from(there.begun_tokens);
         }
         let capacity = self.capacity_tokens();
-        let mut by_asked: Vec<(u32, u64)> = asked
-            .iter()
-            .map(|(team, (asked, _))| (*team, *asked))
-            .collect();
-        by_asked.sort_unstable_by_key(|(_, asked)| *asked);
-        let even = even_share(&by_asked, capacity);
-        self.shares = asked
-            .iter()
-            .map(|(team, (_, begun))| (*team, (even, *begun)))
-            .collect();
-        self.reference = match even {
-            u64::MAX => (capacity / by_asked.len().max(1) as f64) as u64,
-            even => even,
-        };
-        for (team, (asked, begun_elsewhere)) in &asked {
+        let mut asked: Vec<u64> = self.sums.values().map(|(asked, _)| *asked).collect();
+        asked.sort_unstable();
+        self.even_share = even_share(&asked, capacity);
+        self.reference = self
+            .even_share
+            .unwrap_or((capacity / asked.len().max(1) as f64) as u64);
+        for (team, (asked, begun_elsewhere)) in &self.sums {
             let begun = self.begun_here(*team) + begun_elsewhere;
             let hunger = asked.saturating_sub(begun) as f64;
             if hunger <= HUNGRY_PART * self.reference as f64 {
@@ -243,7 +256,9 @@
             let part_of = |tokens: u64| begun as f64 / tokens.max(1) as f64;
             let least =
                 |slot: Option<f64>, part: f64| Some(slot.map_or(part, |slot| slot.min(part)));
-            self.hungry_least_used = least(self.hungry_least_used, part_of(even));
+            if let Some(even) = self.even_share {
+                self.hungry_least_used = least(self.hungry_least_used, part_of(even));
+            }
             let owed = self.reference.min(*asked);
             self.hungry_least_served = least(self.hungry_least_served, part_of(owed));
         }
@@ -269,17 +284,18 @@
     }
 }
 
-/// Gives the share of those who ask for more than it.
-fn even_share(by_asked: &[(u32, u64)], capacity: f64) -> u64 {
+/// Gives the share of those who ask for more than it, of what teams ask in rising order; none
+/// if there is enough for all.
+fn even_share(asked: &[u64], capacity: f64) -> Option<u64> {
     let mut left = capacity;
-    for (position, (_, asked)) in by_asked.iter().enumerate() {
-        let even = left / (by_asked.len() - position) as f64;
-        if *asked as f64 > even {
-            return even as u64;
+    for (position, asked_by_one) in asked.iter().enumerate() {
+        let even = left / (asked.len() - position) as f64;
+        if *asked_by_one as f64 > even {
+            return Some(even as u64);
         }
-        left -= *asked as f64;
+        left -= *asked_by_one as f64;
     }
-    u64::MAX
+    None
 }
 
 #[cfg(test)]
