--- a/crates/daisynotch_emulator/src/emulation.rs
+++ b/crates/daisynotch_emulator/src/emulation.rs
@@ -5,12 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use daisynotch_core::Timestamp;
 use daisynotch_core::direct::{
-    CallerLimits, Digest, Dispatcher, DispatcherSettings, Ended, EndpointChange, EndpointEntry,
-    EndpointState, EngineLimits, HostIntroduction, HostPhase, QueueId, RequestSpec,
-    RetryBudgetSettings, RouteTable, RunId, ServiceView, ShareSettings, Verdict,
+    Digest, Dispatcher, Ended, EndpointEntry, QueueId, RequestSpec, RunId, Verdict,
 };
-use daisynotch_core::{Incarnation, Timestamp};
 use daisynotch_objects::EndpointId;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -19,6 +17,7 @@
 use crate::engine::{Engine, Made, Sequence, Work};
 use crate::experiment::{Experiment, FaultKind};
 use crate::figures::{Figures, Outcome, Report, figures};
+use crate::fleet::{SERVICE, dispatcher, entry, introduction};
 use crate::load::{Request, requests};
 use crate::policy::{Baseline, PolicyName};
 
@@ -28,8 +27,6 @@
 const RETURN_MAX_PART: f64 = 1.0 / 3.0;
 /// Tries of one caller.
 const TRIES_MAX: u32 = 2;
-/// The service that all requests are for.
-const SERVICE: &str = "models";
 /// Where simulated time begins: ages of nothing must not be negative.
 const START_US: u64 = 100_000_000;
 
@@ -564,66 +561,5 @@
     }
 }
 
-fn entry(experiment: &Experiment, index: usize) -> EndpointEntry {
-    EndpointEntry {
-        name: Arc::from(format!("engine-{index}")),
-        started_unix_ms: 1,
-        report_seq: 1,
-        service: Arc::from(SERVICE),
-        address: ([10, 0, (index >> 8) as u8, index as u8], 80).into(),
-        zone: Arc::from("a"),
-        slots: experiment.engines.slots as u32,
-        state: EndpointState::Ready,
-    }
-}
-
-fn dispatcher(experiment: &Experiment, entries: &[EndpointEntry]) -> Dispatcher {
-    let sharing = &experiment.sharing;
-    let limits = CallerLimits {
-        shared_tokens_per_s: Some(sharing.tokens_per_s),
-        ..CallerLimits::default()
-    };
-    let mut table = RouteTable::new(1, limits);
-    table.add_service(ServiceView {
-        name: Arc::from(SERVICE),
-        connections_max: experiment.engines.slots as u32 * 4,
-        engine: Some(EngineLimits {
-            slots: experiment.engines.slots as u32,
-            memory_tokens: experiment.engines.memory_tokens,
-        }),
-    });
-    let settings = DispatcherSettings {
-        shares: ShareSettings {
-            tokens_per_s: None,
-            window: Duration::from_secs_f64(sharing.window_s),
-        },
-        retry_budget: RetryBudgetSettings::default(),
-    };
-    let mut dispatcher = Dispatcher::new(Arc::from("a"), settings);
-    dispatcher.on_routes(&table);
-    for entry in entries {
-        dispatcher.on_endpoint(EndpointChange::Usable(entry.clone()), &table);
-    }
-    dispatcher.set_routers(experiment.fleet.routers);
-    dispatcher
-}
-
-fn introduction(router: usize) -> HostIntroduction {
-    let address = |port: u16| ([10, 1, (router >> 8) as u8, router as u8], port).into();
-    HostIntroduction {
-        router: format!("router-{router}")
-            .parse()
-            .expect("a number makes a good name"),
-        zone: "a".parse().expect("a letter makes a good name"),
-        incarnation: Incarnation(1),
-        caller_address: address(80),
-        peer_address: address(7_400),
-        phase: HostPhase::Serving,
-        cpu_millicores: 250,
-        is_crowded: false,
-        has_store: true,
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/daisynotch_emulator/src/fleet.rs
@@ -0,0 +1,80 @@
+//! The routers and the engines' entries, as the product's decisions know them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use daisynotch_core::Incarnation;
+use daisynotch_core::direct::{
+    CallerLimits, Dispatcher, DispatcherSettings, EndpointChange, EndpointEntry, EndpointState,
+    EngineLimits, HostIntroduction, HostPhase, RetryBudgetSettings, RouteTable, ServiceView,
+    ShareSettings,
+};
+
+use crate::experiment::Experiment;
+
+/// The service that all requests are for.
+pub(crate) const SERVICE: &str = "models";
+
+/// Makes the entry of an engine.
+pub(crate) fn entry(experiment: &Experiment, index: usize) -> EndpointEntry {
+    EndpointEntry {
+        name: Arc::from(format!("engine-{index}")),
+        started_unix_ms: 1,
+        report_seq: 1,
+        service: Arc::from(SERVICE),
+        address: ([10, 0, (index >> 8) as u8, index as u8], 80).into(),
+        zone: Arc::from("a"),
+        slots: experiment.engines.slots as u32,
+        state: EndpointState::Ready,
+    }
+}
+
+/// Makes a router that knows all engines.
+pub(crate) fn dispatcher(experiment: &Experiment, entries: &[EndpointEntry]) -> Dispatcher {
+    let sharing = &experiment.sharing;
+    let limits = CallerLimits {
+        shared_tokens_per_s: Some(sharing.tokens_per_s),
+        ..CallerLimits::default()
+    };
+    let mut table = RouteTable::new(1, limits);
+    table.add_service(ServiceView {
+        name: Arc::from(SERVICE),
+        connections_max: experiment.engines.slots as u32 * 4,
+        engine: Some(EngineLimits {
+            slots: experiment.engines.slots as u32,
+            memory_tokens: experiment.engines.memory_tokens,
+        }),
+    });
+    let settings = DispatcherSettings {
+        shares: ShareSettings {
+            tokens_per_s: None,
+            window: Duration::from_secs_f64(sharing.window_s),
+        },
+        retry_budget: RetryBudgetSettings::default(),
+    };
+    let mut dispatcher = Dispatcher::new(Arc::from("a"), settings);
+    dispatcher.on_routes(&table);
+    for entry in entries {
+        dispatcher.on_endpoint(EndpointChange::Usable(entry.clone()), &table);
+    }
+    dispatcher.set_routers(experiment.fleet.routers);
+    dispatcher
+}
+
+/// Says who a router is, for its digests.
+pub(crate) fn introduction(router: usize) -> HostIntroduction {
+    let address = |port: u16| ([10, 1, (router >> 8) as u8, router as u8], port).into();
+    HostIntroduction {
+        router: format!("router-{router}")
+            .parse()
+            .expect("a number makes a good name"),
+        zone: "a".parse().expect("a letter makes a good name"),
+        incarnation: Incarnation(1),
+        caller_address: address(80),
+        peer_address: address(7_400),
+        phase: HostPhase::Serving,
+        cpu_millicores: 250,
+        is_crowded: false,
+        has_store: true,
+    }
+}
--- a/crates/daisynotch_emulator/src/lib.rs
+++ b/crates/daisynotch_emulator/src/lib.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod experiment;
 mod figures;
+mod fleet;
 mod load;
 mod plot;
 mod policy;
