Log callers that leave before their answer, and the age of the loads decided on

Cause: read once more, the code had no line and no count for a plain request whose caller leaves before its answer, nor for a stream whose caller leaves while it is being resumed; a line said what a placement rested on, not how old that was. Ruled out: a line at each place that can be dropped; a call that is dropped before its end writes it once, wherever it was. Change: Call writes caller_left when it is dropped; runs counts the endpoint that has the request; digests_age_ms gives the age of the oldest digest that counts. No decision differs.

--- a/crates/daisynotch_core/src/direct/hosts.rs
+++ b/crates/daisynotch_core/src/direct/hosts.rs
@@ -160,6 +160,11 @@
             && f64::from(own_arrivals_per_core_s) > OVERDRAWN_FACTOR * mean
     }
 
+    /// Gives the age of the oldest digest that counts, which decisions are made on.
+    pub fn oldest_digest_age(&self, now: Timestamp) -> Option<Duration> {
+        self.present(now).map(|host| now.since(host.heard_at)).max()
+    }
+
     /// Gives where callers may connect, near routers first.
     ///
     /// Some callers stay with one address for as long as it is given out, all of a large
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -1,5 +1,6 @@
 //! Takes one request of a caller to an endpoint and its answer back.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,13 +54,28 @@
     pub(super) deadline_at: Instant,
     pub(super) configuration_version: u64,
     pub(super) history: History,
+    /// Whether the line on its end is written.
+    has_ended: Cell<bool>,
+}
+
+impl Drop for Call {
+    /// A request that is dropped before its end is one whose caller's connection closed.
+    fn drop(&mut self) {
+        if !self.has_ended.get() {
+            self.log_end("caller_left", None);
+        }
+    }
 }
 
 /// What happened to a request, for its log line.
 #[derive(Debug, Default)]
 pub(super) struct History {
-    /// Endpoints that may have run it.
+    /// Endpoints that may have run it, without one that has it now.
     pub(super) runs: u32,
+    /// Whether an endpoint has it and has not begun to answer.
+    pub(super) is_at_endpoint: bool,
+    /// The age of the oldest digest of another router when the latest decision was made.
+    pub(super) digests_age: Option<Duration>,
     /// Endpoints that did not.
     pub(super) unrun_sends: u32,
     pub(super) waited: Duration,
@@ -205,6 +221,7 @@
         deadline_at: arrived_at + deadline,
         configuration_version: routes.version,
         history: History::default(),
+        has_ended: Cell::new(false),
     })
 }
 
@@ -328,7 +345,10 @@
             self.history.cached_tokens = grant.cached_tokens;
             self.history.tokens_ahead = grant.tokens_ahead;
             let endpoint_name = Arc::clone(&grant.endpoint_name);
-            match self.send(grant, resume_after).await {
+            self.history.is_at_endpoint = true;
+            let sent = self.send(grant, resume_after).await;
+            self.history.is_at_endpoint = false;
+            match sent {
                 Ok(begun) => {
                     self.history.runs += 1;
                     let taken = self.arrived_at.elapsed();
@@ -401,6 +421,8 @@
         let verdict = tokio::time::timeout_at(self.give_up_at, &mut queued.verdict).await;
         let waited = began_at.elapsed();
         self.history.waited += waited;
+        let now = self.router.now();
+        self.history.digests_age = self.router.hosts.borrow().oldest_digest_age(now);
         self.router.metrics.wait.observe(waited.as_secs_f64());
         match verdict {
             Ok(Ok(Verdict::Send(grant))) => Ok(grant),
@@ -423,7 +445,10 @@
     }
 
     /// Writes the line on how the request ended, and counts it.
-    pub(super) fn log_end(&self, outcome: &str, status: StatusCode) {
+    ///
+    /// The status is what the caller was sent, if it was sent any.
+    pub(super) fn log_end(&self, outcome: &str, status: impl Into<Option<StatusCode>>) {
+        self.has_ended.set(true);
         let kind = match self.route.kind {
             RouteKind::Safe => "safe",
             RouteKind::Once => "once",
@@ -452,15 +477,16 @@
         let fields = json!({
             "id": String::from_utf8_lossy(self.attempt_id.as_bytes()),
             "outcome": outcome,
-            "status": status.as_u16(),
+            "status": status.into().map(|status| status.as_u16()),
             "route": &*self.route.name,
             "service": &*self.spec.service,
             "team": self.team.as_ref().map(|team| &*team.name),
             "prompt_tokens": self.spec.prompt_tokens,
             "cached_tokens": history.cached_tokens,
             "tokens_ahead": history.tokens_ahead,
+            "digests_age_ms": history.digests_age.map(ms),
             "endpoint": history.last_endpoint.as_deref(),
-            "runs": history.runs,
+            "runs": history.runs + u32::from(history.is_at_endpoint),
             "unrun_sends": history.unrun_sends,
             "failures": history.failures,
             "waited_ms": ms(history.waited),
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -87,7 +87,10 @@
         let resume_after = framer.last_id().map(str::to_owned);
         let next = tokio::select! {
             next = call.begin(resume_after.as_deref()) => next,
-            () = pieces.closed() => return,
+            () = pieces.closed() => {
+                call.log_end("caller_left", StatusCode::OK);
+                return;
+            }
         };
         begun = match next {
             Ok(next) if next.head.status.is_success() => next,
