Use the usual terms in shares, share what two metrics and settings files wrote twice

Change: teams that still ask are backlogged, as in fair queueing, and their tokens have a type in place of a pair; settings are parsed and checked, and metrics registered and written, in one place; the sorted list of an entry's requests too; the emulator looks engines up by index and drops an unused result. Left as they are: builders of a test and a bench, lists of constants. Ruled out: one measure in place of is_ahead and lead, which would change decisions.

--- a/crates/daisynotch_core/src/direct/shares.rs
+++ b/crates/daisynotch_core/src/direct/shares.rs
@@ -24,8 +24,8 @@
 /// How far a team may be ahead of the one that got least, before idle capacity is kept
 /// for that one: less than the factor of two at which service counts as unfair.
 const AHEAD_FACTOR: f64 = 1.5;
-/// The part of a share that a team must still ask for to count as one that got too little.
-const HUNGRY_PART: f64 = 0.1;
+/// The part of a share that a team must still ask for to count as backlogged.
+const BACKLOGGED_PART: f64 = 0.1;
 /// The part of its share that every team may begin before anyone is held back for one that
 /// got less; a single long prompt is up to a tenth of a share.
 const LEAD_FLOOR_PART: f64 = 0.2;
@@ -71,6 +71,15 @@
     begun: [u64; BUCKETS],
 }
 
+/// One team's tokens in the window.
+#[derive(Debug, Default, Clone, Copy)]
+struct TeamTotal {
+    /// On all routers.
+    asked: u64,
+    /// On the other routers; what was begun here changes with each decision.
+    begun_elsewhere: u64,
+}
+
 #[derive(Debug)]
 struct PeerSums {
     heard_at: Timestamp,
@@ -84,18 +93,17 @@
     own: TeamMap<Sums>,
     bucket_index: u64,
     peers: HashMap<RouterId, PeerSums>,
-    /// What each team asked for on all routers, and what it began on the others.
-    sums: TeamMap<(u64, u64)>,
+    totals: TeamMap<TeamTotal>,
     /// Tokens that one team may begin in a window; none while there is enough for all.
     even_share: Option<u64>,
     refreshed_at: Option<Timestamp>,
     /// The share of those who ask for more than it; what it would be at least while there is
     /// enough for all.
-    reference: u64,
+    reference_tokens: u64,
     /// The least used part of the share among teams that ask for much more than they got.
-    hungry_least_used: Option<f64>,
+    backlogged_least_used: Option<f64>,
     /// The least part of the share, or of what the team asks if that is less, among the same.
-    hungry_least_served: Option<f64>,
+    backlogged_least_served: Option<f64>,
     /// Tokens that were asked for here since the shares were worked out.
     asked_since: u64,
 }
@@ -108,12 +116,12 @@
             own: TeamMap::default(),
             bucket_index: 0,
             peers: HashMap::new(),
-            sums: TeamMap::default(),
+            totals: TeamMap::default(),
             even_share: None,
             refreshed_at: None,
-            reference: 0,
-            hungry_least_used: None,
-            hungry_least_served: None,
+            reference_tokens: 0,
+            backlogged_least_used: None,
+            backlogged_least_served: None,
             asked_since: 0,
         }
     }
@@ -166,11 +174,10 @@
     /// Above 1 it is beyond its share.
     pub fn used_part(&mut self, team: u32, tokens: u64, now: Timestamp) -> f64 {
         self.refresh_when_due(now);
-        let (Some(share), Some((_, begun_elsewhere))) = (self.even_share, self.sums.get(&team))
-        else {
+        let (Some(share), Some(total)) = (self.even_share, self.totals.get(&team)) else {
             return 0.0;
         };
-        let begun = self.begun_here(team) + begun_elsewhere + tokens;
+        let begun = self.begun_here(team) + total.begun_elsewhere + tokens;
         begun as f64 / share.max(1) as f64
     }
 
@@ -203,64 +210,64 @@
     /// none of them is used, and all are asked for within a second.
     pub fn lead(&mut self, team: u32, tokens: u64, now: Timestamp) -> f64 {
         self.refresh_when_due(now);
-        let (Some(least_served), Some((_, begun_elsewhere))) =
-            (self.hungry_least_served, self.sums.get(&team))
+        let (Some(least_served), Some(total)) =
+            (self.backlogged_least_served, self.totals.get(&team))
         else {
             return 0.0;
         };
-        let begun = self.begun_here(team) + begun_elsewhere + tokens;
-        let part = begun as f64 / self.reference.max(1) as f64;
+        let begun = self.begun_here(team) + total.begun_elsewhere + tokens;
+        let part = begun as f64 / self.reference_tokens.max(1) as f64;
         part / (AHEAD_FACTOR * least_served.max(LEAD_FLOOR_PART))
     }
 
     /// Says whether a team with this used part is so far ahead of another one that still
     /// asks that idle capacity should go to that one.
     pub fn is_ahead(&self, used_part: f64) -> bool {
-        let least_used = self.hungry_least_used.unwrap_or(f64::INFINITY);
+        let least_used = self.backlogged_least_used.unwrap_or(f64::INFINITY);
         used_part > AHEAD_FACTOR * least_used.max(1.0)
     }
 
     fn refresh(&mut self, now: Timestamp) {
         self.refreshed_at = Some(now);
         self.asked_since = 0;
-        self.sums.clear();
+        self.totals.clear();
         self.even_share = None;
-        self.hungry_least_used = None;
-        self.hungry_least_served = None;
+        self.backlogged_least_used = None;
+        self.backlogged_least_served = None;
         if self.settings.tokens_per_s.is_none() {
             return;
         }
         self.peers
             .retain(|_, peer| now.since(peer.heard_at) < PEER_SUMS_MAX_AGE);
         for (team, sums) in &self.own {
-            self.sums.entry(*team).or_default().0 += sums.asked.iter().sum::<u64>();
+            self.totals.entry(*team).or_default().asked += sums.asked.iter().sum::<u64>();
         }
         for there in self.peers.values().flat_map(|peer| &peer.teams) {
-            let sums = self.sums.entry(there.team).or_default();
-            sums.0 += u64::from(there.asked_tokens);
-            sums.1 += u64::from(there.begun_tokens);
+            let total = self.totals.entry(there.team).or_default();
+            total.asked += u64::from(there.asked_tokens);
+            total.begun_elsewhere += u64::from(there.begun_tokens);
         }
         let capacity = self.capacity_tokens();
-        let mut asked: Vec<u64> = self.sums.values().map(|(asked, _)| *asked).collect();
+        let mut asked: Vec<u64> = self.totals.values().map(|total| total.asked).collect();
         asked.sort_unstable();
         self.even_share = even_share(&asked, capacity);
-        self.reference = self
+        self.reference_tokens = self
             .even_share
             .unwrap_or((capacity / asked.len().max(1) as f64) as u64);
-        for (team, (asked, begun_elsewhere)) in &self.sums {
-            let begun = self.begun_here(*team) + begun_elsewhere;
-            let hunger = asked.saturating_sub(begun) as f64;
-            if hunger <= HUNGRY_PART * self.reference as f64 {
+        for (team, total) in &self.totals {
+            let begun = self.begun_here(*team) + total.begun_elsewhere;
+            let unserved = total.asked.saturating_sub(begun) as f64;
+            if unserved <= BACKLOGGED_PART * self.reference_tokens as f64 {
                 continue;
             }
             let part_of = |tokens: u64| begun as f64 / tokens.max(1) as f64;
             let least =
                 |slot: Option<f64>, part: f64| Some(slot.map_or(part, |slot| slot.min(part)));
             if let Some(even) = self.even_share {
-                self.hungry_least_used = least(self.hungry_least_used, part_of(even));
+                self.backlogged_least_used = least(self.backlogged_least_used, part_of(even));
             }
-            let owed = self.reference.min(*asked);
-            self.hungry_least_served = least(self.hungry_least_served, part_of(owed));
+            let owed = self.reference_tokens.min(total.asked);
+            self.backlogged_least_served = least(self.backlogged_least_served, part_of(owed));
         }
     }
 
--- a/crates/daisynotch_core/src/entry/moves.rs
+++ b/crates/daisynotch_core/src/entry/moves.rs
@@ -13,10 +13,8 @@
         scheduler_of: impl Fn(ShardId) -> Option<Peer>,
         now: Timestamp,
     ) -> Vec<EntryEvent> {
-        let mut requests: Vec<RequestId> = self.requests.keys().copied().collect();
-        requests.sort_unstable();
         let mut events = Vec::new();
-        for request in requests {
+        for request in self.request_ids() {
             let open = self.requests.get_mut(&request).expect("it was just listed");
             let Some(to) = scheduler_of(open.shard) else {
                 continue;
@@ -92,15 +90,20 @@
         self.resend(|_| true, now)
     }
 
+    /// Lists all requests in a fixed order, so that runs repeat.
+    fn request_ids(&self) -> Vec<RequestId> {
+        let mut requests: Vec<RequestId> = self.requests.keys().copied().collect();
+        requests.sort_unstable();
+        requests
+    }
+
     pub(super) fn resend(
         &mut self,
         is_due: impl Fn(RouterId) -> bool,
         now: Timestamp,
     ) -> Vec<EntryEvent> {
-        let mut requests: Vec<RequestId> = self.requests.keys().copied().collect();
-        requests.sort_unstable();
         let mut events = Vec::new();
-        for request in requests {
+        for request in self.request_ids() {
             let open = self.requests.get_mut(&request).expect("it was just listed");
             match &mut open.state {
                 State::Waiting { asked, resend_at } => {
--- a/crates/daisynotch_emulator/src/emulation.rs
+++ b/crates/daisynotch_emulator/src/emulation.rs
@@ -99,6 +99,8 @@
     queued: HashMap<(usize, QueueId), usize>,
     engines: Vec<Engine>,
     is_stepping: Vec<bool>,
+    /// The engines' names, and the other way round.
+    endpoints: Vec<EndpointId>,
     engine_of: HashMap<EndpointId, usize>,
     attempts: Vec<Attempt>,
     callers: Vec<Caller>,
@@ -121,7 +123,8 @@
             PolicyName::Direct => Router::Direct(Box::new(dispatcher(experiment, &entries))),
             _ => Router::Baseline(Baseline::new(policy, engines)),
         };
-        let by_id = entries.iter().enumerate();
+        let endpoints: Vec<EndpointId> = entries.iter().map(EndpointEntry::id).collect();
+        let by_id = endpoints.iter().enumerate();
         let mut emulation = Self {
             experiment,
             policy,
@@ -138,7 +141,8 @@
                 .map(|_| Engine::new(&experiment.engines))
                 .collect(),
             is_stepping: vec![false; engines],
-            engine_of: by_id.map(|(index, entry)| (entry.id(), index)).collect(),
+            engine_of: by_id.map(|(index, id)| (*id, index)).collect(),
+            endpoints,
             attempts: Vec::new(),
             callers: requests.iter().map(|_| Caller::default()).collect(),
             outcomes: vec![Outcome::default(); requests.len()],
@@ -464,9 +468,7 @@
             return;
         }
         self.callers[request].tries += 1;
-        let endpoint = self.engine_of.iter().find(|(_, index)| **index == engine);
-        let tried = endpoint.map(|(id, _)| *id).into_iter().collect();
-        let spec = self.spec(request, tried);
+        let spec = self.spec(request, SmallVec::from_slice(&[self.endpoints[engine]]));
         self.submit(request, spec);
     }
 
--- a/crates/daisynotch_emulator/src/engine.rs
+++ b/crates/daisynotch_emulator/src/engine.rs
@@ -107,11 +107,9 @@
         }
     }
 
-    /// Takes a request; says whether the engine was idle and must be started.
-    pub(crate) fn push(&mut self, sequence: Sequence) -> bool {
-        let was_idle = self.is_idle();
+    /// Takes a request, behind those that wait.
+    pub(crate) fn push(&mut self, sequence: Sequence) {
         self.waiting.push_back(sequence);
-        was_idle
     }
 
     pub(crate) fn is_idle(&self) -> bool {
--- a/crates/daisynotch_router/src/direct/metrics.rs
+++ b/crates/daisynotch_router/src/direct/metrics.rs
@@ -2,11 +2,13 @@
 //!
 //! Labels are closed sets of words, so that their number does not grow with callers.
 
+use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
 
+use crate::metrics;
+
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] = [
     0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.4, 0.5, 0.75, 1.0, 2.5, 10.0,
@@ -54,7 +56,7 @@
             HistogramOpts::new(format!("daisynotch_{name}"), help)
                 .buckets(LATENCY_BUCKETS_S.to_vec())
         };
-        let metrics = Self {
+        let all = Self {
             registry: Registry::new(),
             requests: counters("requests_total", "Ended requests.", &["kind", "outcome"])?,
             sends: counters("sends_total", "Sends to endpoints.", &["ended"])?,
@@ -95,31 +97,31 @@
                 "Other routers heard lately.",
             )?,
         };
-        metrics.register()?;
-        Ok(metrics)
+        all.register()?;
+        Ok(all)
     }
 
     /// Writes all metrics in the text format.
     pub(crate) fn to_text(&self) -> Result<Vec<u8>, prometheus::Error> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(text)
+        metrics::to_text(&self.registry)
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let registry = &self.registry;
-        registry.register(Box::new(self.requests.clone()))?;
-        registry.register(Box::new(self.sends.clone()))?;
-        registry.register(Box::new(self.answer_start.clone()))?;
-        registry.register(Box::new(self.wait.clone()))?;
-        registry.register(Box::new(self.waiting.clone()))?;
-        registry.register(Box::new(self.running.clone()))?;
-        registry.register(Box::new(self.store_calls.clone()))?;
-        registry.register(Box::new(self.digests.clone()))?;
-        registry.register(Box::new(self.digest_sent_bytes.clone()))?;
-        registry.register(Box::new(self.connections_opened.clone()))?;
-        registry.register(Box::new(self.listener_pauses.clone()))?;
-        registry.register(Box::new(self.configuration_version.clone()))?;
-        registry.register(Box::new(self.routers_present.clone()))
+        let collectors: [Box<dyn Collector>; 13] = [
+            Box::new(self.requests.clone()),
+            Box::new(self.sends.clone()),
+            Box::new(self.answer_start.clone()),
+            Box::new(self.wait.clone()),
+            Box::new(self.waiting.clone()),
+            Box::new(self.running.clone()),
+            Box::new(self.store_calls.clone()),
+            Box::new(self.digests.clone()),
+            Box::new(self.digest_sent_bytes.clone()),
+            Box::new(self.connections_opened.clone()),
+            Box::new(self.listener_pauses.clone()),
+            Box::new(self.configuration_version.clone()),
+            Box::new(self.routers_present.clone()),
+        ];
+        metrics::register(&self.registry, collectors)
     }
 }
--- a/crates/daisynotch_router/src/metrics.rs
+++ b/crates/daisynotch_router/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and gauges, served at `/metrics`.
 
+use prometheus::core::Collector;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -65,20 +66,34 @@
 
     /// Writes all metrics in the text format.
     pub(crate) fn to_text(&self) -> Result<Vec<u8>, prometheus::Error> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(text)
+        to_text(&self.registry)
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        self.registry.register(Box::new(self.requests.clone()))?;
-        self.registry.register(Box::new(self.first_token.clone()))?;
-        self.registry
-            .register(Box::new(self.open_requests.clone()))?;
-        self.registry
-            .register(Box::new(self.control_sent_bytes.clone()))?;
-        self.registry
-            .register(Box::new(self.key_value_calls.clone()))?;
-        self.registry.register(Box::new(self.revision.clone()))
+        let collectors: [Box<dyn Collector>; 6] = [
+            Box::new(self.requests.clone()),
+            Box::new(self.first_token.clone()),
+            Box::new(self.open_requests.clone()),
+            Box::new(self.control_sent_bytes.clone()),
+            Box::new(self.key_value_calls.clone()),
+            Box::new(self.revision.clone()),
+        ];
+        register(&self.registry, collectors)
     }
 }
+
+/// Registers the metrics of one process.
+pub(crate) fn register(
+    registry: &Registry,
+    collectors: impl IntoIterator<Item = Box<dyn Collector>>,
+) -> Result<(), prometheus::Error> {
+    let mut collectors = collectors.into_iter();
+    collectors.try_for_each(|collector| registry.register(collector))
+}
+
+/// Writes registered metrics in the text format.
+pub(crate) fn to_text(registry: &Registry) -> Result<Vec<u8>, prometheus::Error> {
+    let mut text = Vec::new();
+    TextEncoder::new().encode(&registry.gather(), &mut text)?;
+    Ok(text)
+}
--- a/crates/daisynotch_router/src/settings.rs
+++ b/crates/daisynotch_router/src/settings.rs
@@ -114,14 +114,12 @@
 impl Settings {
     /// Reads and checks a settings file.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        Self::parse(&startup::read_settings(path)?)
+        startup::read_settings(path, Self::check)
     }
 
     /// Parses and checks settings.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let settings: Self = startup::parse_settings(text)?;
-        settings.check()?;
-        Ok(settings)
+        startup::parse_settings(text, Self::check)
     }
 
     /// Gives how long callers may keep an entry address.
--- a/crates/daisynotch_router/src/startup.rs
+++ b/crates/daisynotch_router/src/startup.rs
@@ -42,15 +42,25 @@
     Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
 }
 
-/// Reads the text of a settings file.
-pub(crate) fn read_settings(path: &Path) -> Result<String, SettingsError> {
-    std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
+/// Reads settings from a file and checks their values.
+pub(crate) fn read_settings<S: DeserializeOwned>(
+    path: &Path,
+    check: impl FnOnce(&S) -> Result<(), SettingsError>,
+) -> Result<S, SettingsError> {
+    let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
         path: path.to_owned(),
         error,
-    })
+    })?;
+    parse_settings(&text, check)
 }
 
-/// Parses settings, whose values are not checked yet.
-pub(crate) fn parse_settings<S: DeserializeOwned>(text: &str) -> Result<S, SettingsError> {
-    toml::from_str(text).map_err(|error| SettingsError::Malformed(error.to_string()))
+/// Parses settings and checks their values.
+pub(crate) fn parse_settings<S: DeserializeOwned>(
+    text: &str,
+    check: impl FnOnce(&S) -> Result<(), SettingsError>,
+) -> Result<S, SettingsError> {
+    let settings = toml::from_str(text);
+    let settings = settings.map_err(|error| SettingsError::Malformed(error.to_string()))?;
+    check(&settings)?;
+    Ok(settings)
 }
