Keep an endpoint's word that it leaves, or wants nothing for a while

An endpoint that said that it leaves got requests for as long as its entry said ready; one that named a time was tried again every 500 ms, and counted as failing for long after.

Change: a start of an endpoint that said it leaves is closed for good, whatever its entry says; digests and the view for starting routers tell it on. An endpoint that named a time gets nothing before that, also where its entry lapses and returns; when all endpoints of a service did, a request that can wait for the first waits, others are refused at once with that time, spread by a quarter. Answers that are misdirected speak for another endpoint.

--- a/crates/daisynotch_core/benches/direct_decision.rs
+++ b/crates/daisynotch_core/benches/direct_decision.rs
@@ -143,6 +143,7 @@
         configuration_version: 1,
         configuration_age_ms: None,
         endpoints_revision: 1,
+        leaving: Vec::new(),
         arrivals_per_core_s: 0,
         endpoints: Vec::new(),
         teams: teams.collect(),
--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -18,6 +18,7 @@
 mod part_cache;
 mod placement;
 mod pressure;
+mod pushback;
 mod request;
 mod retry_budget;
 mod routes;
--- a/crates/daisynotch_core/src/direct/digest.rs
+++ b/crates/daisynotch_core/src/direct/digest.rs
@@ -137,6 +137,8 @@
     pub arrivals_per_core_s: u32,
     /// Its load on endpoints.
     pub endpoints: Vec<EndpointDigest>,
+    /// Endpoints that told it lately that they leave.
+    pub leaving: Vec<EndpointId>,
     /// What its teams asked and began.
     pub teams: Vec<TeamDigest>,
     /// Prompts that it placed.
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -2,10 +2,11 @@
 
 use smallvec::SmallVec;
 
+use super::decision::UNPLACED_MAX;
 use super::*;
 use crate::direct::{
-    CallerLimits, EndpointState, HostIntroduction, HostPhase, Part, Parts, RetryBudgetSettings,
-    ServiceView, ShareSettings,
+    CallerLimits, EndpointState, HostIntroduction, HostPhase, Part, Parts, RefuseReason,
+    RetryBudgetSettings, ServiceView, ShareSettings,
 };
 use crate::message::Incarnation;
 
@@ -463,6 +464,7 @@
         configuration_version: 1,
         configuration_age_ms: None,
         endpoints_revision: 1,
+        leaving: Vec::new(),
         arrivals_per_core_s: 0,
         endpoints: Vec::new(),
         teams: Vec::new(),
@@ -474,3 +476,47 @@
         introduced: Vec::new(),
     }
 }
+
+/// An overloaded service turns requests away and says for how long: more of them would only
+/// cost it that time, and what waits for nobody is told at once when to come back.
+#[test]
+fn endpoints_that_push_back_get_nothing_and_callers_hear_until_when() {
+    let mut dispatcher = dispatcher(10_000_000);
+    let first = sent(ask(&mut dispatcher, plain(at(0)), at(0)));
+    let pause = Duration::from_secs(3);
+    dispatcher.on_pushback(first.endpoint, pause, at(5));
+    dispatcher.on_ended(first.run, Ended::PushedBack, at(5));
+    // Its entry lapses and returns meanwhile.
+    let table = table(10_000_000);
+    for index in 0..2 {
+        let entry = entry("orders", index);
+        if entry.id() == first.endpoint {
+            dispatcher.on_endpoint(EndpointChange::Closed(entry.id()), &table);
+            dispatcher.on_endpoint(EndpointChange::Usable(entry), &table);
+        }
+    }
+    let second = sent(ask(&mut dispatcher, plain(at(10)), at(10)));
+    assert_ne!(second.endpoint, first.endpoint);
+    dispatcher.on_pushback(second.endpoint, pause * 2, at(15));
+    dispatcher.on_ended(second.run, Ended::PushedBack, at(15));
+    let Some(Verdict::Refuse {
+        reason,
+        retry_after,
+        ..
+    }) = ask(&mut dispatcher, plain(at(20)), at(20))
+    else {
+        panic!("nobody wants it");
+    };
+    assert_eq!(reason, RefuseReason::PushedBack);
+    let left = Duration::from_millis(2_985);
+    assert!(
+        (left..left.mul_f64(1.3)).contains(&retry_after),
+        "{retry_after:?}"
+    );
+    // One that is wanted soon enough waits for that.
+    assert_eq!(ask(&mut dispatcher, plain(at(2_900)), at(2_900)), None);
+    let verdicts = dispatcher.pump(at(3_005));
+    assert!(
+        matches!(&verdicts[..], [(_, Verdict::Send(grant))] if grant.endpoint == first.endpoint)
+    );
+}
--- a/crates/daisynotch_core/src/direct/endpoints.rs
+++ b/crates/daisynotch_core/src/direct/endpoints.rs
@@ -24,6 +24,9 @@
 const LAPSED_KEPT: Duration = Duration::from_millis(1_700);
 /// How long the reports of an endpoint that has gone are remembered.
 const GONE_REMEMBERED: Duration = Duration::from_secs(30);
+/// How long an endpoint that said itself that it leaves is remembered: many times what one
+/// takes to finish, as its entry may go on to say that it takes requests.
+const LEAVING_REMEMBERED: Duration = Duration::from_secs(600);
 
 /// Whether new requests may go to an endpoint.
 #[daisynotch_macros::value]
@@ -89,6 +92,8 @@
 pub struct EndpointList {
     known: HashMap<Arc<str>, Known>,
     gone: HashMap<Arc<str>, ((u64, u64), Timestamp)>,
+    /// Starts of endpoints that said in an answer that they leave, and when that was heard.
+    leaving: HashMap<EndpointId, Timestamp>,
     /// Until when a vanished entry may be one that lapsed in an outage.
     lapses_until: Timestamp,
 }
@@ -116,9 +121,12 @@
             }
         }
         self.gone.remove(&entry.name);
-        changes.push(match entry.state {
-            EndpointState::Ready => EndpointChange::Usable(entry.clone()),
-            EndpointState::Draining => EndpointChange::Closed(entry.id()),
+        let is_usable =
+            entry.state == EndpointState::Ready && !self.leaving.contains_key(&entry.id());
+        changes.push(if is_usable {
+            EndpointChange::Usable(entry.clone())
+        } else {
+            EndpointChange::Closed(entry.id())
         });
         let name = Arc::clone(&entry.name);
         let lapsed_at = None;
@@ -138,6 +146,32 @@
         self.forget(name, now)
     }
 
+    /// Takes an endpoint's own word, heard here or by another router, that it leaves.
+    ///
+    /// It binds for good: only another start takes requests again, whatever the entry says.
+    pub fn on_leaving(&mut self, id: EndpointId, now: Timestamp) -> Vec<EndpointChange> {
+        if self.leaving.contains_key(&id) {
+            return Vec::new();
+        }
+        self.leaving.insert(id, now);
+        vec![EndpointChange::Closed(id)]
+    }
+
+    /// Gives the endpoints whose word that they leave was first heard within a time.
+    pub fn leaving_within(
+        &self,
+        window: Duration,
+        now: Timestamp,
+    ) -> impl Iterator<Item = EndpointId> {
+        let heard = self.leaving.iter();
+        heard.filter_map(move |(id, at)| (now.since(*at) < window).then_some(*id))
+    }
+
+    /// Gives all endpoints that are known to leave, for routers that start.
+    pub fn leaving(&self) -> impl Iterator<Item = EndpointId> {
+        self.leaving.keys().copied()
+    }
+
     /// Takes a whole listing: what it lacks has vanished.
     pub fn replace(&mut self, entries: Vec<EndpointEntry>, now: Timestamp) -> Vec<EndpointChange> {
         let names = self.known.keys();
@@ -157,6 +191,8 @@
     pub fn expire(&mut self, now: Timestamp) -> Vec<EndpointChange> {
         self.gone
             .retain(|_, (_, at)| now.since(*at) < GONE_REMEMBERED);
+        self.leaving
+            .retain(|_, at| now.since(*at) < LEAVING_REMEMBERED);
         let is_over = |known: &Known| {
             known
                 .lapsed_at
--- a/crates/daisynotch_core/src/direct/endpoints/tests.rs
+++ b/crates/daisynotch_core/src/direct/endpoints/tests.rs
@@ -103,3 +103,38 @@
     let changes = list.expire(left_at + Duration::from_millis(1_750));
     assert_eq!(changes, [EndpointChange::Closed(entry("a", 10, 5).id())]);
 }
+
+/// An endpoint leaves without a word in the store: its entry goes on to say that it is ready.
+#[test]
+fn an_endpoint_that_said_that_it_leaves_is_not_used_again() {
+    let mut list = EndpointList::default();
+    let now = Timestamp(1_000_000);
+    let first = entry("a", 10, 5);
+    list.write(first.clone());
+    let closed = [EndpointChange::Closed(first.id())];
+    assert_eq!(list.on_leaving(first.id(), now), closed);
+    assert_eq!(list.on_leaving(first.id(), now + SECOND), []);
+    assert_eq!(list.write(entry("a", 10, 6)), closed);
+    assert_eq!(list.leaving_within(SECOND, now).count(), 1);
+    assert_eq!(list.leaving_within(SECOND, now + SECOND).count(), 0);
+    list.expire(now + SECOND * 60);
+    assert_eq!(list.write(entry("a", 10, 60)), closed);
+    let next = entry("a", 20, 1);
+    let changes = list.write(next.clone());
+    assert!(
+        changes.contains(&EndpointChange::Usable(next)),
+        "{changes:?}"
+    );
+}
+
+/// Another router's word may come before the entry.
+#[test]
+fn an_endpoint_that_is_known_to_leave_before_it_is_known_is_not_used() {
+    let mut list = EndpointList::default();
+    let first = entry("a", 10, 5);
+    list.on_leaving(first.id(), Timestamp(1_000_000));
+    assert_eq!(
+        list.write(first.clone()),
+        [EndpointChange::Closed(first.id())]
+    );
+}
--- a/crates/daisynotch_core/src/direct/exchange/tests.rs
+++ b/crates/daisynotch_core/src/direct/exchange/tests.rs
@@ -123,6 +123,7 @@
             configuration_version: 1,
             configuration_age_ms: None,
             endpoints_revision: 1,
+            leaving: Vec::new(),
             arrivals_per_core_s: 0,
             endpoints: Vec::new(),
             teams: Vec::new(),
--- a/crates/daisynotch_core/src/direct/hosts/tests.rs
+++ b/crates/daisynotch_core/src/direct/hosts/tests.rs
@@ -24,6 +24,7 @@
         configuration_version: 1,
         configuration_age_ms: None,
         endpoints_revision: 1,
+        leaving: Vec::new(),
         arrivals_per_core_s: 100,
         endpoints: Vec::new(),
         teams: Vec::new(),
--- a/crates/daisynotch_core/src/direct/request.rs
+++ b/crates/daisynotch_core/src/direct/request.rs
@@ -83,6 +83,8 @@
     BeyondShare,
     /// It can't begin in time.
     NoRoom,
+    /// Each endpoint named a time until which it wants nothing.
+    PushedBack,
 }
 
 impl RefuseReason {
@@ -92,6 +94,7 @@
             Self::NoEndpoint => "no_endpoint",
             Self::BeyondShare => "beyond_share",
             Self::NoRoom => "no_room",
+            Self::PushedBack => "endpoints_pushed_back",
         }
     }
 }
@@ -124,6 +127,8 @@
     ErrorAnswer,
     /// The endpoint said that it did not run it.
     Refused,
+    /// The endpoint did not run it and named a time until which it wants nothing.
+    PushedBack,
     /// No connection could be made.
     Unreachable,
     /// The connection broke or gave bytes that are no answer.
--- a/crates/daisynotch_emulator/src/emulation.rs
+++ b/crates/daisynotch_emulator/src/emulation.rs
@@ -520,6 +520,7 @@
             configuration_version: 1,
             configuration_age_ms: None,
             endpoints_revision: 1,
+            leaving: Vec::new(),
             arrivals_per_core_s: 0,
             endpoints,
             teams,
--- a/crates/daisynotch_platform/src/ports.rs
+++ b/crates/daisynotch_platform/src/ports.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use daisynotch_core::direct::{EndpointEntry, Parts, RouteTable};
+use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderValue};
 
 /// Bytes that can't be understood.
@@ -162,6 +163,10 @@
     pub is_signed: bool,
     /// Whether the endpoint says that it did not run the request.
     pub is_not_run: bool,
+    /// Whether the endpoint says that it leaves.
+    pub is_leaving: bool,
+    /// For how long the endpoint wants no request of this router, if it says so.
+    pub pushback: Option<Duration>,
 }
 
 /// The port to a platform.
@@ -208,8 +213,13 @@
     /// Removes what a caller may not set, and sets what the router has to say.
     fn mark_outbound(&self, headers: &mut HeaderMap, marks: &OutboundMarks<'_>);
 
-    /// Reads the headers of an endpoint's answer.
-    fn read_answer(&self, headers: &HeaderMap, attempt_id: &HeaderValue) -> AnswerMarks;
+    /// Reads the status and the headers of an endpoint's answer.
+    fn read_answer(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        attempt_id: &HeaderValue,
+    ) -> AnswerMarks;
 
     /// Says whether a path asks for readiness.
     fn is_readiness_path(&self, path: &str) -> bool;
--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use daisynotch_core::direct::{Digest, Exchange, HostPhase, OwnRole, Recipients};
-use daisynotch_objects::{RouterId, RouterName};
+use daisynotch_objects::{EndpointId, RouterId, RouterName};
 use daisynotch_platform::ports::{StoreEvent, StoreItem};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HOST, HeaderValue};
@@ -62,6 +62,8 @@
 struct StoreViewMessage {
     configuration: Option<Bytes>,
     endpoints: Option<(Vec<StoreItem>, u64)>,
+    /// Endpoints that said that they leave.
+    leaving: Vec<EndpointId>,
 }
 
 /// A digest with the latest changes in the store.
@@ -181,6 +183,11 @@
         endpoints_revision: router.store_view.borrow().endpoints_revision,
         arrivals_per_core_s: router.arrivals_per_core_s(),
         endpoints: Vec::new(),
+        leaving: router
+            .endpoints
+            .borrow()
+            .leaving_within(RECENT_TOLD, now)
+            .collect(),
         teams: Vec::new(),
         placed: Vec::new(),
         is_brief: true,
@@ -263,6 +270,9 @@
         }
         router.dispatcher.borrow_mut().on_digest(&digest, now);
         router.on_configuration_age(&digest, now);
+        for endpoint in &digest.leaving {
+            router.on_endpoint_leaving(*endpoint, "digest");
+        }
         for (after_revision, event) in &recent {
             // A gap before it means that others were missed; then everything is asked for.
             if router.store_view.borrow().endpoints_revision >= *after_revision {
@@ -366,6 +376,9 @@
     let body = tokio::time::timeout(ASK_TIMEOUT, question).await;
     let body = body.map_err(|_| "it took too long".to_owned())??;
     let view: StoreViewMessage = postcard::from_bytes(&body).map_err(|error| error.to_string())?;
+    for endpoint in view.leaving {
+        router.on_endpoint_leaving(endpoint, "router");
+    }
     if let Some(configuration) = &view.configuration {
         router.on_configuration(configuration, "router");
     }
@@ -396,6 +409,7 @@
     let message = StoreViewMessage {
         configuration,
         endpoints,
+        leaving: router.endpoints.borrow().leaving().collect(),
     };
     match postcard::to_stdvec(&message) {
         Ok(body) => Response::new(AnswerBody::Whole(Some(Bytes::from(body)))),
--- a/crates/daisynotch_router/src/direct/send.rs
+++ b/crates/daisynotch_router/src/direct/send.rs
@@ -137,7 +137,7 @@
             }
             Err(error) => return Err(unreachable(error)),
         };
-        self.check(&answer)?;
+        self.check(grant, &answer)?;
         Ok((answer, connection))
     }
 
@@ -164,15 +164,26 @@
     }
 
     /// Checks that an answer is this request's and that the endpoint vouches for it.
-    fn check(&self, answer: &Response<Incoming>) -> Result<(), SendFailure> {
-        let headers = answer.headers();
-        let marks = self.router.platform.read_answer(headers, &self.attempt_id);
-        let status = answer.status();
+    fn check(&self, grant: &Grant, answer: &Response<Incoming>) -> Result<(), SendFailure> {
+        let (status, headers) = (answer.status(), answer.headers());
+        let platform = &self.router.platform;
+        let marks = platform.read_answer(status, headers, &self.attempt_id);
         let broken = |reason: &str| Err(SendFailure::Unknown(Ended::Broken, reason.to_owned()));
-        if marks.is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
+        // One that is misdirected was answered by another endpoint, at an address used again.
+        if status == StatusCode::MISDIRECTED_REQUEST {
             let reason = format!("status {status}");
             return Err(SendFailure::NotRun(Ended::Refused, reason));
         }
+        if marks.is_leaving {
+            self.router.on_endpoint_leaving(grant.endpoint, "answer");
+        }
+        if let Some(pause) = marks.pushback {
+            self.router.on_pushback(grant, pause);
+        }
+        if marks.is_not_run {
+            let ended = marks.pushback.map_or(Ended::Refused, |_| Ended::PushedBack);
+            return Err(SendFailure::NotRun(ended, format!("status {status}")));
+        }
         if !marks.is_for_attempt {
             return broken("the answer is another request's");
         }
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use daisynotch_core::direct::{
-    Confirmation, Digest, Dispatcher, Ended, EndpointChange, EndpointList, HostIntroduction,
+    Confirmation, Digest, Dispatcher, Ended, EndpointChange, EndpointList, Grant, HostIntroduction,
     HostPhase, HostTable, Pressure, QueueId, RequestSpec, RouteTable, RunId, Verdict,
 };
 use daisynotch_core::{EndpointId, Timestamp};
@@ -295,6 +295,22 @@
         self.pump();
     }
 
+    /// Takes an endpoint's own word that it leaves; other routers hear it with the next digest.
+    pub(crate) fn on_endpoint_leaving(&self, endpoint: EndpointId, source: &str) {
+        let changes = self.endpoints.borrow_mut().on_leaving(endpoint, self.now());
+        self.on_endpoint_changes(changes, source);
+    }
+
+    /// Takes an endpoint's word that it wants nothing from this router for a time.
+    pub(crate) fn on_pushback(&self, grant: &Grant, pause: Duration) {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.on_pushback(grant.endpoint, pause, self.now());
+        let fields = json!({
+            "endpoint": &*grant.endpoint_name, "pause_ms": pause.as_millis() as u64,
+        });
+        self.log.write(Weight::Essential, "pushback", fields);
+    }
+
     /// Notes whether the store answered; logs when that changes.
     pub(crate) fn on_store_answer(&self, is_present: bool, detail: &str) {
         if self.is_store_present.replace(is_present) == is_present {
@@ -459,6 +475,7 @@
             Ended::Done => "done",
             Ended::ErrorAnswer => "error_answer",
             Ended::Refused => "refused",
+            Ended::PushedBack => "pushed_back",
             Ended::Unreachable => "unreachable",
             Ended::Broken => "broken",
             Ended::Cancelled => "cancelled",
