Order what the store said by its era, then its revision

Revisions and the operator's numbers were ordered alone.

Change: endpoints are ordered by era and revision; a configuration carries two bounds of the era in which it was written, so that the copy's older one brings no withdrawn key back while one written since wins whatever its number. Routers tell each other both, and which endpoints left; one that starts asks for that once. The registration and its lease are written again within 1 s at random. After a return the store confirms no key for 1.5 s.

Ruled out: falling back to what the copy holds (keys return), the number alone (as before).

--- a/crates/daisynotch_core/benches/direct_decision.rs
+++ b/crates/daisynotch_core/benches/direct_decision.rs
@@ -7,9 +7,10 @@
 use std::time::{Duration, Instant};
 
 use daisynotch_core::direct::{
-    CallerLimits, Digest, Dispatcher, DispatcherSettings, Ended, EndpointChange, EndpointEntry,
-    EndpointState, EngineLimits, HostIntroduction, HostPhase, Part, RequestSpec,
-    RetryBudgetSettings, RouteTable, ServiceView, ShareSettings, TeamDigest, Verdict,
+    CallerLimits, ConfigurationStamp, Digest, Dispatcher, DispatcherSettings, Ended,
+    EndpointChange, EndpointEntry, EndpointState, EngineLimits, HostIntroduction, HostPhase, Part,
+    RequestSpec, RetryBudgetSettings, RouteTable, ServiceView, ShareSettings, StorePosition,
+    TeamDigest, Verdict,
 };
 use daisynotch_core::{Incarnation, Timestamp};
 use smallvec::SmallVec;
@@ -140,9 +141,9 @@
             has_callers: true,
         },
         seq,
-        configuration_version: 1,
+        configuration: ConfigurationStamp::default(),
         configuration_age_ms: None,
-        endpoints_revision: 1,
+        endpoints_at: StorePosition::default(),
         leaving: Vec::new(),
         arrivals_per_core_s: 0,
         endpoints: Vec::new(),
--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -23,6 +23,7 @@
 mod retry_budget;
 mod routes;
 mod shares;
+mod store_order;
 mod waiting;
 
 pub use confirmation::Confirmation;
@@ -31,7 +32,7 @@
     TeamDigest,
 };
 pub use dispatcher::Dispatcher;
-pub use endpoints::{EndpointChange, EndpointEntry, EndpointList, EndpointState};
+pub use endpoints::{DepartedEndpoint, EndpointChange, EndpointEntry, EndpointList, EndpointState};
 pub use event_framer::EventFramer;
 pub use exchange::{Exchange, OwnRole, Recipients};
 pub use hosts::{Host, HostTable};
@@ -45,3 +46,4 @@
     CallerLimits, EngineLimits, Route, RouteKind, RouteTable, ServiceView, TeamEntry,
 };
 pub use shares::{ShareSettings, TeamShares};
+pub use store_order::{ConfigurationStamp, StoreOrderError, StorePosition};
--- a/crates/daisynotch_core/src/direct/confirmation.rs
+++ b/crates/daisynotch_core/src/direct/confirmation.rs
@@ -10,6 +10,9 @@
 
 /// A time without a turn of the process after which what lies in its sockets may be old.
 const STANDSTILL_MIN: Duration = Duration::from_millis(300);
+/// How long a store that came back from a copy confirms nothing: a withdrawal that it lost is
+/// heard from other routers within this time, those without callers included.
+const RESTORE_SETTLES_WITHIN: Duration = Duration::from_millis(1_500);
 /// How long it takes to empty the sockets after that.
 const SOCKETS_EMPTIED_WITHIN: Duration = Duration::from_millis(500);
 
@@ -19,6 +22,8 @@
     current_at: Option<Timestamp>,
     last_turn_at: Timestamp,
     distrust_until: Timestamp,
+    /// Until when a store that came back from a copy confirms nothing.
+    unsettled_until: Timestamp,
 }
 
 impl Confirmation {
@@ -30,9 +35,17 @@
         self.last_turn_at = now;
     }
 
+    /// Notes that the store came back from a copy, which may lack what was withdrawn.
+    pub fn on_restore(&mut self, now: Timestamp) {
+        self.unsettled_until = now + RESTORE_SETTLES_WITHIN;
+    }
+
     /// Takes an answer of the store to a question sent at `sent_at`: what it holds now if it
     /// waited in vain for `waited`, else what it held at any time since.
     pub fn on_read(&mut self, sent_at: Timestamp, waited: Option<Duration>, now: Timestamp) {
+        if sent_at < self.unsettled_until {
+            return;
+        }
         let is_trusted = now >= self.distrust_until || sent_at >= self.distrust_until;
         let seen_at = match waited {
             Some(waited) if is_trusted => (sent_at + waited).min(now),
--- a/crates/daisynotch_core/src/direct/confirmation/tests.rs
+++ b/crates/daisynotch_core/src/direct/confirmation/tests.rs
@@ -71,3 +71,21 @@
     confirmation.on_told(ms(75), at(11_600));
     assert_eq!(confirmation.age(at(11_600)), Some(ms(75)));
 }
+
+/// A withdrawal that the store lost is heard from other routers first.
+#[test]
+fn a_store_that_came_back_from_a_copy_confirms_nothing_for_a_moment() {
+    let mut confirmation = Confirmation::default();
+    confirmation.on_turn(at(0));
+    confirmation.on_read(at(0), None, at(5));
+    confirmation.on_restore(at(1_000));
+    confirmation.on_turn(at(1_100));
+    confirmation.on_read(at(1_050), None, at(1_100));
+    assert_eq!(
+        confirmation.age(at(1_100)),
+        Some(Duration::from_millis(1_100))
+    );
+    let settled = at(1_000) + RESTORE_SETTLES_WITHIN;
+    confirmation.on_read(settled, None, settled);
+    assert_eq!(confirmation.age(settled), Some(Duration::ZERO));
+}
--- a/crates/daisynotch_core/src/direct/digest.rs
+++ b/crates/daisynotch_core/src/direct/digest.rs
@@ -8,6 +8,7 @@
 use daisynotch_objects::{EndpointId, RouterId, RouterName, ZoneName};
 
 use super::part_cache::Parts;
+use super::store_order::{ConfigurationStamp, StorePosition};
 use crate::message::Incarnation;
 
 /// Whether callers should be sent to a router.
@@ -127,12 +128,12 @@
     pub host: HostIntroduction,
     /// Counts the digests of this start, so that a late one is told from a new one.
     pub seq: u64,
-    /// The version of its configuration.
-    pub configuration_version: u64,
+    /// Its configuration.
+    pub configuration: ConfigurationStamp,
     /// The time since that was known to be the newest, in milliseconds; none if it never was.
     pub configuration_age_ms: Option<u32>,
-    /// The store's revision up to which it has seen the endpoints' entries.
-    pub endpoints_revision: u64,
+    /// Up to where in the store's history it has seen the endpoints' entries.
+    pub endpoints_at: StorePosition,
     /// Requests that arrive a second, for each whole core that it may use.
     pub arrivals_per_core_s: u32,
     /// Its load on endpoints.
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -5,8 +5,8 @@
 use super::decision::UNPLACED_MAX;
 use super::*;
 use crate::direct::{
-    CallerLimits, EndpointState, HostIntroduction, HostPhase, Part, Parts, RefuseReason,
-    RetryBudgetSettings, ServiceView, ShareSettings,
+    CallerLimits, ConfigurationStamp, EndpointState, HostIntroduction, HostPhase, Part, Parts,
+    RefuseReason, RetryBudgetSettings, ServiceView, ShareSettings, StorePosition,
 };
 use crate::message::Incarnation;
 
@@ -461,9 +461,9 @@
             has_callers: true,
         },
         seq: 1,
-        configuration_version: 1,
+        configuration: ConfigurationStamp::default(),
         configuration_age_ms: None,
-        endpoints_revision: 1,
+        endpoints_at: StorePosition::default(),
         leaving: Vec::new(),
         arrivals_per_core_s: 0,
         endpoints: Vec::new(),
--- a/crates/daisynotch_core/src/direct/endpoints.rs
+++ b/crates/daisynotch_core/src/direct/endpoints.rs
@@ -71,6 +71,17 @@
     }
 }
 
+/// A start of an endpoint whose entry has gone.
+#[daisynotch_macros::message]
+pub struct DepartedEndpoint {
+    /// Its name.
+    pub name: String,
+    /// The wall-clock time of the start, in milliseconds.
+    pub started_unix_ms: u64,
+    /// Its last report that was seen.
+    pub report_seq: u64,
+}
+
 /// What a change means for those who place requests.
 #[daisynotch_macros::value]
 pub enum EndpointChange {
@@ -104,21 +115,56 @@
         self.lapses_until = now + LAPSES_SEEN_FOR;
     }
 
+    /// Says whether a report is older than what is known, as one in a copy of the store may be.
+    pub fn is_outdated(&self, entry: &EndpointEntry) -> bool {
+        let gone = self.gone.get(&entry.name);
+        let known = self.known.get(&entry.name);
+        gone.is_some_and(|(last, _)| entry.age_key() <= *last)
+            || known.is_some_and(|known| entry.age_key() < known.entry.age_key())
+    }
+
+    /// Gives the endpoints that left lately, for routers that start.
+    pub fn departed(&self) -> impl Iterator<Item = DepartedEndpoint> {
+        let gone = self.gone.iter();
+        gone.map(
+            |(name, ((started_unix_ms, report_seq), _))| DepartedEndpoint {
+                name: name.to_string(),
+                started_unix_ms: *started_unix_ms,
+                report_seq: *report_seq,
+            },
+        )
+    }
+
+    /// Takes another router's word that an endpoint left.
+    pub fn on_departed(
+        &mut self,
+        departed: &DepartedEndpoint,
+        now: Timestamp,
+    ) -> Vec<EndpointChange> {
+        let age_key = (departed.started_unix_ms, departed.report_seq);
+        let known = self.known.get(departed.name.as_str());
+        match known {
+            Some(known) if known.entry.age_key() > age_key => Vec::new(),
+            Some(_) => self.forget(&departed.name, now),
+            None => {
+                let gone = self.gone.entry(Arc::from(departed.name.as_str()));
+                let (last, _) = gone.or_insert((age_key, now));
+                *last = age_key.max(*last);
+                Vec::new()
+            }
+        }
+    }
+
     /// Takes a report; an older one than the last is ignored.
     pub fn write(&mut self, entry: EndpointEntry) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
-        if let Some((last, _)) = self.gone.get(&entry.name)
-            && entry.age_key() <= *last
-        {
+        if self.is_outdated(&entry) {
             return changes;
         }
-        if let Some(known) = self.known.get(&entry.name) {
-            if entry.age_key() < known.entry.age_key() {
-                return changes;
-            }
-            if known.entry.id() != entry.id() {
-                changes.push(EndpointChange::Closed(known.entry.id()));
-            }
+        if let Some(known) = self.known.get(&entry.name)
+            && known.entry.id() != entry.id()
+        {
+            changes.push(EndpointChange::Closed(known.entry.id()));
         }
         self.gone.remove(&entry.name);
         let is_usable =
--- a/crates/daisynotch_core/src/direct/endpoints/tests.rs
+++ b/crates/daisynotch_core/src/direct/endpoints/tests.rs
@@ -138,3 +138,24 @@
         [EndpointChange::Closed(first.id())]
     );
 }
+
+/// A router that starts finds the entry of an endpoint that left in a copy of the store.
+#[test]
+fn another_router_s_word_that_an_endpoint_left_closes_that_start_only() {
+    let now = Timestamp(1_000_000);
+    let mut knows = EndpointList::default();
+    knows.write(entry("a", 10, 5));
+    knows.remove("a", now);
+    let departed: Vec<DepartedEndpoint> = knows.departed().collect();
+    let mut starts = EndpointList::default();
+    let of_copy = entry("a", 10, 4);
+    starts.write(of_copy.clone());
+    let changes = starts.on_departed(&departed[0], now);
+    assert_eq!(changes, [EndpointChange::Closed(of_copy.id())]);
+    assert_eq!(starts.write(of_copy.clone()), []);
+    assert!(starts.is_outdated(&of_copy));
+    // It was taken for gone and lives.
+    let lives = entry("a", 10, 6);
+    assert_eq!(starts.write(lives.clone()), [EndpointChange::Usable(lives)]);
+    assert_eq!(starts.on_departed(&departed[0], now), []);
+}
--- a/crates/daisynotch_core/src/direct/exchange/tests.rs
+++ b/crates/daisynotch_core/src/direct/exchange/tests.rs
@@ -3,6 +3,7 @@
 use daisynotch_objects::RouterId;
 
 use super::super::digest::{Digest, HostIntroduction, HostPhase};
+use super::super::store_order::{ConfigurationStamp, StorePosition};
 use super::*;
 use crate::message::Incarnation;
 
@@ -120,9 +121,9 @@
         Digest {
             host: member.own.clone(),
             seq: member.seq,
-            configuration_version: 1,
+            configuration: ConfigurationStamp::default(),
             configuration_age_ms: None,
-            endpoints_revision: 1,
+            endpoints_at: StorePosition::default(),
             leaving: Vec::new(),
             arrivals_per_core_s: 0,
             endpoints: Vec::new(),
--- a/crates/daisynotch_core/src/direct/hosts.rs
+++ b/crates/daisynotch_core/src/direct/hosts.rs
@@ -13,6 +13,7 @@
 use daisynotch_objects::RouterId;
 
 use super::digest::{Digest, Heartbeat, HostIntroduction, HostPhase, IntroducedHost};
+use super::store_order::{ConfigurationStamp, StorePosition};
 use crate::time::Timestamp;
 
 /// Silence after which a router with callers is not given out: three times the longest
@@ -34,10 +35,10 @@
     pub introduction: HostIntroduction,
     /// When its latest digest came.
     pub heard_at: Timestamp,
-    /// The version of its configuration.
-    pub configuration_version: u64,
-    /// The store's revision up to which it has seen the endpoints.
-    pub endpoints_revision: u64,
+    /// Its configuration.
+    pub configuration: ConfigurationStamp,
+    /// Up to where in the store's history it has seen the endpoints.
+    pub endpoints_at: StorePosition,
     /// Requests that reach it a second, for each whole core that it may use.
     pub arrivals_per_core_s: u32,
     /// Its latest digest that came here.
@@ -56,6 +57,27 @@
         now.since(self.heard_at) < absent_after
     }
 
+    /// Gives the one of two that has seen more of the store.
+    fn ahead_of<'a>(&'a self, other: &'a Self) -> &'a Self {
+        if self.configuration.is_same(&other.configuration) {
+            return if other.endpoints_at > self.endpoints_at {
+                other
+            } else {
+                self
+            };
+        }
+        if other.configuration.is_newer_than(&self.configuration) {
+            other
+        } else {
+            self
+        }
+    }
+
+    /// Says whether it has heard from the store or from others since it started.
+    pub fn has_started(&self) -> bool {
+        self.endpoints_at > StorePosition::default()
+    }
+
     fn is_serving(&self) -> bool {
         self.introduction.phase == HostPhase::Serving
     }
@@ -117,8 +139,8 @@
         let host = Host {
             introduction: digest.host.clone(),
             heard_at: now,
-            configuration_version: digest.configuration_version,
-            endpoints_revision: digest.endpoints_revision,
+            configuration: digest.configuration,
+            endpoints_at: digest.endpoints_at,
             arrivals_per_core_s: digest.arrivals_per_core_s,
             last_seq: digest.seq,
             told_seq: digest.seq,
@@ -156,8 +178,8 @@
             introduction: host.clone(),
             heard_at: now - Duration::from_millis(u64::from(heartbeat.age_ms)),
             // What it has seen of the store is known from itself only.
-            configuration_version: 0,
-            endpoints_revision: 0,
+            configuration: ConfigurationStamp::default(),
+            endpoints_at: StorePosition::default(),
             arrivals_per_core_s: heartbeat.arrivals_per_core_s,
             last_seq: 0,
             told_seq: heartbeat.seq,
@@ -296,19 +318,17 @@
     /// the one that has seen most, since one that is cut off still has what others dropped.
     pub fn ahead(
         &self,
-        configuration_version: u64,
-        endpoints_revision: u64,
+        configuration: &ConfigurationStamp,
+        endpoints_at: StorePosition,
         is_starting: bool,
         draw: usize,
         now: Timestamp,
     ) -> Option<&Host> {
         let ahead = self.present(now).filter(|host| {
-            host.configuration_version > configuration_version
-                || host.endpoints_revision > endpoints_revision
+            host.configuration.is_newer_than(configuration) || host.endpoints_at > endpoints_at
         });
-        let seen = |host: &Host| (host.configuration_version, host.endpoints_revision);
         if is_starting {
-            return ahead.max_by_key(|host| seen(host));
+            return ahead.reduce(Host::ahead_of);
         }
         let ahead: Vec<&Host> = ahead.collect();
         ahead.get(draw % ahead.len().max(1)).copied()
--- a/crates/daisynotch_core/src/direct/hosts/tests.rs
+++ b/crates/daisynotch_core/src/direct/hosts/tests.rs
@@ -21,9 +21,9 @@
     Digest {
         host: introduction(name, zone, phase),
         seq,
-        configuration_version: 1,
+        configuration: ConfigurationStamp::default(),
         configuration_age_ms: None,
-        endpoints_revision: 1,
+        endpoints_at: StorePosition::default(),
         leaving: Vec::new(),
         arrivals_per_core_s: 100,
         endpoints: Vec::new(),
@@ -288,6 +288,10 @@
     );
 }
 
+fn seen_to(revision: u64) -> StorePosition {
+    StorePosition { era: 1, revision }
+}
+
 /// A key that was withdrawn while a host was cut off came back with that host's word after a
 /// restart of another one.
 #[test]
@@ -300,12 +304,14 @@
         ("r-e", 3, 41),
     ] {
         let mut told = digest(name, "one", HostPhase::Serving, 1);
-        told.configuration_version = version;
-        told.endpoints_revision = revision;
+        told.configuration = ConfigurationStamp::new(version, b"", 1, None);
+        told.endpoints_at = seen_to(revision);
         table.on_digest(&told, at(0));
     }
     let asked = |is_starting, draw| {
-        let host = table.ahead(0, 0, is_starting, draw, at(1)).unwrap();
+        let none = ConfigurationStamp::default();
+        let ahead = table.ahead(&none, StorePosition::default(), is_starting, draw, at(1));
+        let host = ahead.unwrap();
         host.introduction.router.to_string()
     };
     for draw in 0..8 {
@@ -313,5 +319,7 @@
     }
     let spread: std::collections::HashSet<String> = (0..8).map(|draw| asked(false, draw)).collect();
     assert_eq!(spread.len(), 4, "others spread their questions");
-    assert!(table.ahead(9, 72, false, 0, at(1)).is_none());
+    let newest = ConfigurationStamp::new(9, b"", 1, None);
+    let ahead = table.ahead(&newest, seen_to(72), false, 0, at(1));
+    assert!(ahead.is_none());
 }
--- /dev/null
+++ b/crates/daisynotch_core/src/direct/store_order/tests.rs
@@ -0,0 +1,69 @@
+use super::*;
+
+fn stamp(version: u64, text: &str, eras: (u64, u64)) -> ConfigurationStamp {
+    ConfigurationStamp {
+        era_min: eras.0,
+        ..ConfigurationStamp::new(version, text.as_bytes(), eras.1, None)
+    }
+}
+
+#[test]
+fn within_an_era_the_greater_number_is_newer() {
+    let listed = stamp(9, "a", (0, 1));
+    let written = stamp(11, "b", (1, 1));
+    assert!(written.is_newer_than(&listed));
+    assert!(!listed.is_newer_than(&written));
+    // It was listed by a router that has just started, and the other one is cut off.
+    let listed = stamp(13, "c", (0, 1));
+    assert!(listed.is_newer_than(&written));
+    assert!(!written.is_newer_than(&listed));
+}
+
+#[test]
+fn the_copy_s_older_one_is_not_newer_than_one_that_was_lost() {
+    let lost = stamp(9, "a", (1, 1));
+    let of_copy = stamp(7, "b", (0, 2));
+    assert!(!of_copy.is_newer_than(&lost));
+    assert!(lost.is_newer_than(&of_copy));
+}
+
+#[test]
+fn one_that_was_written_after_the_return_is_newer_whatever_its_number() {
+    let lost = stamp(9, "a", (1, 1));
+    let written_again = stamp(9, "b", (0, 2));
+    assert!(written_again.is_newer_than(&lost));
+    assert!(!lost.is_newer_than(&written_again));
+    let lower = stamp(8, "c", (2, 2));
+    assert!(lower.is_newer_than(&lost));
+    assert!(!lost.is_newer_than(&lower));
+}
+
+#[test]
+fn the_same_one_written_again_joins_what_is_known() {
+    let mut held = stamp(9, "a", (1, 1));
+    let listed = stamp(9, "a", (0, 3));
+    assert!(held.is_same(&listed) && !listed.is_newer_than(&held));
+    held.join(&listed);
+    assert_eq!((held.era_min, held.era_max), (1, 3));
+}
+
+#[test]
+fn positions_are_ordered_by_era_first() {
+    let position = |era, revision| StorePosition { era, revision };
+    assert!(position(2, 5) > position(1, 900));
+    assert!(position(2, 6) > position(2, 5));
+}
+
+#[test]
+fn texts_are_read_back() {
+    let stamp = stamp(9, "a", (1, 2));
+    assert_eq!(stamp.to_string().parse(), Ok(stamp));
+    let position = StorePosition {
+        era: 3,
+        revision: 77,
+    };
+    assert_eq!("3.77".parse(), Ok(position));
+    for text in ["", "3", "3.", "3.7.1", "a.7", "-3.7"] {
+        assert_eq!(text.parse::<StorePosition>(), Err(StoreOrderError(2)));
+    }
+}
--- a/crates/daisynotch_emulator/src/emulation.rs
+++ b/crates/daisynotch_emulator/src/emulation.rs
@@ -7,7 +7,8 @@
 
 use daisynotch_core::Timestamp;
 use daisynotch_core::direct::{
-    Digest, Dispatcher, Ended, EndpointEntry, QueueId, RequestSpec, RunId, Verdict,
+    ConfigurationStamp, Digest, Dispatcher, Ended, EndpointEntry, QueueId, RequestSpec, RunId,
+    StorePosition, Verdict,
 };
 use daisynotch_objects::EndpointId;
 use rand::rngs::StdRng;
@@ -517,9 +518,9 @@
         let digest = Digest {
             host: introduction(router),
             seq,
-            configuration_version: 1,
+            configuration: ConfigurationStamp::default(),
             configuration_age_ms: None,
-            endpoints_revision: 1,
+            endpoints_at: StorePosition::default(),
             leaving: Vec::new(),
             arrivals_per_core_s: 0,
             endpoints,
--- a/crates/daisynotch_platform/src/ports.rs
+++ b/crates/daisynotch_platform/src/ports.rs
@@ -174,6 +174,9 @@
     /// Gives the prefixes of the store's keys.
     fn prefixes(&self) -> StorePrefixes;
 
+    /// Reads from an answer of the store how often it came back from a copy, if it says so.
+    fn store_era(&self, headers: &HeaderMap) -> Option<u64>;
+
     /// Writes a call that lists keys, after a key; `may_be_stale` makes it cheaper.
     fn range(&self, prefix: &str, after: Option<&str>, may_be_stale: bool) -> StoreCall;
 
--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use daisynotch_core::direct::{Digest, Exchange, HostPhase, OwnRole, Recipients};
+use daisynotch_core::direct::{
+    ConfigurationStamp, DepartedEndpoint, Digest, Exchange, HostPhase, OwnRole, Recipients,
+    StorePosition,
+};
 use daisynotch_objects::{EndpointId, RouterId, RouterName};
 use daisynotch_platform::ports::{StoreEvent, StoreItem};
 use http_body_util::{BodyExt, Full, Limited};
@@ -60,8 +63,10 @@
 /// The store's state as one router knows it; what the other one has is left out.
 #[derive(Debug, Serialize, Deserialize)]
 struct StoreViewMessage {
-    configuration: Option<Bytes>,
-    endpoints: Option<(Vec<StoreItem>, u64)>,
+    configuration: Option<(ConfigurationStamp, Bytes)>,
+    endpoints: Option<(Vec<StoreItem>, StorePosition)>,
+    /// Endpoints that left lately.
+    departed: Vec<DepartedEndpoint>,
     /// Endpoints that said that they leave.
     leaving: Vec<EndpointId>,
 }
@@ -70,8 +75,8 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Datagram {
     digest: Digest,
-    /// Each with the revision of the endpoints that it follows.
-    recent: Vec<(u64, StoreEvent)>,
+    /// Each with what it follows in the same era.
+    recent: Vec<(StorePosition, StoreEvent)>,
 }
 
 /// Sends digests at every tick.
@@ -174,13 +179,13 @@
     Digest {
         host: router.introduction.borrow().clone(),
         seq: router.next_digest_seq(),
-        configuration_version: router.routes().map_or(0, |routes| routes.version),
+        configuration: router.configuration.get(),
         configuration_age_ms: router
             .confirmation
             .borrow()
             .age(now)
             .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
-        endpoints_revision: router.store_view.borrow().endpoints_revision,
+        endpoints_at: router.store_view.borrow().endpoints_at,
         arrivals_per_core_s: router.arrivals_per_core_s(),
         endpoints: Vec::new(),
         leaving: router
@@ -199,14 +204,14 @@
 }
 
 /// Gives the latest changes, and forgets those that all routers have been told.
-fn take_recent(router: &Router) -> Vec<(u64, StoreEvent)> {
+fn take_recent(router: &Router) -> Vec<(StorePosition, StoreEvent)> {
     let now = router.now();
     let mut view = router.store_view.borrow_mut();
     view.recent
         .retain(|change| now.since(change.at) < RECENT_TOLD);
     let newest = view.recent.iter().rev().take(RECENT_MAX);
-    let mut newest: Vec<(u64, StoreEvent)> = newest
-        .map(|change| (change.after_revision, change.event.clone()))
+    let mut newest: Vec<(StorePosition, StoreEvent)> = newest
+        .map(|change| (change.after, change.event.clone()))
         .collect();
     newest.reverse();
     newest
@@ -273,10 +278,10 @@
         for endpoint in &digest.leaving {
             router.on_endpoint_leaving(*endpoint, "digest");
         }
-        for (after_revision, event) in &recent {
+        for (after, event) in &recent {
             // A gap before it means that others were missed; then everything is asked for.
-            if router.store_view.borrow().endpoints_revision >= *after_revision {
-                on_endpoint_event(&router, event, "digest");
+            if router.store_view.borrow().endpoints_at >= *after {
+                on_endpoint_event(&router, after.era, event, "digest");
             }
         }
     }
@@ -286,19 +291,30 @@
 pub(crate) async fn catch_up(router: Rc<Router>, mut ticks: mpsc::Receiver<Tick>) {
     let mut behind_since = None;
     let mut seen = HashMap::new();
+    // Which endpoints left is known to routers only, once the store has come back from a copy.
+    let mut has_asked = false;
     while ticks.recv().await.is_some() {
         let now = router.now();
         note_presence(&router, &mut seen);
-        let Some(address) = router_ahead(&router) else {
+        let first_asked = || {
+            let hosts = router.hosts.borrow();
+            let first = hosts.present(now).find(|host| host.has_started());
+            first.map(|host| host.introduction.peer_address)
+        };
+        let ahead = router_ahead(&router);
+        let Some(address) = ahead.or_else(|| first_asked().filter(|_| !has_asked)) else {
             behind_since = None;
             continue;
         };
         let since = *behind_since.get_or_insert(now);
-        let is_waiting_worth = router.phase() != HostPhase::Starting && router.reads_store();
+        let is_waiting_worth =
+            has_asked && router.phase() != HostPhase::Starting && router.reads_store();
         if is_waiting_worth && now.since(since) < BEHIND_MAX {
             continue;
         }
-        if let Err(reason) = ask(&router, address).await {
+        let asked = ask(&router, address).await;
+        has_asked |= asked.is_ok();
+        if let Err(reason) = asked {
             let fields = json!({"address": address.to_string(), "error": reason});
             router
                 .log
@@ -342,12 +358,18 @@
 
 /// Finds a router that has seen more of the store than this one.
 fn router_ahead(router: &Router) -> Option<SocketAddr> {
-    let version = router.routes().map_or(0, |routes| routes.version);
-    let revision = router.store_view.borrow().endpoints_revision;
+    let endpoints_at = router.store_view.borrow().endpoints_at;
     let is_starting = router.phase() == HostPhase::Starting;
     let draw = rand::rng().random_range(0..usize::MAX / 2);
     let hosts = router.hosts.borrow();
-    let ahead = hosts.ahead(version, revision, is_starting, draw, router.now());
+    let configuration = router.configuration.get();
+    let ahead = hosts.ahead(
+        &configuration,
+        endpoints_at,
+        is_starting,
+        draw,
+        router.now(),
+    );
     ahead.map(|host| host.introduction.peer_address)
 }
 
@@ -357,9 +379,9 @@
             .await
             .map_err(|error| format!("{error:?}"))?;
         let mut request = Request::new(Full::new(Bytes::new()));
-        let version = router.routes().map_or(0, |routes| routes.version);
-        let revision = router.store_view.borrow().endpoints_revision;
-        let target = format!("{STORE_VIEW_PATH}?{version}&{revision}");
+        let configuration = router.configuration.get();
+        let endpoints_at = router.store_view.borrow().endpoints_at;
+        let target = format!("{STORE_VIEW_PATH}?{configuration}&{endpoints_at}");
         *request.uri_mut() = target.parse().map_err(|error| format!("{error}"))?;
         let host = HeaderValue::from_str(&address.to_string());
         let headers = request.headers_mut();
@@ -379,13 +401,19 @@
     for endpoint in view.leaving {
         router.on_endpoint_leaving(endpoint, "router");
     }
-    if let Some(configuration) = &view.configuration {
-        router.on_configuration(configuration, "router");
+    for departed in &view.departed {
+        let now = router.now();
+        let changes = router.endpoints.borrow_mut().on_departed(departed, now);
+        router.on_endpoint_changes(changes, "router");
+    }
+    if let Some((stamp, text)) = &view.configuration {
+        let written_in = (stamp.era_min > 0).then_some(stamp.era_min);
+        router.on_configuration(text, stamp.era_max, written_in, "router");
     }
-    if let Some((items, at_revision)) = view.endpoints {
+    if let Some((items, at)) = view.endpoints {
         let items = items.into_iter();
         let items = items.map(|item| (item.key.clone(), item)).collect();
-        replace_endpoints(router, items, at_revision, "router");
+        replace_endpoints(router, items, at, "router");
     }
     Ok(())
 }
@@ -393,22 +421,27 @@
 /// Answers another router's question, which says what it has already.
 pub(crate) fn answer(router: &Router, uri: &hyper::Uri) -> Response<AnswerBody> {
     let known = uri.query().and_then(|query| query.split_once('&'));
-    let known = known.and_then(|(version, revision)| {
-        Some((version.parse::<u64>().ok()?, revision.parse::<u64>().ok()?))
+    let known = known.and_then(|(configuration, endpoints_at)| {
+        let configuration: ConfigurationStamp = configuration.parse().ok()?;
+        let endpoints_at: StorePosition = endpoints_at.parse().ok()?;
+        Some((configuration, endpoints_at))
     });
-    let (Some((version, revision)), STORE_VIEW_PATH) = (known, uri.path()) else {
+    let (Some((configuration, endpoints_at)), STORE_VIEW_PATH) = (known, uri.path()) else {
         return OwnAnswer::new(StatusCode::NOT_FOUND, "unknown_path").into_response();
     };
     let view = router.store_view.borrow();
-    let own_version = router.routes().map_or(0, |routes| routes.version);
-    let configuration = view.configuration.clone().filter(|_| own_version > version);
-    let endpoints = (view.endpoints_revision > revision).then(|| {
+    let own = router.configuration.get();
+    let text = view.configuration.clone();
+    let text = text.filter(|_| own.is_newer_than(&configuration));
+    let configuration = text.map(|text| (own, text));
+    let endpoints = (view.endpoints_at > endpoints_at).then(|| {
         let items = view.endpoints.values().cloned().collect();
-        (items, view.endpoints_revision)
+        (items, view.endpoints_at)
     });
     let message = StoreViewMessage {
         configuration,
         endpoints,
+        departed: router.endpoints.borrow().departed().collect(),
         leaving: router.endpoints.borrow().leaving().collect(),
     };
     match postcard::to_stdvec(&message) {
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -9,13 +9,14 @@
 
 use bytes::Bytes;
 use daisynotch_core::direct::{
-    Confirmation, Digest, Dispatcher, Ended, EndpointChange, EndpointList, Grant, HostIntroduction,
-    HostPhase, HostTable, Pressure, QueueId, RequestSpec, RouteTable, RunId, Verdict,
+    ConfigurationStamp, Confirmation, Digest, Dispatcher, Ended, EndpointChange, EndpointList,
+    Grant, HostIntroduction, HostPhase, HostTable, Pressure, QueueId, RequestSpec, RouteTable,
+    RunId, StorePosition, Verdict,
 };
 use daisynotch_core::{EndpointId, Timestamp};
 use daisynotch_platform::ports::{SharedPlatform, StoreEvent, StoreItem};
 use serde_json::json;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use super::connections::Connections;
 use super::event_log::{EventLog, Weight};
@@ -34,9 +35,11 @@
     pub(crate) configuration: Option<Bytes>,
     /// The endpoints' entries.
     pub(crate) endpoints: HashMap<String, StoreItem>,
-    /// The revision of the last change of an endpoint's entry that was seen.
-    pub(crate) endpoints_revision: u64,
-    /// The latest changes of endpoints' entries, each with the revision before it.
+    /// The last change of an endpoint's entry that was seen.
+    pub(crate) endpoints_at: StorePosition,
+    /// The first revision that was seen in the store's era: later ones were written in it.
+    pub(crate) era_began_at: StorePosition,
+    /// The latest changes of endpoints' entries, each with what it follows.
     pub(crate) recent: VecDeque<RecentChange>,
 }
 
@@ -44,8 +47,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct RecentChange {
     pub(crate) at: Timestamp,
-    /// The revision of the endpoints that it follows.
-    pub(crate) after_revision: u64,
+    /// What it follows, in the same era.
+    pub(crate) after: StorePosition,
     pub(crate) event: StoreEvent,
 }
 
@@ -79,6 +82,12 @@
     pub(crate) confirmation: RefCell<Confirmation>,
     /// Connections whose request is refused unread.
     pub(crate) unread: UnreadConnections,
+    /// How often the store has come back from a copy, as far as is known.
+    pub(crate) store_era: Cell<u64>,
+    /// Wakes the task that registers this router when that rises.
+    pub(crate) restored: Notify,
+    /// What orders the configuration in force.
+    pub(crate) configuration: Cell<ConfigurationStamp>,
     /// Whether the last call to the store got an answer.
     pub(crate) is_store_present: Cell<bool>,
     /// When that last changed.
@@ -118,6 +127,9 @@
             pressure: RefCell::default(),
             confirmation: RefCell::default(),
             unread: UnreadConnections::default(),
+            store_era: Cell::default(),
+            restored: Notify::new(),
+            configuration: Cell::default(),
             is_store_present: Cell::new(true),
             store_changed_at: Cell::default(),
             is_trusting: Cell::new(true),
@@ -197,8 +209,15 @@
         self.introduction.borrow().phase
     }
 
-    /// Takes a configuration's text; an older or unreadable one changes nothing.
-    pub(crate) fn on_configuration(&self, text: &Bytes, source: &str) {
+    /// Takes a configuration's text that the store held in era `held_in`; an older or unreadable
+    /// one changes nothing.
+    pub(crate) fn on_configuration(
+        &self,
+        text: &Bytes,
+        held_in: u64,
+        written_in: Option<u64>,
+        source: &str,
+    ) {
         let table = match self.platform.decode_configuration(text) {
             Ok(table) => table,
             Err(error) => {
@@ -208,13 +227,29 @@
                 return;
             }
         };
-        let before = self.routes().map_or(0, |routes| routes.version);
-        if table.version <= before {
+        let stamp = ConfigurationStamp::new(table.version, text, held_in, written_in);
+        let mut held = self.configuration.get();
+        let is_first = self.routes().is_none();
+        if !is_first && stamp.is_same(&held) {
+            held.join(&stamp);
+            self.configuration.set(held);
             return;
         }
+        if !is_first && !stamp.is_newer_than(&held) {
+            if stamp.era_max > held.era_max {
+                let fields = json!({
+                    "version": held.version, "offered": stamp.version, "era": stamp.era_max,
+                    "source": source,
+                });
+                self.log
+                    .write(Weight::Essential, "configuration_kept", fields);
+            }
+            return;
+        }
+        self.configuration.set(stamp);
         let fields = json!({
-            "version": table.version, "before": before, "routes": table.routes_len(),
-            "source": source,
+            "version": table.version, "before": held.version, "routes": table.routes_len(),
+            "era": stamp.era_max, "source": source,
         });
         self.log.write(Weight::Essential, "configuration", fields);
         let version = i64::try_from(table.version).unwrap_or(i64::MAX);
@@ -233,9 +268,10 @@
     /// Takes another router's word on the age of its configuration, if that is the one in
     /// force here or an older one.
     pub(crate) fn on_configuration_age(&self, digest: &Digest, now: Timestamp) {
-        let version = self.routes().map_or(0, |routes| routes.version);
         if let Some(age_ms) = digest.configuration_age_ms
-            && digest.configuration_version <= version
+            && !digest
+                .configuration
+                .is_newer_than(&self.configuration.get())
         {
             let age = Duration::from_millis(u64::from(age_ms));
             self.confirmation.borrow_mut().on_told(age, now);
@@ -311,6 +347,27 @@
         self.log.write(Weight::Essential, "pushback", fields);
     }
 
+    /// Takes how often the store has come back from a copy.
+    ///
+    /// Entries of the seconds that were lost may be written again, as after an outage.
+    pub(crate) fn on_store_era(&self, era: u64, source: &str) {
+        let before = self.store_era.get();
+        if era <= before {
+            return;
+        }
+        self.store_era.set(era);
+        // The first one that a router hears of is the one that it starts in.
+        if before == 0 {
+            return;
+        }
+        let now = self.now();
+        self.endpoints.borrow_mut().on_store_return(now);
+        self.confirmation.borrow_mut().on_restore(now);
+        self.restored.notify_one();
+        let fields = json!({"era": era, "before": before, "source": source});
+        self.log.write(Weight::Essential, "store_restored", fields);
+    }
+
     /// Notes whether the store answered; logs when that changes.
     pub(crate) fn on_store_answer(&self, is_present: bool, detail: &str) {
         if self.is_store_present.replace(is_present) == is_present {
--- a/crates/daisynotch_router/src/direct/store_client.rs
+++ b/crates/daisynotch_router/src/direct/store_client.rs
@@ -23,11 +23,21 @@
     /// Nothing, or nothing whole, came back; the call may have taken effect.
     #[error("the store gave no answer: {0}")]
     NoAnswer(String),
+    /// The answer is of a time before the store came back from a copy.
+    #[error("the store answered from before its return")]
+    Outdated,
     /// The store answered with another status than 200.
     #[error("the store answered with status {0}")]
     Status(StatusCode),
 }
 
+/// An answer of the store.
+pub(crate) struct StoreAnswer {
+    pub(crate) body: Bytes,
+    /// How often the store had come back from a copy.
+    pub(crate) era: u64,
+}
+
 /// One connection to the store, opened anew after a failure.
 pub(crate) struct StoreClient {
     router: Rc<Router>,
@@ -50,12 +60,13 @@
         purpose: &str,
         call: StoreCall,
         timeout: Duration,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<StoreAnswer, StoreError> {
         let ended = tokio::time::timeout(timeout, self.exchange(call)).await;
         let ended = ended.unwrap_or_else(|_| Err(StoreError::NoAnswer("it took too long".into())));
         let result = match &ended {
             Ok(_) => "ok".to_owned(),
             Err(StoreError::NoAnswer(_)) => "no_answer".to_owned(),
+            Err(StoreError::Outdated) => "outdated".to_owned(),
             Err(StoreError::Status(status)) => status.as_u16().to_string(),
         };
         let calls = &self.router.metrics.store_calls;
@@ -63,7 +74,7 @@
         ended
     }
 
-    async fn exchange(&self, call: StoreCall) -> Result<Bytes, StoreError> {
+    async fn exchange(&self, call: StoreCall) -> Result<StoreAnswer, StoreError> {
         let failed = |error: SendError| match error {
             SendError::NotSent(reason) | SendError::NoAnswer(reason) => {
                 StoreError::NoAnswer(reason)
@@ -86,13 +97,20 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         let answer = connection.send(request).await.map_err(failed)?;
         let status = answer.status();
+        let era = self.router.platform.store_era(answer.headers());
+        let era = era.unwrap_or(self.router.store_era.get());
+        self.router.on_store_era(era, "store");
         let body = Limited::new(answer.into_body(), ANSWER_MAX_BYTES).collect();
         let body = body
             .await
             .map_err(|error| StoreError::NoAnswer(error.to_string()))?;
         *self.connection.borrow_mut() = Some(connection);
+        if era < self.router.store_era.get() {
+            return Err(StoreError::Outdated);
+        }
         if status == StatusCode::OK {
-            return Ok(body.to_bytes());
+            let body = body.to_bytes();
+            return Ok(StoreAnswer { body, era });
         }
         Err(StoreError::Status(status))
     }
--- a/crates/daisynotch_router/src/direct/store_follower.rs
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use daisynotch_core::Timestamp;
-use daisynotch_core::direct::EndpointEntry;
+use daisynotch_core::direct::{EndpointEntry, StorePosition};
 use daisynotch_platform::ports::{DecodeError, Lease, StoreEvent, StoreItem};
 use hyper::StatusCode;
 use rand::RngExt;
@@ -42,6 +42,8 @@
 const REFUSED_FOR: Duration = Duration::from_secs(5);
 /// How long this router's entry outlives it.
 const LEASE_TTL: Duration = Duration::from_secs(30);
+/// The time over which routers register again in a store that came back from a copy.
+const REGISTERED_AGAIN_WITHIN: Duration = Duration::from_millis(1_000);
 /// How often the lease is renewed and the other routers' entries are listed.
 const RENEW_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -59,6 +61,9 @@
     Store(#[from] StoreError),
     #[error(transparent)]
     Decode(#[from] DecodeError),
+    /// The store came back from a copy since the last answer.
+    #[error("the store came back from a copy in era {0}")]
+    Restored(u64),
 }
 
 impl FollowError {
@@ -72,24 +77,24 @@
     let client = StoreClient::new(&router);
     // Routers that start together hear of each other first.
     tokio::time::sleep(FIRST_HEARD).await;
-    let mut at_revision = None;
+    let mut at: Option<StorePosition> = None;
     let mut was_reading = false;
     let mut failures_in_row = 0;
     loop {
         let is_reading = router.reads_store();
         if is_reading != was_reading {
             was_reading = is_reading;
-            let fields = json!({"reads": is_reading, "after": at_revision});
+            let fields = json!({"reads": is_reading, "after": at.map(|at| at.to_string())});
             router.log.write(Weight::Essential, "store_reader", fields);
             // What was heard from others since is listed, not guessed.
-            at_revision = None;
+            at = None;
         }
         if !is_reading {
             router.forget_store_loss(REFUSED_FOR);
             tokio::time::sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
-        let step = match at_revision {
+        let step = match at {
             None => list_all(&router, &client).await,
             // A store that was away is asked without waiting: a watch that hung in a silent
             // store would hide its return for as long as a watch may take.
@@ -103,17 +108,19 @@
             }
         };
         match step {
-            Ok(at) => {
-                at_revision = Some(at);
+            Ok(seen) => {
+                at = Some(seen);
                 failures_in_row = 0;
                 router.on_store_answer(true, "");
             }
+            // It is listed anew at once; the answer itself says that the store is there.
+            Err(FollowError::Restored(_)) => at = None,
             Err(error) if error.is_history_gone() => {
-                let fields = json!({"after": at_revision});
+                let fields = json!({"after": at.map(|at| at.to_string())});
                 router
                     .log
                     .write(Weight::Essential, "store_history_gone", fields);
-                at_revision = None;
+                at = None;
             }
             Err(error) => {
                 router.on_store_answer(false, &error.to_string());
@@ -126,25 +133,31 @@
     }
 }
 
-/// Lists a prefix, page by page.
+/// Lists a prefix, page by page; all pages are of one era.
 async fn list(
     router: &Router,
     client: &StoreClient,
     prefix: &str,
     purpose: &str,
     may_be_stale: bool,
-) -> Result<(Vec<StoreItem>, u64), FollowError> {
+) -> Result<(Vec<StoreItem>, StorePosition), FollowError> {
     let mut items: Vec<StoreItem> = Vec::new();
-    let mut first_at = None;
+    let mut first_at: Option<StorePosition> = None;
     loop {
         let after = items.last().map(|item| item.key.clone());
         let call = router
             .platform
             .range(prefix, after.as_deref(), may_be_stale);
-        let body = client.call(purpose, call, CALL_TIMEOUT).await?;
-        let page = router.platform.decode_range(&body)?;
+        let answer = client.call(purpose, call, CALL_TIMEOUT).await?;
+        let page = router.platform.decode_range(&answer.body)?;
         // Pages are no snapshot: changes since the first one are watched for.
-        let at = *first_at.get_or_insert(page.at_revision);
+        let at = *first_at.get_or_insert(StorePosition {
+            era: answer.era,
+            revision: page.at_revision,
+        });
+        if at.era != answer.era {
+            return Err(FollowError::Restored(answer.era));
+        }
         let is_last = !page.has_more || page.items.is_empty();
         items.extend(page.items);
         if is_last {
@@ -153,36 +166,55 @@
     }
 }
 
-async fn list_all(router: &Rc<Router>, client: &StoreClient) -> Result<u64, FollowError> {
+async fn list_all(router: &Rc<Router>, client: &StoreClient) -> Result<StorePosition, FollowError> {
     let sent_at = router.now();
     let prefixes = router.platform.prefixes();
     let prefix = prefixes.configuration;
     let (items, at) = list(router, client, prefix, "list", false).await?;
+    let era_began_at = note_era_start(router, at);
     for item in &items {
-        router.on_configuration(&item.value, "store");
+        let is_since = item.revision > era_began_at.revision;
+        let written_in = is_since.then_some(at.era);
+        router.on_configuration(&item.value, at.era, written_in, "store");
     }
     let now = router.now();
     router.confirmation.borrow_mut().on_read(sent_at, None, now);
     let (items, endpoints_at) = list(router, client, prefixes.endpoints, "list", false).await?;
     let endpoints = items.into_iter().map(|item| (item.key.clone(), item));
+    if endpoints_at.era != at.era {
+        return Err(FollowError::Restored(endpoints_at.era));
+    }
     replace_endpoints(router, endpoints.collect(), endpoints_at, "store");
     // Changes between the two lists are watched for.
     Ok(at.min(endpoints_at))
 }
 
+/// Notes the first revision that is seen in an era, and gives it.
+fn note_era_start(router: &Router, at: StorePosition) -> StorePosition {
+    let mut view = router.store_view.borrow_mut();
+    if view.era_began_at.era < at.era {
+        view.era_began_at = at;
+    }
+    view.era_began_at
+}
+
 async fn watch(
     router: &Rc<Router>,
     client: &StoreClient,
-    after: u64,
+    after: StorePosition,
     wait: Duration,
-) -> Result<u64, FollowError> {
+) -> Result<StorePosition, FollowError> {
     let sent_at = router.now();
-    let call = router.platform.watch(after, wait);
-    let body = client.call("watch", call, wait + CALL_TIMEOUT).await?;
-    let page = router.platform.decode_watch(&body)?;
+    let call = router.platform.watch(after.revision, wait);
+    let answer = client.call("watch", call, wait + CALL_TIMEOUT).await?;
+    // Revisions that were given out again may lie on both sides of the one watched from.
+    if answer.era != after.era {
+        return Err(FollowError::Restored(answer.era));
+    }
+    let page = router.platform.decode_watch(&answer.body)?;
     router.on_store_answer(true, "");
     for event in &page.events {
-        on_event(router, event);
+        on_event(router, after.era, event);
     }
     let waited = page.events.is_empty().then_some(wait);
     let now = router.now();
@@ -190,35 +222,42 @@
         .confirmation
         .borrow_mut()
         .on_read(sent_at, waited, now);
-    Ok(page.at_revision.max(after))
+    Ok(StorePosition {
+        era: after.era,
+        revision: page.at_revision.max(after.revision),
+    })
 }
 
-fn on_event(router: &Rc<Router>, event: &StoreEvent) {
+fn on_event(router: &Rc<Router>, era: u64, event: &StoreEvent) {
     let prefixes = router.platform.prefixes();
     if event.key().starts_with(prefixes.configuration) {
         if let StoreEvent::Written(item) = event {
-            router.on_configuration(&item.value, "store");
+            router.on_configuration(&item.value, era, Some(era), "store");
         }
         return;
     }
-    on_endpoint_event(router, event, "store");
+    on_endpoint_event(router, era, event, "store");
 }
 
 /// Takes a change of an endpoint's entry, unless it or a later one was taken.
-pub(crate) fn on_endpoint_event(router: &Rc<Router>, event: &StoreEvent, source: &str) {
+pub(crate) fn on_endpoint_event(router: &Rc<Router>, era: u64, event: &StoreEvent, source: &str) {
     let prefix = router.platform.prefixes().endpoints;
     let Some(name) = event.key().strip_prefix(prefix) else {
         return;
     };
     let now = router.now();
     let mut view = router.store_view.borrow_mut();
-    if event.revision() <= view.endpoints_revision {
+    let at = StorePosition {
+        era,
+        revision: event.revision(),
+    };
+    if at <= view.endpoints_at {
         return;
     }
-    let after_revision = std::mem::replace(&mut view.endpoints_revision, event.revision());
+    let after = std::mem::replace(&mut view.endpoints_at, at);
     view.recent.push_back(RecentChange {
         at: now,
-        after_revision,
+        after,
         event: event.clone(),
     });
     let changes = match event {
@@ -255,27 +294,35 @@
 pub(crate) fn replace_endpoints(
     router: &Rc<Router>,
     items: HashMap<String, StoreItem>,
-    at_revision: u64,
+    at: StorePosition,
     source: &str,
 ) {
+    if at < router.store_view.borrow().endpoints_at {
+        return;
+    }
+    router.on_store_era(at.era, source);
     let prefix = router.platform.prefixes().endpoints;
+    let named = items
+        .values()
+        .filter_map(|item| Some((item.key.strip_prefix(prefix)?, item)));
+    let entries: Vec<EndpointEntry> = named
+        .filter_map(|(name, item)| decode_endpoint(router, name, item))
+        .collect();
     {
         let mut view = router.store_view.borrow_mut();
-        if at_revision < view.endpoints_revision {
-            return;
-        }
-        view.endpoints_revision = at_revision;
-        view.endpoints = items;
+        let before = std::mem::replace(&mut view.endpoints, items);
+        view.endpoints_at = at;
         view.recent.clear();
+        // Others are told what holds, not what a copy of the store brought back.
+        let list = router.endpoints.borrow();
+        for entry in entries.iter().filter(|entry| list.is_outdated(entry)) {
+            let key = format!("{prefix}{}", entry.name);
+            match before.get(&key) {
+                Some(item) => view.endpoints.insert(key, item.clone()),
+                None => view.endpoints.remove(&key),
+            };
+        }
     }
-    let entries = {
-        let view = router.store_view.borrow();
-        let items = view.endpoints.values();
-        let named = items.filter_map(|item| Some((item.key.strip_prefix(prefix)?, item)));
-        named
-            .filter_map(|(name, item)| decode_endpoint(router, name, item))
-            .collect()
-    };
     let now = router.now();
     let changes = router.endpoints.borrow_mut().replace(entries, now);
     router.on_endpoint_changes(changes, source);
@@ -286,7 +333,7 @@
 /// A router that starts where its seeds are gone finds the fleet by these few entries.
 pub(crate) async fn register(router: Rc<Router>) {
     let client = StoreClient::new(&router);
-    let mut lease: Option<Lease> = None;
+    let mut lease: Option<(Lease, u64)> = None;
     let mut listed_at: Option<Timestamp> = None;
     tokio::time::sleep(FIRST_HEARD).await;
     loop {
@@ -305,19 +352,28 @@
                 Duration::from_millis(rand::rng().random_range(500..1_000))
             }
         };
-        tokio::time::sleep(pause).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = router.restored.notified() => {
+                // All that the store forgot is written again at once, by others too.
+                let spread = rand::rng().random_range(0.0..1.0);
+                tokio::time::sleep(REGISTERED_AGAIN_WITHIN.mul_f64(spread)).await;
+            }
+        }
     }
 }
 
 async fn register_once(
     router: &Rc<Router>,
     client: &StoreClient,
-    lease: &mut Option<Lease>,
+    lease: &mut Option<(Lease, u64)>,
     listed_at: &mut Option<Timestamp>,
 ) -> Result<(), FollowError> {
     let platform = &router.platform;
     let prefix = platform.prefixes().routers;
-    if let Some(held) = lease {
+    // A lease of an earlier era is gone, or another one's by now.
+    lease.take_if(|(_, era)| *era != router.store_era.get());
+    if let Some((held, _)) = lease {
         let call = platform.renew_lease(held.id);
         match client.call("renew_lease", call, CALL_TIMEOUT).await {
             Ok(_) => {}
@@ -327,8 +383,8 @@
     }
     if lease.is_none() {
         let call = platform.take_lease(LEASE_TTL);
-        let body = client.call("take_lease", call, CALL_TIMEOUT).await?;
-        let taken = platform.decode_lease(&body)?;
+        let answer = client.call("take_lease", call, CALL_TIMEOUT).await?;
+        let taken = platform.decode_lease(&answer.body)?;
         let (key, value) = {
             let introduction = router.introduction.borrow();
             let key = format!("{prefix}{}", introduction.router);
@@ -336,7 +392,7 @@
         };
         let call = platform.put(&key, value.as_bytes(), taken.id);
         client.call("put_router", call, CALL_TIMEOUT).await?;
-        *lease = Some(taken);
+        *lease = Some((taken, answer.era));
     }
     let is_first = listed_at.is_none();
     let (items, _) = list(router, client, prefix, "list_routers", !is_first).await?;
