Do not count a standstill of the process as being crowded

Cause: one tick that was late by seconds made a router crowded for 6 s, though it was idle: its callers' connections were closed after their next answer, the directory left it out, and 2 s later its listener closed by turns. An overload comes step by step, so that the ticks around a late one are late too.

Change: a single tick late by over 300 ms counts only if the one before was late as well. The test fails before. No run of its own: what waits in the sockets after a standstill still counts, with the next tick.

--- a/crates/daisynotch_core/src/direct/pressure.rs
+++ b/crates/daisynotch_core/src/direct/pressure.rs
@@ -11,6 +11,9 @@
 
 /// How late ticks may be: a small part of the objectives of streams.
 const LAG_MAX: Duration = Duration::from_millis(60);
+/// A lag that an overload reaches only step by step: a single one is a process that stood
+/// still, by several times the quota period of 100 ms.
+const STANDSTILL_MIN: Duration = Duration::from_millis(300);
 /// What the share of requests that are read is multiplied by at each late tick.
 const ADMITTED_DECREASE: f64 = 0.85;
 /// What it grows by at each tick that is in time: from least to all in 2.5 s.
@@ -34,6 +37,7 @@
     admitted_share: f64,
     crowded_since: Option<Timestamp>,
     pressed_at: Timestamp,
+    was_late: bool,
 }
 
 impl Default for Pressure {
@@ -42,6 +46,7 @@
             admitted_share: 1.0,
             crowded_since: None,
             pressed_at: Timestamp::default(),
+            was_late: false,
         }
     }
 }
@@ -50,7 +55,9 @@
     /// Takes the time by which the latest tick was late, and whether connections or requests
     /// are too many for another reason; says whether the router became or ceased to be crowded.
     pub fn on_tick(&mut self, lag: Duration, is_overdrawn: bool, now: Timestamp) -> bool {
-        let is_late = lag > LAG_MAX;
+        let is_standstill = lag > STANDSTILL_MIN && !self.was_late;
+        self.was_late = lag > LAG_MAX;
+        let is_late = self.was_late && !is_standstill;
         self.admitted_share = if is_late {
             (self.admitted_share * ADMITTED_DECREASE).max(ADMITTED_MIN)
         } else {
--- a/crates/daisynotch_core/src/direct/pressure/tests.rs
+++ b/crates/daisynotch_core/src/direct/pressure/tests.rs
@@ -85,3 +85,21 @@
     assert_eq!(pause, Duration::from_millis(150));
     assert_eq!(pressure.accept_pause(at(3_200)), None);
 }
+
+/// A host was suspended for some seconds and is idle. It told its callers to go elsewhere for
+/// 6 s, and closed to some of them.
+#[test]
+fn a_process_that_stood_still_is_not_crowded_for_that() {
+    let mut pressure = Pressure::default();
+    pressure.on_tick(IN_TIME, false, at(0));
+    for standstill_ms in [400, 3_000, 60_000] {
+        let standstill = Duration::from_millis(standstill_ms);
+        assert!(!pressure.on_tick(standstill, false, at(100_000)));
+        assert!(!pressure.on_tick(IN_TIME, false, at(100_025)));
+        assert!(!pressure.is_crowded());
+        assert!(!pressure.is_behind(0.999, at(100_025)));
+    }
+    // What waited in its sockets may be more than it can do, though.
+    pressure.on_tick(Duration::from_secs(3), false, at(200_000));
+    assert!(pressure.on_tick(Duration::from_secs(1), false, at(201_000)));
+}
