Refuse at once what a plain service can't answer in time

Cause: requests of plain services were sent as long as 220 ms of work lay before them, whatever their objective (100 to 150 ms), then waited their whole objective here. At 1.5 times what the endpoints can do, 256 of 1,600 answers were on time: the queue at the endpoints made all that came after late too. The usual time of an answer was learnt with its time in that queue, which doubled the error.

Change: a plain request is sent if its answer is expected on time, or if a slot is free; else it is refused at once. The usual time is learnt for one round of work. Replayed in dispatcher/overload_tests.rs (fails before): at 1.5, 2 and 4 times the capacity nine tenths of it or more is on time and refusals wait 0 ms. Left: callers that return are late by then and still take the place of new ones.

--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -32,6 +32,7 @@
     /// Tokens before it and in it, when it was sent.
     tokens_to_read: f64,
     expected_ms: f64,
+    rounds: f64,
     sent_at: Timestamp,
     due_at: Timestamp,
     has_begun: bool,
@@ -211,15 +212,17 @@
         load.own.unread_tokens = load.own.unread_tokens.saturating_sub(run.unread_tokens);
         run.unread_tokens = 0;
         let taken = now.since(run.sent_at);
-        load.slowdown
-            .observe(taken.as_secs_f64() * 1e3, run.expected_ms);
+        let taken_ms = taken.as_secs_f64() * 1e3;
         let pace = self.paces.entry(Arc::clone(&run.service)).or_default();
         if load.engine.is_some() {
+            load.slowdown.observe(taken_ms, run.expected_ms);
             pace.engine.observe(run.tokens_to_read, taken);
         } else {
-            let taken_ms = taken.as_secs_f64() * 1e3;
-            let usual_ms = pace.plain_ms.get_or_insert(taken_ms);
-            *usual_ms += PLAIN_GAIN * (taken_ms - *usual_ms);
+            // What was expected before the first answer says nothing of this endpoint.
+            let round_ms = taken_ms / run.rounds;
+            let usual_ms = pace.plain_ms.get_or_insert(round_ms);
+            load.slowdown.observe(round_ms, *usual_ms);
+            *usual_ms += PLAIN_GAIN * (round_ms - *usual_ms);
         }
         let endpoint = run.endpoint;
         self.refresh_due(endpoint);
@@ -373,6 +376,7 @@
             memory_tokens,
             tokens_to_read: (choice.tokens_ahead + unread_tokens) as f64,
             expected_ms: choice.expected_ms,
+            rounds: choice.rounds,
             sent_at: now,
             due_at: now + expected.mul_f64(1.5),
             has_begun: false,
@@ -413,5 +417,7 @@
     }
 }
 
+#[cfg(test)]
+mod overload_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/daisynotch_core/src/direct/dispatcher/decision.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/decision.rs
@@ -34,6 +34,13 @@
 /// Bounds of the time after which a refused caller is told to come back.
 const RETRY_AFTER_RANGE_MS: (f64, f64) = (150.0, 2_000.0);
 
+/// What becomes of a request of a plain service.
+enum Plain {
+    Send,
+    Wait,
+    Refuse { after_ms: f64 },
+}
+
 impl Dispatcher {
     pub(super) fn rank(&mut self, spec: &RequestSpec, tokens_before: u64, now: Timestamp) -> Rank {
         let tokens = tokens_before + spec.shared_tokens();
@@ -128,6 +135,13 @@
                 })
             };
         }
+        if !self.is_engine(&spec.service) {
+            return match self.decide_plain(spec, choice.as_ref(), waited) {
+                Plain::Send => choice.map(|choice| Verdict::Send(self.grant(spec, choice, now))),
+                Plain::Wait => None,
+                Plain::Refuse { after_ms } => refuse(RefuseReason::NoRoom, after_ms),
+            };
+        }
         let backlog_max_ms = rank.backlog_max_ms();
         if let Some(choice) = choice
             && choice.backlog_ms <= backlog_max_ms
@@ -154,6 +168,34 @@
         refuse(RefuseReason::NoRoom, reading_ms + backlog_ms.unwrap_or(0.0))
     }
 
+    /// Decides on a request of a plain service, which works in order of arrival.
+    ///
+    /// Load pattern: more comes than its endpoints answer. What can't be on time is refused
+    /// before it takes a place in a queue in which all that follow would be late too. Where
+    /// nothing is on time, the slots are used and no queue is built.
+    fn decide_plain(&self, spec: &RequestSpec, choice: Option<&Choice>, waited: Duration) -> Plain {
+        let Some(choice) = choice else {
+            let kept = spec.objective.mul_f64(NO_ENDPOINT_KEPT_PART);
+            return if waited < kept && self.has_untried_endpoint(spec) {
+                Plain::Wait
+            } else {
+                Plain::Refuse {
+                    after_ms: NO_ENDPOINT_RETURN_MS,
+                }
+            };
+        };
+        let pace = self.paces.get(&spec.service);
+        let usual_ms = pace.and_then(|pace| pace.plain_ms).unwrap_or(0.0);
+        let answered_ms = waited.as_secs_f64() * 1e3 + choice.backlog_ms + usual_ms;
+        let beyond_ms = answered_ms - self.planned_ms(spec);
+        if choice.backlog_ms <= 0.0 || beyond_ms <= 0.0 {
+            return Plain::Send;
+        }
+        Plain::Refuse {
+            after_ms: beyond_ms,
+        }
+    }
+
     /// Gives when the first endpoint wants requests again, if none does now.
     fn wanted_again_at(&self, spec: &RequestSpec, now: Timestamp) -> Option<Timestamp> {
         let ids = self.by_service.get(&spec.service)?;
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -12,7 +12,7 @@
 
 const ENGINES: usize = 4;
 
-fn at(ms: u64) -> Timestamp {
+pub(super) fn at(ms: u64) -> Timestamp {
     Timestamp(100_000_000 + ms * 1_000)
 }
 
@@ -51,7 +51,7 @@
     }
 }
 
-fn dispatcher(tokens_per_s: u64) -> Dispatcher {
+pub(super) fn dispatcher(tokens_per_s: u64) -> Dispatcher {
     let settings = DispatcherSettings {
         shares: ShareSettings {
             tokens_per_s: None,
@@ -95,7 +95,7 @@
     }
 }
 
-fn plain(now: Timestamp) -> RequestSpec {
+pub(super) fn plain(now: Timestamp) -> RequestSpec {
     RequestSpec {
         service: Arc::from("orders"),
         team: None,
--- a/crates/daisynotch_core/src/direct/placement.rs
+++ b/crates/daisynotch_core/src/direct/placement.rs
@@ -32,6 +32,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServicePace {
     pub(crate) engine: EnginePace,
+    /// The time that a plain request takes where it need not queue.
     pub(crate) plain_ms: Option<f64>,
 }
 
@@ -44,6 +45,8 @@
     pub(crate) expected_ms: f64,
     pub(crate) cached_tokens: u32,
     pub(crate) tokens_ahead: u64,
+    /// Rounds of work that a plain request takes there, its own included; 1 at engines.
+    pub(crate) rounds: f64,
 }
 
 /// Gives what another availability zone costs a request.
@@ -88,6 +91,7 @@
             expected_ms: usual_ms * (1.0 + busy.floor()),
             cached_tokens: 0,
             tokens_ahead: 0,
+            rounds: 1.0 + busy.floor(),
         });
     };
     let memory =
@@ -110,5 +114,6 @@
         expected_ms: backlog_ms + own_ms + base_ms,
         cached_tokens,
         tokens_ahead: total.unread_tokens,
+        rounds: 1.0,
     })
 }
