--- a/crates/daisynotch_core/src/direct/hosts.rs
+++ b/crates/daisynotch_core/src/direct/hosts.rs
@@ -361,9 +361,13 @@
             && f64::from(own_arrivals_per_core_s) > OVERDRAWN_FACTOR * mean
     }
 
-    /// Gives the age of the oldest digest that counts, which decisions are made on.
-    pub fn oldest_digest_age(&self, now: Timestamp) -> Option<Duration> {
-        self.present(now).map(|host| now.since(host.heard_at)).max()
+    /// Gives the age of the oldest load that decisions are made on: routers without callers have
+    /// none, and are heard seldom.
+    pub fn oldest_load_age(&self, now: Timestamp) -> Option<Duration> {
+        let loaded = self
+            .present(now)
+            .filter(|host| host.introduction.has_callers);
+        loaded.map(|host| now.since(host.heard_at)).max()
     }
 
     /// Gives where callers may connect, near routers first.
--- a/crates/daisynotch_core/src/direct/hosts/tests.rs
+++ b/crates/daisynotch_core/src/direct/hosts/tests.rs
@@ -323,3 +323,18 @@
     let ahead = table.ahead(&newest, seen_to(72), false, 0, at(1));
     assert!(ahead.is_none());
 }
+
+/// In a fleet of hundreds the oldest sign of life is seconds old, and decides nothing.
+#[test]
+fn the_age_of_loads_is_that_of_routers_with_callers() {
+    let mut table = HostTable::default();
+    let mut idle = digest("r-b", "one", HostPhase::Serving, 1);
+    idle.host.has_callers = false;
+    table.on_digest(&idle, at(0));
+    assert_eq!(table.oldest_load_age(at(10)), None);
+    let mut loaded = digest("r-c", "one", HostPhase::Serving, 1);
+    loaded.host.has_callers = true;
+    table.on_digest(&loaded, at(400));
+    let age = table.oldest_load_age(at(450));
+    assert_eq!(age, Some(Duration::from_millis(50)));
+}
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -443,7 +443,7 @@
         let waited = began_at.elapsed();
         self.history.waited += waited;
         let now = self.router.now();
-        self.history.digests_age = self.router.hosts.borrow().oldest_digest_age(now);
+        self.history.digests_age = self.router.hosts.borrow().oldest_load_age(now);
         self.router.metrics.wait.observe(waited.as_secs_f64());
         match verdict {
             Ok(Ok(Verdict::Send(grant))) => Ok(grant),
