Read long prompts where few streams run

An event holds six tokens, each step that reads a prompt takes 45 ms or more, so that a long prompt stops every stream beside it. Its cost was the same at an engine with thirty streams as with five.

Ruled out: engines that can't keep up (answers began after 60 ms in the median), memory (half of it for parts changes nothing), homes that weigh more (nothing).

Change: what reading weighs grows with the part of the slots that is taken, from 6 to 36. The unit test fails before.

--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -520,3 +520,34 @@
         matches!(&verdicts[..], [(_, Verdict::Send(grant))] if grant.endpoint == first.endpoint)
     );
 }
+
+/// Chat streams run at some engines while long prompts come: their events paused for longer
+/// than callers bear, although an engine with hardly any streams had the same to read.
+#[test]
+fn a_long_prompt_is_read_where_few_streams_run() {
+    let mut dispatcher = dispatcher(10_000_000);
+    let mut streams: HashMap<EndpointId, u32> = HashMap::new();
+    for request in 0..60 {
+        // Their prompts are kept, so that they run where the first of each went.
+        let grant = sent(ask(
+            &mut dispatcher,
+            spec(1, request % 3, 400, at(0)),
+            at(0),
+        ));
+        dispatcher.on_bytes(grant.run, at(50));
+        *streams.entry(grant.endpoint).or_default() += 1;
+    }
+    let ids: Vec<EndpointId> = dispatcher.endpoints.keys().copied().collect();
+    let running = |id: &EndpointId| streams.get(id).copied().unwrap_or(0);
+    let fewest = ids.iter().map(running).min().unwrap();
+    for session in 100..110 {
+        let grant = sent(ask(
+            &mut dispatcher,
+            spec(2, session, 9_000, at(60)),
+            at(60),
+        ));
+        assert_eq!(running(&grant.endpoint), fewest, "{streams:?}");
+        dispatcher.on_bytes(grant.run, at(61));
+        dispatcher.on_ended(grant.run, Ended::Done, at(61));
+    }
+}
--- a/crates/daisynotch_core/src/direct/placement.rs
+++ b/crates/daisynotch_core/src/direct/placement.rs
@@ -3,6 +3,7 @@
 //! Load pattern: requests share long prompts with others, and engines are busy in uneven
 //! measure. An engine that keeps the prompt is worth a wait, but not any wait; all
 //! routers choose at once on slightly old loads and must not choose alike by accident.
+//! A long prompt makes the events of all requests that run beside it pause.
 
 use daisynotch_objects::EndpointId;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -12,8 +13,10 @@
 use super::request::RequestSpec;
 use crate::time::Timestamp;
 
-/// What reading counts for against waiting: it takes the engine from all others too.
+/// What reading counts for against waiting: it takes the engine from those that come after.
 const READING_WEIGHT: f64 = 6.0;
+/// What it counts for more where all slots are taken: the events of all that run pause meanwhile.
+const READING_WEIGHT_FULL: f64 = 30.0;
 /// What the choice between equal endpoints is spread over, so that all routers pick
 /// the same home for a prompt that none of them keeps.
 const HOME_SPREAD_MS: f64 = 15.0;
@@ -107,9 +110,11 @@
     let backlog_ms = pace.engine.reading_ms(total.unread_tokens as f64) * slowdown;
     let own_ms = pace.engine.reading_ms(unread) * slowdown;
     let base_ms = pace.engine.base_ms();
+    let occupied = f64::from(total.running) / f64::from(engine.slots.max(1));
+    let weight = READING_WEIGHT + READING_WEIGHT_FULL * occupied;
     Some(Choice {
         endpoint: id,
-        cost_ms: backlog_ms + READING_WEIGHT * own_ms + base_ms * slowdown + failure_ms,
+        cost_ms: backlog_ms + weight * own_ms + base_ms * slowdown + failure_ms,
         backlog_ms,
         expected_ms: backlog_ms + own_ms + base_ms,
         cached_tokens,
