Let plain requests not pay for what their team asks of engines

Teams share what engines read and generate.

Change: being ahead of other teams counts for engines only.

--- a/crates/daisynotch_core/src/direct/dispatcher/decision.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/decision.rs
@@ -86,7 +86,9 @@
     ) -> Option<Verdict> {
         let spec = &waiting.spec;
         let waited = now.since(spec.arrived_at);
-        let is_ahead = rank.is_beyond_share && self.shares.is_ahead(rank.used_part);
+        // Teams share what engines read and generate; plain services have no part in that.
+        let is_engine = self.is_engine(&spec.service);
+        let is_ahead = is_engine && rank.is_beyond_share && self.shares.is_ahead(rank.used_part);
         let may_place = before.requests < UNPLACED_MAX && !is_ahead;
         let choice = if may_place {
             self.choose(spec, now)
@@ -135,7 +137,7 @@
                 })
             };
         }
-        if !self.is_engine(&spec.service) {
+        if !is_engine {
             return match self.decide_plain(spec, choice.as_ref(), waited) {
                 Plain::Send => choice.map(|choice| Verdict::Send(self.grant(spec, choice, now))),
                 Plain::Wait => None,
--- a/crates/daisynotch_core/src/direct/dispatcher/overload_tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/overload_tests.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::tests::{at, dispatcher, plain};
+use super::tests::{at, dispatcher, plain, spec};
 use super::*;
 use crate::direct::RefuseReason;
 
@@ -121,3 +121,38 @@
     let outcome = play(0.9 * SLOTS as f64 / WORK_MS as f64);
     assert_eq!((outcome.refused, outcome.late), (0, 0), "{outcome:?}");
 }
+
+/// A team asks engines for many times its share. Its bookings were refused for that, although
+/// the service that takes them was idle.
+#[test]
+fn plain_requests_do_not_pay_for_what_their_team_asks_of_engines() {
+    let mut dispatcher = dispatcher(10_000);
+    for request in 0..20 {
+        let asked = spec(1, request, 4_000, at(0));
+        dispatcher.on_request(&asked, at(0));
+        dispatcher.submit(asked);
+        for (_, verdict) in dispatcher.pump(at(0)) {
+            if let Verdict::Send(grant) = verdict {
+                dispatcher.on_bytes(grant.run, at(0));
+                dispatcher.on_ended(grant.run, Ended::Done, at(0));
+            }
+        }
+    }
+    for request in 0..20 {
+        dispatcher.on_request(&spec(2, request, 4_000, at(0)), at(0));
+    }
+    for ms in 1..20 {
+        let booking = RequestSpec {
+            team: Some(1),
+            ..plain(at(ms))
+        };
+        let id = dispatcher.submit(booking);
+        let verdicts = dispatcher.pump(at(ms));
+        let verdict = verdicts.into_iter().find(|(of, _)| *of == id);
+        let Some((_, Verdict::Send(grant))) = verdict else {
+            panic!("a slot is free: {verdict:?}");
+        };
+        dispatcher.on_bytes(grant.run, at(ms));
+        dispatcher.on_ended(grant.run, Ended::Done, at(ms));
+    }
+}
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -73,7 +73,7 @@
     dispatcher
 }
 
-fn spec(team: u32, session: u32, prompt_tokens: u32, now: Timestamp) -> RequestSpec {
+pub(super) fn spec(team: u32, session: u32, prompt_tokens: u32, now: Timestamp) -> RequestSpec {
     let part = |id, tokens| Part { id, tokens };
     let parts = [
         part(1, prompt_tokens / 4),
