--- a/crates/daisynotch_core/src/direct/store_order/tests.rs
+++ b/crates/daisynotch_core/src/direct/store_order/tests.rs
@@ -67,3 +67,33 @@
         assert_eq!(text.parse::<StorePosition>(), Err(StoreOrderError(2)));
     }
 }
+
+/// Other routers' questions carry them.
+#[test]
+fn any_text_is_read_back_or_refused() {
+    bolero::check!().with_type::<String>().for_each(|text| {
+        if let Ok(position) = text.parse::<StorePosition>() {
+            assert_eq!(position.to_string().parse(), Ok(position));
+        }
+        if let Ok(stamp) = text.parse::<ConfigurationStamp>() {
+            assert_eq!(stamp.to_string().parse(), Ok(stamp));
+        }
+    });
+}
+
+/// Whoever holds either of two comes to the same one, in whatever order they are heard.
+#[test]
+fn of_two_at_most_one_is_newer() {
+    bolero::check!()
+        .with_type::<[(u8, u8, u8, u8); 2]>()
+        .for_each(|pair| {
+            let [one, other] = pair.map(|(version, content, era_min, more)| ConfigurationStamp {
+                version: u64::from(version % 4),
+                content: u64::from(content % 3),
+                era_min: u64::from(era_min % 4),
+                era_max: u64::from(era_min % 4 + more % 4),
+            });
+            assert!(!(one.is_newer_than(&other) && other.is_newer_than(&one)));
+            assert!(!one.is_newer_than(&one));
+        });
+}
