Weigh running requests by their number, not by the slots that they take

Its engines have 12 slots: full ones weighed reading 36 times, so that an idle engine won over a busy one that keeps the prompt, though only 11 streams pause there.

Change: reading weighs 6, and 0.2 more for each request that runs: each one that pauses counts the same at any engine.

--- a/crates/daisynotch_core/src/direct/placement.rs
+++ b/crates/daisynotch_core/src/direct/placement.rs
@@ -15,8 +15,8 @@
 
 /// What reading counts for against waiting: it takes the engine from those that come after.
 const READING_WEIGHT: f64 = 6.0;
-/// What it counts for more where all slots are taken: the events of all that run pause meanwhile.
-const READING_WEIGHT_FULL: f64 = 30.0;
+/// What it counts for more with each request that runs there: its events pause meanwhile.
+const READING_WEIGHT_PER_RUNNING: f64 = 0.2;
 /// What the choice between equal endpoints is spread over, so that all routers pick
 /// the same home for a prompt that none of them keeps.
 const HOME_SPREAD_MS: f64 = 15.0;
@@ -110,8 +110,7 @@
     let backlog_ms = pace.engine.reading_ms(total.unread_tokens as f64) * slowdown;
     let own_ms = pace.engine.reading_ms(unread) * slowdown;
     let base_ms = pace.engine.base_ms();
-    let occupied = f64::from(total.running) / f64::from(engine.slots.max(1));
-    let weight = READING_WEIGHT + READING_WEIGHT_FULL * occupied;
+    let weight = READING_WEIGHT + READING_WEIGHT_PER_RUNNING * f64::from(total.running);
     Some(Choice {
         endpoint: id,
         cost_ms: backlog_ms + weight * own_ms + base_ms * slowdown + failure_ms,
