Log the prompt parts and the events of a request that failed

On-call engineers could not tell what the requests had in common under which engines ended: the lines had neither the parts of a prompt nor how much of an answer had come, and "a repeat ended it", "nothing ties the ends together" and "the engines were overloaded" looked alike.

No decision changes.

--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -92,6 +92,8 @@
     pub(super) answer_start: Option<Duration>,
     /// The longest pause between two chunks of a stream.
     pub(super) pause_max: Duration,
+    /// Number of complete events of a stream that have arrived.
+    pub(super) events: u64,
     pub(super) failures: Vec<String>,
     /// What a refusal is based on: the percentage of its share that the team uses, and the
     /// backlog.
@@ -525,6 +527,13 @@
             Importance::Essential
         };
         let ms = |duration: Duration| (duration.as_secs_f64() * 1e4).round() / 10.0;
+        // Only failures are compared by the parts of their prompts.
+        let parts = (!history.failures.is_empty()).then(|| {
+            let parts = self.spec.parts.iter();
+            parts
+                .map(|part| format!("{:x}", part.id))
+                .collect::<Vec<_>>()
+        });
         let fields = json!({
             "id": String::from_utf8_lossy(self.attempt_id.as_bytes()),
             "outcome": outcome,
@@ -544,6 +553,8 @@
             "expected_ms": ms(history.expected),
             "answer_start_ms": history.answer_start.map(ms),
             "pause_max_ms": ms(history.pause_max),
+            "events": history.events,
+            "parts": parts,
             "total_ms": ms(self.arrived_at.elapsed()),
             "share_used_percent": history.refusal_basis.map(|(percent, _)| percent),
             "backlog_ms": history.refusal_basis.and_then(|(_, backlog)| backlog).map(ms),
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -168,6 +168,7 @@
         last_bytes_at = Instant::now();
         started.guard.on_bytes();
         let complete_events = framer.push(&bytes);
+        call.history.events = framer.events();
         if framer.partial_len() > EVENT_MAX_BYTES {
             return StreamEnd::Broken(format!("an event exceeds {EVENT_MAX_BYTES} bytes"));
         }
