Refuse prompt parts that crash engines

Callers saw: streams of every kind cut in the middle and 502, as engine after engine ended under other callers' requests, with one part of their prompts in common.

Cause: nothing tied the end of an engine to what it was doing. A broken connection was a failure of the endpoint alone, each router saw one or none of the ends, and requests were chosen an engine without regard to those that ended the same way. A resumable one was sent on by the same router up to twice more. Class of fault: input that kills whoever handles it, handed to the next worker by a dispatcher that takes each death for the worker's own.

Ruled out: repeats (for that kind), overload (ends follow those requests, not the load).

Change: a router whose connection breaks asks whether the endpoint still listens; if not, the shared parts of the requests without an event are suspects, less those that a later response has proven. Requests with a suspect go to one endpoint that all routers agree on and that others avoid. Failed trials, weighed against the rate of ordinary crashes, block the parts; one proof lifts the block. Reports, proofs and blocks travel with the datagrams between routers and the store view. A request that may have crashed an engine is not sent to another one. Why it works: a fatal part never gets a proof and crashes each trial; a sound one gets its proof within one response, wherever in the fleet.

--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -6,6 +6,7 @@
 //! See `docs/design/direct-dispatch.md`.
 
 mod confirmation;
+mod crash_evidence;
 mod digest;
 mod dispatcher;
 mod endpoints;
@@ -27,6 +28,10 @@
 mod waiting;
 
 pub use confirmation::Confirmation;
+pub use crash_evidence::{
+    Assessment, CrashEvidence, CrashNews, CrashReport, CrashedEndpoint, CrashedEndpoints,
+    EvidenceChange, OpenRun, PartBlock, PartIds, PartProof, shared_part_ids,
+};
 pub use digest::{
     Digest, EndpointDigest, Heartbeat, HostIntroduction, HostPhase, IntroducedHost, PlacedParts,
     TeamDigest,
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -1,5 +1,6 @@
 //! Decides for each caller request whether to send it to an endpoint, queue it or refuse it.
 
+mod crashes;
 mod decision;
 
 use std::collections::HashMap;
@@ -8,6 +9,7 @@
 
 use daisynotch_objects::{EndpointId, RouterId};
 
+use super::crash_evidence::{CrashEvidence, PartIds, shared_part_ids};
 use super::digest::{Digest, EndpointDigest, PlacedParts, TeamDigest};
 use super::endpoints::{EndpointChange, EndpointEntry};
 use super::engine::EndpointLoad;
@@ -40,6 +42,12 @@
     sent_at: Timestamp,
     due_at: Timestamp,
     has_answer_begun: bool,
+    /// The parts of the prompt that other prompts may share.
+    shared_parts: PartIds,
+    /// Whether an event of the answer, or all of it, has arrived.
+    has_event: bool,
+    /// Whether the run is a trial of a part that may crash endpoints.
+    is_trial: bool,
 }
 
 /// Requests of one service that found no endpoint with room in this round.
@@ -64,6 +72,7 @@
     /// Placements that no digest has reported yet.
     placed: Vec<PlacedParts>,
     pushbacks: Pushbacks,
+    crash_evidence: CrashEvidence,
     /// The endpoints listed in the latest digest of each other router.
     endpoints_by_peer: HashMap<RouterId, Vec<EndpointId>>,
     next_id: u64,
@@ -85,6 +94,7 @@
             runs: HashMap::new(),
             placed: Vec::new(),
             pushbacks: Pushbacks::default(),
+            crash_evidence: CrashEvidence::default(),
             endpoints_by_peer: HashMap::new(),
             next_id: 0,
             routers: 1,
@@ -212,6 +222,7 @@
             return;
         };
         load.health.on_byte(now);
+        self.crash_evidence.on_alive(run.endpoint, now);
         if run.has_answer_begun {
             return;
         }
@@ -310,8 +321,10 @@
     pub fn expire(&mut self, now: Timestamp) {
         for load in self.endpoints.values_mut() {
             load.expire_peers(now);
+            load.seen_since.get_or_insert(now);
         }
         self.pushbacks.expire(now);
+        self.crash_evidence.expire(now);
     }
 
     /// Returns this router's part of a digest; each placement is reported only once.
@@ -352,6 +365,7 @@
             .or_default()
             .push(id);
         self.endpoints.insert(id, EndpointLoad::new(entry, engine));
+        self.crash_evidence.set_engines(self.endpoints.len());
     }
 
     fn remove_endpoint(&mut self, id: EndpointId) {
@@ -360,6 +374,7 @@
         {
             of_service.retain(|other| *other != id);
         }
+        self.crash_evidence.set_engines(self.endpoints.len());
     }
 
     /// Returns whether the request's service has an endpoint that has not been tried for it.
@@ -368,7 +383,13 @@
         of_service.is_some_and(|ids| ids.iter().any(|id| !spec.tried.contains(id)))
     }
 
-    fn grant(&mut self, spec: &RequestSpec, choice: Candidate, now: Timestamp) -> Grant {
+    fn grant(
+        &mut self,
+        spec: &RequestSpec,
+        choice: Candidate,
+        is_trial: bool,
+        now: Timestamp,
+    ) -> Grant {
         let id = RunId(self.next_id());
         let load = self
             .endpoints
@@ -391,6 +412,9 @@
             sent_at: now,
             due_at: now + expected.mul_f64(1.5),
             has_answer_begun: false,
+            shared_parts: shared_part_ids(&spec.parts),
+            has_event: false,
+            is_trial,
         };
         if !spec.parts.is_empty() {
             load.cache.insert(&spec.parts);
--- /dev/null
+++ b/crates/daisynotch_core/src/direct/dispatcher/crashes.rs
@@ -0,0 +1,153 @@
+//! What the dispatcher does about prompt parts that crash endpoints.
+
+use std::time::Duration;
+
+use daisynotch_objects::EndpointId;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::Dispatcher;
+use crate::direct::crash_evidence::{CrashNews, EvidenceChange, OpenRun, PartBlock, PartIds};
+use crate::direct::placement::{Candidate, evaluate_endpoint};
+use crate::direct::request::{RequestSpec, RunId};
+use crate::time::Timestamp;
+
+/// How long an endpoint must have been in use before trials prefer it: one that goes down and up
+/// by turns would fail the trial of a sound part.
+const SETTLED_AFTER: Duration = Duration::from_secs(5);
+/// The same as a fraction of the longest time for which this router has known an endpoint.
+const SETTLED_AGE_FRACTION: f64 = 0.5;
+
+impl Dispatcher {
+    /// Records that an event of a streamed answer, or a whole answer, arrived. It proves that the
+    /// parts of the prompt crash no endpoint.
+    pub fn on_event(&mut self, run: RunId, now: Timestamp) {
+        if let Some(run) = self.runs.get_mut(&run)
+            && !run.has_event
+        {
+            run.has_event = true;
+            self.crash_evidence.on_proof(&run.shared_parts, now);
+        }
+    }
+
+    /// Returns what is needed to report a crash of a run's endpoint; `None` if its prompt has no
+    /// shared parts.
+    ///
+    /// The parts are left out if the answer got past the point at which a part crashes an
+    /// endpoint.
+    pub fn open_run(&self, run: RunId) -> Option<OpenRun> {
+        let run = self.runs.get(&run)?;
+        let is_open = !run.has_event;
+        let parts = if is_open {
+            run.shared_parts.clone()
+        } else {
+            PartIds::new()
+        };
+        (!run.shared_parts.is_empty()).then(|| OpenRun {
+            endpoint: run.endpoint,
+            parts,
+            has_head: is_open && run.has_answer_begun,
+            is_trial: is_open && run.is_trial,
+        })
+    }
+
+    /// Records that the endpoint of an open run crashed.
+    pub fn on_crash(&mut self, run: &OpenRun, now: Timestamp) {
+        self.crash_evidence.on_crash(run, now);
+    }
+
+    /// Returns whether an endpoint start is known to have crashed.
+    pub fn has_crashed(&self, endpoint: EndpointId) -> bool {
+        self.crash_evidence.has_crashed(endpoint)
+    }
+
+    /// Returns whether a request whose endpoint crashed can be sent to another one without the
+    /// risk that it crashes that one, too.
+    pub fn may_repeat_after_crash(&self, spec: &RequestSpec, now: Timestamp) -> bool {
+        self.crash_evidence.may_repeat(&spec.parts, now)
+    }
+
+    /// Returns the evidence on prompt parts for other routers, with at most `reports_max` reports.
+    pub fn crash_news(&self, reports_max: usize, now: Timestamp) -> CrashNews {
+        CrashNews {
+            trials: self.trials().into_vec(),
+            ..self.crash_evidence.to_news(reports_max, now)
+        }
+    }
+
+    /// Applies another router's evidence on prompt parts.
+    pub fn on_crash_news(&mut self, news: &CrashNews, now: Timestamp) {
+        self.crash_evidence.on_news(news, now);
+    }
+
+    /// Returns the prompt parts that are blocked.
+    pub fn blocked_parts(&self, now: Timestamp) -> Vec<PartBlock> {
+        self.crash_evidence.blocks(now)
+    }
+
+    /// Returns the number of blocks in force.
+    pub fn blocked_len(&self) -> usize {
+        self.crash_evidence.blocks_len()
+    }
+
+    /// Sends requests with a part again, on an operator's request.
+    pub fn lift_block(&mut self, part: u32, now: Timestamp) {
+        self.crash_evidence.lift(part, now);
+    }
+
+    /// Returns the changes of the evidence since the last call, for logs.
+    pub fn take_evidence_changes(&mut self) -> Vec<EvidenceChange> {
+        self.crash_evidence.take_changes()
+    }
+
+    /// Returns the endpoints on which this router tries suspect parts.
+    pub(super) fn trials(&self) -> SmallVec<[EndpointId; 4]> {
+        if self.crash_evidence.is_idle() {
+            return SmallVec::new();
+        }
+        let trials = self.runs.values();
+        let trials = trials.filter(|run| run.is_trial && !run.has_event);
+        let mut endpoints: SmallVec<[EndpointId; 4]> = trials.map(|run| run.endpoint).collect();
+        endpoints.sort_unstable();
+        endpoints.dedup();
+        endpoints
+    }
+
+    /// Finds the endpoint on which all routers try a suspect part; `None` if it has no room.
+    ///
+    /// Rendezvous hashing makes routers that have not heard of each other's trials choose the same
+    /// endpoint, so that a fatal part crashes one endpoint and not one for each router. For the
+    /// same reason there is no second choice.
+    pub(super) fn choose_trial_endpoint(
+        &self,
+        spec: &RequestSpec,
+        part: u32,
+        now: Timestamp,
+    ) -> Option<Candidate> {
+        let ids = self.endpoints_by_service.get(&spec.service)?;
+        let latency = self.latencies.get(&spec.service);
+        let default_latency = Default::default();
+        let latency = latency.unwrap_or(&default_latency);
+        let age = |id: &EndpointId| {
+            let since = self.endpoints.get(id)?.seen_since?;
+            Some(now.since(since))
+        };
+        let oldest = ids.iter().filter_map(age).max().unwrap_or_default();
+        let settled_after = SETTLED_AFTER.min(oldest.mul_f64(SETTLED_AGE_FRACTION));
+        let candidates = ids.iter().filter_map(|id| {
+            let load = self.endpoints.get(id)?;
+            let is_excluded = spec.tried.contains(id)
+                || self.pushbacks.is_active(*id, now)
+                || self.crash_evidence.has_crashed(*id)
+                || load.is_suspect(now);
+            if is_excluded {
+                return None;
+            }
+            let is_settled = age(id).is_some_and(|age| age >= settled_after);
+            let hash = xxh3_64_with_seed(&id.0.to_le_bytes(), u64::from(part));
+            Some((is_settled, hash, *id))
+        });
+        let (_, _, id) = candidates.max()?;
+        evaluate_endpoint(id, self.endpoints.get(&id)?, spec, latency)
+    }
+}
--- a/crates/daisynotch_core/src/direct/dispatcher/decision.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/decision.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::{Dispatcher, Unplaced};
+use crate::direct::crash_evidence::Assessment;
 use crate::direct::placement::{Candidate, cross_zone_cost_ms, evaluate_endpoint, tie_break_ms};
 use crate::direct::request::{RefuseReason, RequestSpec, Verdict};
 use crate::direct::waiting::{Rank, Waiting};
@@ -97,10 +98,23 @@
             && rank.is_beyond_share
             && self.shares.must_yield_idle_capacity(rank.used_fraction);
         let may_place = unplaced_before.requests < UNPLACED_MAX && !must_yield;
-        let choice = if may_place {
-            self.choose_endpoint(spec, now)
-        } else {
-            None
+        let trial_of = match self.crash_evidence.assess(&spec.parts, now) {
+            Assessment::Clear => None,
+            Assessment::Suspect(part) => Some(part),
+            Assessment::Blocked { left } => {
+                return Some(Verdict::Refuse {
+                    reason: RefuseReason::CrashingPart,
+                    retry_after: left,
+                    share_used_percent: (rank.used_fraction * 100.0) as u32,
+                    backlog: None,
+                });
+            }
+        };
+        let is_trial = trial_of.is_some();
+        let choice = match trial_of {
+            _ if !may_place => None,
+            Some(part) => self.choose_trial_endpoint(spec, part, now),
+            None => self.choose_endpoint(spec, now),
         };
         let backlog_ms = choice.as_ref().map(|choice| choice.backlog_ms);
         let backlog = backlog_ms.map(|ms| Duration::from_secs_f64(ms / 1e3));
@@ -147,7 +161,7 @@
         if !has_engines {
             return match self.decide_plain(spec, choice.as_ref(), waited) {
                 PlainDecision::Send => {
-                    choice.map(|choice| Verdict::Send(self.grant(spec, choice, now)))
+                    choice.map(|choice| Verdict::Send(self.grant(spec, choice, is_trial, now)))
                 }
                 PlainDecision::Wait => None,
                 PlainDecision::Refuse { retry_after_ms } => {
@@ -159,7 +173,7 @@
         if let Some(choice) = choice
             && choice.backlog_ms <= backlog_max_ms
         {
-            return Some(Verdict::Send(self.grant(spec, choice, now)));
+            return Some(Verdict::Send(self.grant(spec, choice, is_trial, now)));
         }
         if rank.is_beyond_share {
             let wait_max = spec.objective.mul_f64(BEYOND_SHARE_WAIT_FRACTION);
@@ -233,15 +247,19 @@
 
     /// Finds the endpoint with the lowest cost for a request.
     ///
-    /// Suspect endpoints are only probed: one is chosen if there is no other candidate and its
+    /// Endpoints on which a prompt part is on trial are chosen only if there is no other
+    /// candidate. Suspect endpoints are only probed: one is chosen if there is still none and its
     /// last probe is older than [`PROBE_INTERVAL`].
     fn choose_endpoint(&mut self, spec: &RequestSpec, now: Timestamp) -> Option<Candidate> {
         let ids = self.endpoints_by_service.get(&spec.service)?;
-        let latency = self.latencies.entry(Arc::clone(&spec.service)).or_default();
+        self.latencies.entry(Arc::clone(&spec.service)).or_default();
+        let latency = &self.latencies[&spec.service];
         let session = spec.parts.iter().rev().nth(1).or(spec.parts.first());
         let session = session.map_or(0, |part| part.id);
         let mut best: Option<Candidate> = None;
+        let mut reserved: Option<Candidate> = None;
         let mut fallback: Option<Candidate> = None;
+        let trials = self.trials();
         for id in ids {
             let Some(load) = self.endpoints.get(id) else {
                 continue;
@@ -261,6 +279,8 @@
                     continue;
                 }
                 &mut fallback
+            } else if trials.contains(id) || self.crash_evidence.has_peer_trial(*id, now) {
+                &mut reserved
             } else {
                 &mut best
             };
@@ -271,6 +291,7 @@
                 *current = Some(candidate);
             }
         }
+        let best = best.or(reserved);
         if best.is_none()
             && let Some(probe) = &fallback
             && let Some(load) = self.endpoints.get_mut(&probe.endpoint)
--- a/crates/daisynotch_core/src/direct/engine.rs
+++ b/crates/daisynotch_core/src/direct/engine.rs
@@ -68,6 +68,9 @@
     pub(crate) own: Load,
     /// When a request was last sent to probe whether the endpoint has recovered.
     pub(crate) probed_at: Timestamp,
+    /// When this router first saw the endpoint, to within the interval of
+    /// [`Dispatcher::expire`](super::Dispatcher::expire).
+    pub(crate) seen_since: Option<Timestamp>,
     peers: HashMap<RouterId, PeerLoad>,
     /// The sum over `peers`, cached because each decision looks at every endpoint.
     peers_sum: Load,
@@ -86,6 +89,7 @@
             health: Health::default(),
             own: Load::default(),
             probed_at: Timestamp::default(),
+            seen_since: None,
             peers: HashMap::new(),
             peers_sum: Load::default(),
             suspected_until: Timestamp::default(),
--- a/crates/daisynotch_core/src/direct/request.rs
+++ b/crates/daisynotch_core/src/direct/request.rs
@@ -86,6 +86,8 @@
     NoRoom,
     /// Every endpoint asked for a pause without requests or was tried already.
     PushedBack,
+    /// The prompt has parts that crash the endpoints.
+    CrashingPart,
 }
 
 impl RefuseReason {
@@ -96,6 +98,7 @@
             Self::BeyondShare => "beyond_share",
             Self::NoRoom => "no_room",
             Self::PushedBack => "endpoints_pushed_back",
+            Self::CrashingPart => "crashing_part",
         }
     }
 }
--- a/crates/daisynotch_core/src/seeded_fault.rs
+++ b/crates/daisynotch_core/src/seeded_fault.rs
@@ -1,11 +1,12 @@
-//! Deliberate faults that validate the model check.
+//! Deliberate faults that validate the model check and the check of crash histories.
 //!
-//! Each fault breaks one invariant of `docs/design/protocol-specification.md`. Seeding
+//! Each fault breaks one invariant of `docs/design/protocol-specification.md` or of
+//! `docs/design/crashing-parts.md`. Seeding
 //! requires the cargo feature `seeded_faults`, which only the tests of this crate enable;
 //! without it the checks compile to a constant and cost nothing. The seeded fault is a
 //! thread-local value, so tests can run in parallel.
 
-/// A deliberate fault in the core that the model check must detect.
+/// A deliberate fault in the core that a check must detect.
 #[daisynotch_macros::value]
 #[derive(Copy)]
 pub enum SeededFault {
@@ -29,6 +30,12 @@
     KeepTicketNumber,
     /// The scheduler accepts tickets of an entry that is gone.
     AcceptLostEntry,
+    /// Each open request at a crashed engine counts as a crash of its own.
+    CountOpenRequests,
+    /// Answers prove nothing about the parts of their prompts.
+    IgnorePartProofs,
+    /// Parts are blocked without a trial.
+    BlockWithoutTrial,
 }
 
 #[cfg(feature = "seeded_faults")]
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -4,6 +4,7 @@
 //! describes the programs, `docs/design/direct-dispatch.md` the decisions.
 
 mod connections;
+mod crash_check;
 mod daemon;
 mod directory;
 mod event_log;
--- a/crates/daisynotch_router/src/direct/connections.rs
+++ b/crates/daisynotch_router/src/direct/connections.rs
@@ -6,6 +6,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
 use std::time::Duration;
@@ -45,6 +46,8 @@
 /// Why a request got no response.
 #[derive(Debug)]
 pub(crate) enum SendError {
+    /// No process listens at the address, and nothing was sent.
+    Refused(String),
     /// No byte of the request was sent.
     NotSent(String),
     /// The request was sent, at least in part.
@@ -72,7 +75,10 @@
         let failed = |error: &dyn std::fmt::Display| SendError::NotSent(error.to_string());
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| failed(&"timed out while connecting"))?;
-        let stream = stream.map_err(|error| failed(&error))?;
+        let stream = stream.map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused => SendError::Refused(error.to_string()),
+            _ => failed(&error),
+        })?;
         set_socket_options(&stream).map_err(|error| failed(&error))?;
         let head_limit = HeadLimit::default();
         let stream = LimitedStream::new(stream, head_limit.clone());
--- /dev/null
+++ b/crates/daisynotch_router/src/direct/crash_check.rs
@@ -0,0 +1,148 @@
+//! Finds out whether an endpoint crashed when a connection to it breaks, and reports it.
+
+use std::rc::Rc;
+
+use daisynotch_core::EndpointId;
+use daisynotch_core::direct::{EvidenceChange, Grant, OpenRun};
+use futures::FutureExt;
+use futures::future::{LocalBoxFuture, Shared};
+use serde_json::json;
+
+use super::connections::SendError;
+use super::event_log::Importance;
+use super::forward::Call;
+use super::state::Router;
+
+/// A check of whether an endpoint crashed, shared by all requests whose connections broke.
+pub(super) type CrashCheck = Shared<LocalBoxFuture<'static, bool>>;
+
+impl Call {
+    /// Returns whether the request may be sent to another endpoint after its connection broke.
+    ///
+    /// A request that may have crashed one endpoint must not crash another one. `open_run` is
+    /// unset if the prompt has no parts that could.
+    pub(super) async fn may_go_elsewhere(&self, grant: &Grant, open_run: Option<OpenRun>) -> bool {
+        let Some(run) = open_run else {
+            return true;
+        };
+        if !self.has_crashed(grant).await {
+            return true;
+        }
+        let router = &self.router;
+        let now = router.now();
+        router.dispatcher.borrow_mut().on_crash(&run, now);
+        if run.parts.is_empty() {
+            router.log_evidence_changes("own");
+            return true;
+        }
+        let parts: Vec<String> = run.parts.iter().map(|part| format!("{part:x}")).collect();
+        let fields = json!({
+            "endpoint": &*grant.endpoint_name, "id": self.attempt_id.to_str().unwrap_or(""),
+            "parts": parts, "has_head": run.has_head, "is_trial": run.is_trial,
+        });
+        router
+            .log
+            .write(Importance::Essential, "open_at_crash", fields);
+        router.log_evidence_changes("own");
+        let dispatcher = router.dispatcher.borrow();
+        dispatcher.may_repeat_after_crash(&self.spec, now)
+    }
+
+    /// Returns whether the endpoint's process is gone: nothing listens at its address.
+    ///
+    /// A connection that breaks alone says little, since it may have been reset on the way. All
+    /// requests whose connections broke wait for the same check.
+    async fn has_crashed(&self, grant: &Grant) -> bool {
+        let router = &self.router;
+        let endpoint = grant.endpoint;
+        if router.dispatcher.borrow().has_crashed(endpoint) {
+            return true;
+        }
+        let known = router.crash_checks.borrow().get(&endpoint).cloned();
+        let check = known.unwrap_or_else(|| {
+            let check = check_endpoint(Rc::clone(router), grant.clone());
+            let check = check.boxed_local().shared();
+            router
+                .crash_checks
+                .borrow_mut()
+                .insert(endpoint, check.clone());
+            check
+        });
+        check.await
+    }
+}
+
+async fn check_endpoint(router: Rc<Router>, grant: Grant) -> bool {
+    router.metrics.connections_opened.inc();
+    let opened = super::connections::Connection::open(grant.address).await;
+    router.crash_checks.borrow_mut().remove(&grant.endpoint);
+    match opened {
+        Ok(connection) => {
+            let now = router.now();
+            router.connections.put(grant.endpoint, connection, now);
+            false
+        }
+        Err(SendError::Refused(_)) => true,
+        Err(SendError::NotSent(reason) | SendError::NoAnswer(reason)) => {
+            let name = &grant.endpoint_name;
+            log::debug!("can't tell whether endpoint {name} crashed: {reason}");
+            false
+        }
+    }
+}
+
+impl Router {
+    /// Logs and counts what the evidence on crashes led to since the last call.
+    pub(super) fn log_evidence_changes(&self, source: &str) {
+        let changes = self.dispatcher.borrow_mut().take_evidence_changes();
+        if changes.is_empty() {
+            return;
+        }
+        let hex = |part: &u32| format!("{part:x}");
+        for change in changes {
+            let (event, fields) = match change {
+                EvidenceChange::Crashed { endpoint, suspects } => {
+                    self.metrics.endpoint_crashes.inc();
+                    let suspects: serde_json::Map<String, serde_json::Value> = suspects
+                        .iter()
+                        .map(|(part, crashes)| (hex(part), (*crashes).into()))
+                        .collect();
+                    let endpoint = self.endpoint_label(endpoint);
+                    let fields =
+                        json!({"endpoint": endpoint, "suspects": suspects, "source": source});
+                    ("endpoint_crashed", fields)
+                }
+                EvidenceChange::Blocked {
+                    parts,
+                    endpoints,
+                    pause,
+                } => {
+                    let parts: Vec<String> = parts.iter().map(hex).collect();
+                    let endpoints = endpoints.into_iter();
+                    let endpoints: Vec<String> =
+                        endpoints.map(|id| self.endpoint_label(id)).collect();
+                    let fields = json!({
+                        "parts": parts, "crashed": endpoints, "source": source,
+                        "pause_ms": pause.as_millis() as u64,
+                    });
+                    ("parts_blocked", fields)
+                }
+                EvidenceChange::Unblocked { parts } => {
+                    let parts: Vec<String> = parts.iter().map(hex).collect();
+                    ("parts_unblocked", json!({"parts": parts, "source": source}))
+                }
+            };
+            self.log.write(Importance::Essential, event, fields);
+        }
+        let blocked = self.dispatcher.borrow().blocked_len();
+        self.metrics.blocked_parts.set(blocked as i64);
+        self.pump();
+    }
+
+    /// Returns an endpoint's name, or its identifier if it is no longer known.
+    fn endpoint_label(&self, endpoint: EndpointId) -> String {
+        let names = self.endpoint_names.borrow();
+        let name = names.get(&endpoint).map(|name| name.to_string());
+        name.unwrap_or_else(|| format!("{:08x}", endpoint.0))
+    }
+}
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use daisynotch_core::Timestamp;
 use daisynotch_core::direct::{
-    Grant, RefuseReason, RequestSpec, Route, RouteKind, RouteTable, RunOutcome, TeamEntry, Verdict,
+    Grant, OpenRun, RefuseReason, RequestSpec, Route, RouteKind, RouteTable, RunOutcome, TeamEntry,
+    Verdict,
 };
 use daisynotch_platform::ports::CallerHeaders;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -38,6 +39,9 @@
 const FULL_RESPONSE_MAX_BYTES: usize = 1024 * 1024;
 /// `Retry-After` of a refusal when there is no better estimate.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(300);
+/// Status of a request with a prompt part that crashes endpoints. Callers do not repeat a request
+/// after it: the same prompt would be refused again.
+const CRASHING_PART_STATUS: StatusCode = StatusCode::BAD_REQUEST;
 /// Expected length of a response as a fraction of its maximum, for callers that send no length
 /// hint.
 const EXPECTED_LENGTH_FRACTION: f64 = 0.5;
@@ -58,6 +62,8 @@
     pub(super) deadline_at: Timestamp,
     pub(super) configuration_version: u64,
     pub(super) history: RequestHistory,
+    /// The latest run whose connection broke before its response began.
+    pub(super) open_run: Option<OpenRun>,
     /// Whether the log line on the end of the request was written.
     is_end_logged: Cell<bool>,
 }
@@ -250,6 +256,7 @@
         deadline_at: now + deadline,
         configuration_version: routes.version,
         history: RequestHistory::default(),
+        open_run: None,
         is_end_logged: Cell::new(false),
     })
 }
@@ -295,6 +302,7 @@
                 let ended = if is_error {
                     RunOutcome::ErrorAnswer
                 } else {
+                    started.guard.on_event();
                     RunOutcome::Done
                 };
                 started.guard.end(ended);
@@ -332,11 +340,13 @@
                 ))
             }
             Ok(Err(error)) => {
+                let open_run = started.guard.open_run();
                 started.guard.end(RunOutcome::Broken);
                 call.history
                     .failures
                     .push(format!("reading the response body failed: {error}"));
-                let should_retry = call.take_retry();
+                let may_go_elsewhere = call.may_go_elsewhere(&started.grant, open_run).await;
+                let should_retry = may_go_elsewhere && call.take_retry();
                 (!should_retry)
                     .then(|| LocalResponse::new(StatusCode::BAD_GATEWAY, "answer_broke_off"))
             }
@@ -388,7 +398,7 @@
             self.history.tokens_ahead = grant.tokens_ahead;
             let endpoint_name = Arc::clone(&grant.endpoint_name);
             self.history.is_at_endpoint = true;
-            let sent = self.send(grant, resume_after).await;
+            let sent = self.send(grant.clone(), resume_after).await;
             self.history.is_at_endpoint = false;
             match sent {
                 Ok(started) => {
@@ -413,7 +423,8 @@
                         .failures
                         .push(format!("{endpoint_name}: {reason}"));
                     self.history.runs += 1;
-                    if !self.take_retry() {
+                    let open_run = self.open_run.take();
+                    if !self.may_go_elsewhere(&grant, open_run).await || !self.take_retry() {
                         return Err(LocalResponse::new(
                             StatusCode::BAD_GATEWAY,
                             "endpoint_failed",
@@ -487,8 +498,16 @@
             })) => {
                 self.history.refusal_basis = Some((share_used_percent, backlog));
                 let mut response = self.unavailable(reason.as_str(), retry_after);
-                if reason == RefuseReason::BeyondShare && self.history.runs == 0 {
-                    response.status = StatusCode::TOO_MANY_REQUESTS;
+                if self.history.runs == 0 {
+                    match reason {
+                        RefuseReason::BeyondShare => {
+                            response.status = StatusCode::TOO_MANY_REQUESTS;
+                        }
+                        RefuseReason::CrashingPart => {
+                            response = LocalResponse::new(CRASHING_PART_STATUS, reason.as_str());
+                        }
+                        _ => {}
+                    }
                 }
                 Err(response)
             }
--- a/crates/daisynotch_router/src/direct/metrics.rs
+++ b/crates/daisynotch_router/src/direct/metrics.rs
@@ -46,6 +46,10 @@
     pub(crate) configuration_version: IntGauge,
     /// Other routers that were heard from recently.
     pub(crate) routers_present: IntGauge,
+    /// Crashes of endpoints with open requests, as seen by this router or reported to it.
+    pub(crate) endpoint_crashes: IntCounter,
+    /// Sets of prompt parts that are blocked because they crash endpoints.
+    pub(crate) blocked_parts: IntGauge,
 }
 
 impl Metrics {
@@ -98,6 +102,14 @@
                 "daisynotch_routers_present",
                 "Other routers heard lately.",
             )?,
+            endpoint_crashes: IntCounter::new(
+                "daisynotch_endpoint_crashes_total",
+                "Crashes of endpoints with open requests, as far as known.",
+            )?,
+            blocked_parts: IntGauge::new(
+                "daisynotch_blocked_parts",
+                "Sets of prompt parts that are blocked because they crash endpoints.",
+            )?,
         };
         router_metrics.register()?;
         Ok(router_metrics)
@@ -109,7 +121,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 13] = [
+        let collectors: [Box<dyn Collector>; 15] = [
             Box::new(self.requests.clone()),
             Box::new(self.sends.clone()),
             Box::new(self.answer_start.clone()),
@@ -123,6 +135,8 @@
             Box::new(self.listener_pauses.clone()),
             Box::new(self.configuration_version.clone()),
             Box::new(self.routers_present.clone()),
+            Box::new(self.endpoint_crashes.clone()),
+            Box::new(self.blocked_parts.clone()),
         ];
         metrics::register(&self.registry, collectors)
     }
--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use daisynotch_core::direct::{
-    ConfigurationStamp, DepartedEndpoint, Digest, Exchange, HostPhase, OwnRole, Recipients,
-    StorePosition,
+    ConfigurationStamp, CrashNews, DepartedEndpoint, Digest, Exchange, HostPhase, OwnRole,
+    Recipients, StorePosition,
 };
 use daisynotch_objects::{EndpointId, RouterId, RouterName};
 use daisynotch_platform::ports::{StoreEvent, StoreItem};
@@ -51,6 +51,8 @@
 const STORE_VIEW_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long a change is included in digests: a few rounds of the largest fleets.
 const CHANGE_RESEND_DURATION: Duration = Duration::from_millis(1_200);
+/// Maximum number of reports on crashes in a digest.
+const SENT_CRASH_REPORTS_MAX: usize = 16;
 /// Maximum number of changes in a digest.
 const CHANGES_PER_DIGEST_MAX: usize = 6;
 /// Request rate, per second, from which a router has callers although the directory does not
@@ -107,12 +109,14 @@
             recent_placements.pop_front();
         }
         let recent = recent_changes(&router);
+        let crash_news = encode_crash_news(&router, SENT_CRASH_REPORTS_MAX);
         if !recipients.heartbeat.is_empty() {
             let datagram = Datagram {
                 digest: heartbeat_digest(&router, KNOWN_HOSTS_MAX, INTRODUCED_MAX, HEARTBEATS_MAX),
                 recent: recent.clone(),
             };
-            send(&router, &socket, &datagram, &recipients.heartbeat);
+            let addresses = &recipients.heartbeat;
+            send(&router, &socket, &datagram, &crash_news, addresses);
         }
         if !recipients.load.is_empty() {
             // If every round reaches all routers with callers, they need no heartbeats of each
@@ -129,6 +133,7 @@
                 &router,
                 &socket,
                 &Datagram { digest, recent },
+                &crash_news,
                 &recipients.load,
             );
         }
@@ -145,8 +150,19 @@
     }
 }
 
-fn send(router: &Router, socket: &UdpSocket, datagram: &Datagram, addresses: &[SocketAddr]) {
-    let problem = match postcard::to_stdvec(datagram) {
+/// Sends a datagram, followed by the evidence on crashes.
+fn send(
+    router: &Router,
+    socket: &UdpSocket,
+    datagram: &Datagram,
+    crash_news: &[u8],
+    addresses: &[SocketAddr],
+) {
+    let encoded = postcard::to_stdvec(datagram).map(|mut bytes| {
+        bytes.extend_from_slice(crash_news);
+        bytes
+    });
+    let problem = match encoded {
         Ok(bytes) if bytes.len() <= DATAGRAM_MAX_BYTES => {
             for address in addresses {
                 // The next digest makes up for a lost one, so a full send buffer is not waited
@@ -224,6 +240,46 @@
     newest
 }
 
+/// Encodes the evidence on crashes; empty if there is none.
+///
+/// It follows a message, where routers of an earlier version ignore it.
+fn encode_crash_news(router: &Router, reports_max: usize) -> Vec<u8> {
+    let news = router
+        .dispatcher
+        .borrow()
+        .crash_news(reports_max, router.now());
+    if news.is_empty() {
+        return Vec::new();
+    }
+    postcard::to_stdvec(&news).unwrap_or_else(|error| {
+        let fields = json!({"error": error.to_string()});
+        router
+            .log
+            .write(Importance::Essential, "crash_news_unwritable", fields);
+        Vec::new()
+    })
+}
+
+/// Applies another router's evidence on crashes, if a message has any.
+fn on_crash_news(router: &Router, encoded: &[u8], source: &str) {
+    if encoded.is_empty() {
+        return;
+    }
+    match postcard::from_bytes::<CrashNews>(encoded) {
+        Ok(news) => {
+            let now = router.now();
+            router.dispatcher.borrow_mut().on_crash_news(&news, now);
+            router.log_evidence_changes(source);
+        }
+        Err(error) => {
+            let fields = json!({"error": error.to_string(), "source": source});
+            router
+                .log
+                .write(Importance::Essential, "crash_news_unreadable", fields);
+        }
+    }
+}
+
 /// Receives and applies the digests of other routers.
 pub(crate) async fn receive_digests(router: Rc<Router>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
@@ -238,8 +294,8 @@
                 continue;
             }
         };
-        let datagram: Datagram = match postcard::from_bytes(&buffer[..length]) {
-            Ok(datagram) => datagram,
+        let (datagram, crash_news) = match postcard::take_from_bytes(&buffer[..length]) {
+            Ok(decoded) => decoded,
             Err(error) => {
                 let fields = json!({"from": from.to_string(), "error": error.to_string()});
                 router
@@ -255,7 +311,7 @@
             .inc();
         let now = router.now();
         router.confirmation.borrow_mut().on_wakeup(now);
-        let Datagram { digest, recent } = datagram;
+        let Datagram { digest, recent }: Datagram = datagram;
         if router.hosts.borrow().reports_store_recovery(&digest) {
             // Entries that lapsed during the outage may be written again.
             router.endpoints.borrow_mut().on_store_recovery(now);
@@ -279,9 +335,12 @@
                 ),
                 recent: Vec::new(),
             };
-            send(&router, &socket, &datagram, &[digest.host.peer_address]);
+            let crash_news = encode_crash_news(&router, SENT_CRASH_REPORTS_MAX);
+            let address = [digest.host.peer_address];
+            send(&router, &socket, &datagram, &crash_news, &address);
         }
         router.dispatcher.borrow_mut().on_digest(&digest, now);
+        on_crash_news(&router, crash_news, "digest");
         router.on_configuration_age(&digest, now);
         for endpoint in &digest.leaving {
             router.on_endpoint_leaving(*endpoint, "digest");
@@ -413,7 +472,10 @@
     };
     let body = tokio::time::timeout(STORE_VIEW_TIMEOUT, exchange).await;
     let body = body.map_err(|_| "the router did not respond in time".to_owned())??;
-    let view: StoreViewMessage = postcard::from_bytes(&body).map_err(|error| error.to_string())?;
+    let (view, crash_news) =
+        postcard::take_from_bytes::<StoreViewMessage>(&body).map_err(|error| error.to_string())?;
+    // A router that starts gets the evidence before it has a configuration and sends prompts.
+    on_crash_news(router, crash_news, "router");
     for endpoint in view.leaving {
         router.on_endpoint_leaving(endpoint, "router");
     }
@@ -462,7 +524,10 @@
         leaving: router.endpoints.borrow().leaving().collect(),
     };
     match postcard::to_stdvec(&message) {
-        Ok(body) => Response::new(ResponseBody::Full(Some(Bytes::from(body)))),
+        Ok(mut body) => {
+            body.extend_from_slice(&encode_crash_news(router, usize::MAX));
+            Response::new(ResponseBody::Full(Some(Bytes::from(body))))
+        }
         Err(error) => {
             let fields = json!({"error": error.to_string()});
             router
--- a/crates/daisynotch_router/src/direct/send.rs
+++ b/crates/daisynotch_router/src/direct/send.rs
@@ -72,6 +72,7 @@
                 else {
                     return Err(failure);
                 };
+                self.open_run = guard.open_run();
                 guard.end(ended);
                 return Err(failure);
             }
@@ -118,7 +119,9 @@
         resume_after: Option<&str>,
     ) -> Result<(Response<Incoming>, Connection), SendFailure> {
         let unreachable = |error: SendError| match error {
-            SendError::NotSent(reason) => SendFailure::NotRun(RunOutcome::Unreachable, reason),
+            SendError::Refused(reason) | SendError::NotSent(reason) => {
+                SendFailure::NotRun(RunOutcome::Unreachable, reason)
+            }
             SendError::NoAnswer(reason) => SendFailure::Unknown(RunOutcome::Broken, reason),
         };
         let idle = self
@@ -158,7 +161,11 @@
                 self.router.connections.put(grant.endpoint, connection, now);
                 true
             }
-            Err(SendError::NotSent(reason) | SendError::NoAnswer(reason)) => {
+            Err(
+                SendError::Refused(reason)
+                | SendError::NotSent(reason)
+                | SendError::NoAnswer(reason),
+            ) => {
                 log::debug!(
                     "can't connect to endpoint {}: {reason}",
                     grant.endpoint_name
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use daisynotch_core::direct::{
     ConfigurationStamp, Confirmation, Digest, Dispatcher, EndpointChange, EndpointList, Grant,
-    HostIntroduction, HostPhase, HostTable, Pressure, QueueId, RequestSpec, RouteTable, RunId,
-    RunOutcome, StorePosition, Verdict,
+    HostIntroduction, HostPhase, HostTable, OpenRun, Pressure, QueueId, RequestSpec, RouteTable,
+    RunId, RunOutcome, StorePosition, Verdict,
 };
 use daisynotch_core::{EndpointId, Timestamp};
 use daisynotch_platform::ports::{SharedPlatform, StoreEvent, StoreItem};
@@ -19,6 +19,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::connections::ConnectionPool;
+use super::crash_check::CrashCheck;
 use super::event_log::{EventLog, Importance};
 use super::metrics::Metrics;
 use super::settings::DirectSettings;
@@ -65,7 +66,9 @@
     pub(crate) routes: RefCell<Option<Rc<RouteTable>>>,
     pub(crate) endpoints: RefCell<EndpointList>,
     /// Names of the endpoints in use, for logs.
-    endpoint_names: RefCell<HashMap<EndpointId, Arc<str>>>,
+    pub(super) endpoint_names: RefCell<HashMap<EndpointId, Arc<str>>>,
+    /// Checks in progress of whether an endpoint crashed.
+    pub(super) crash_checks: RefCell<HashMap<EndpointId, CrashCheck>>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) hosts: RefCell<HostTable>,
     pub(crate) store_view: RefCell<StoreView>,
@@ -119,6 +122,7 @@
             routes: RefCell::new(None),
             endpoints: RefCell::default(),
             endpoint_names: RefCell::default(),
+            crash_checks: RefCell::default(),
             hosts: RefCell::default(),
             store_view: RefCell::default(),
             open_caller_connections: Cell::new(0),
@@ -518,6 +522,20 @@
         }
     }
 
+    /// Records that an event of the response, or all of it, arrived.
+    pub(crate) fn on_event(&self) {
+        if let Some(run) = self.run {
+            let mut dispatcher = self.router.dispatcher.borrow_mut();
+            dispatcher.on_event(run, self.router.now());
+        }
+    }
+
+    /// Returns the run as evidence, should its endpoint have crashed.
+    pub(crate) fn open_run(&self) -> Option<OpenRun> {
+        let dispatcher = self.router.dispatcher.borrow();
+        self.run.and_then(|run| dispatcher.open_run(run))
+    }
+
     /// Returns whether the run should be given up because its endpoint sends nothing any more.
     pub(crate) fn is_lost(&self) -> bool {
         let now = self.router.now();
--- a/crates/daisynotch_router/src/direct/store_client.rs
+++ b/crates/daisynotch_router/src/direct/store_client.rs
@@ -78,9 +78,9 @@
 
     async fn exchange(&self, call: StoreCall) -> Result<StoreResponse, StoreError> {
         let failed = |error: SendError| match error {
-            SendError::NotSent(reason) | SendError::NoAnswer(reason) => {
-                StoreError::NoAnswer(reason)
-            }
+            SendError::Refused(reason)
+            | SendError::NotSent(reason)
+            | SendError::NoAnswer(reason) => StoreError::NoAnswer(reason),
         };
         let idle = self.connection.take().filter(Connection::is_usable);
         let mut connection = match idle {
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -77,7 +77,8 @@
             }
             StreamEnd::Broken(reason) => {
                 call.history.failures.push(reason);
-                call.take_retry()
+                let open_run = started.guard.open_run();
+                call.may_go_elsewhere(&started.grant, open_run).await && call.take_retry()
             }
             StreamEnd::Silent => {
                 let reason = "the endpoint went silent".to_owned();
@@ -168,7 +169,10 @@
         last_bytes_at = Instant::now();
         started.guard.on_bytes();
         let complete_events = framer.push(&bytes);
-        call.history.events = framer.events();
+        if framer.events() > call.history.events {
+            call.history.events = framer.events();
+            started.guard.on_event();
+        }
         if framer.partial_len() > EVENT_MAX_BYTES {
             return StreamEnd::Broken(format!("an event exceeds {EVENT_MAX_BYTES} bytes"));
         }
