Break off streams that end within an event

Callers saw: a stream whose endpoint stopped in the middle of an event ended as a whole one, with half an event at its end; one whose connection was closed before the first event ended as an empty whole stream.

Cause: `stream_relay` passed the unfinished event on where a stream may not be resumed, and took the end of a response without length or chunks for its completion even when nothing had come.

Whole responses without length or chunks were passed on as whole before and are.

The unfinished event is no longer passed on, so the caller's connection breaks after the last whole event; resumable streams go on elsewhere. `EventFramer::take_partial` has no use left and goes; its test held that the bytes after the last event can be had, the new one that they are no event.

--- a/crates/daisynotch_core/src/direct/event_framer.rs
+++ b/crates/daisynotch_core/src/direct/event_framer.rs
@@ -35,11 +35,6 @@
         self.partial.clear();
     }
 
-    /// Removes and returns the bytes after the last complete event.
-    pub fn take_partial(&mut self) -> Bytes {
-        self.partial.split().freeze()
-    }
-
     /// Returns the length of the incomplete event, in bytes.
     pub fn partial_len(&self) -> usize {
         self.partial.len()
--- a/crates/daisynotch_core/src/direct/event_framer/tests.rs
+++ b/crates/daisynotch_core/src/direct/event_framer/tests.rs
@@ -35,9 +35,10 @@
 }
 
 #[test]
-fn bytes_after_the_last_event_can_be_taken() {
+fn bytes_after_the_last_event_are_no_event() {
     let mut framer = EventFramer::default();
-    framer.push(&Bytes::from_static(b"data: a\n\ntail"));
-    assert_eq!(&framer.take_partial()[..], b"tail");
-    assert!(framer.is_at_boundary());
+    let complete = framer.push(&Bytes::from_static(b"data: a\n\ntail"));
+    assert_eq!(&complete[..], b"data: a\n\n");
+    assert_eq!((framer.events(), framer.partial_len()), (1, 4));
+    assert!(!framer.is_at_boundary());
 }
--- a/crates/daisynotch_router/src/direct/response.rs
+++ b/crates/daisynotch_router/src/direct/response.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::response::Parts as ResponseHead;
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc;
 
@@ -119,6 +120,13 @@
     }
 }
 
+/// Returns whether the body of an endpoint's response has neither a length nor chunks, so that it
+/// ends with the connection.
+pub(crate) fn ends_with_connection(head: &ResponseHead) -> bool {
+    !head.headers.contains_key(header::CONTENT_LENGTH)
+        && !head.headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Removes hop-by-hop headers, including those that the `Connection` header names, and the
 /// content length.
 pub(crate) fn strip_connection_headers(headers: &mut HeaderMap) {
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::forward::{Call, to_caller_response};
-use super::response::{ResponseBody, TruncatedResponse};
+use super::response::{ResponseBody, TruncatedResponse, ends_with_connection};
 use super::send::{SILENCE_CHECK_INTERVAL, StartedResponse};
 
 /// Maximum number of chunks queued for a caller that reads slowly.
@@ -157,7 +157,7 @@
         let bytes = match frame {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             Some(Err(error)) => return StreamEnd::Broken(format!("the stream failed: {error}")),
-            None => return end(framer, chunks, is_resumable).await,
+            None => return end(call, started, framer),
         };
         if bytes.is_empty() {
             continue;
@@ -189,17 +189,17 @@
     }
 }
 
-/// Ends a stream. An incomplete last event is forwarded if the stream can't continue on
-/// another endpoint.
-async fn end(framer: &mut EventFramer, chunks: &ChunkSender, is_resumable: bool) -> StreamEnd {
-    if framer.is_at_boundary() {
-        return StreamEnd::Complete;
+/// Returns how a stream ended whose body ended without an error.
+///
+/// A body without a length or chunks ends with its connection, whether or not the endpoint was
+/// done, so it must at least have an event.
+fn end(call: &Call, started: &StartedResponse, framer: &EventFramer) -> StreamEnd {
+    let broken = |reason: &str| StreamEnd::Broken(reason.to_owned());
+    if !framer.is_at_boundary() {
+        return broken("the stream ended within an event");
     }
-    if is_resumable {
-        return StreamEnd::Broken("the stream ended within an event".to_owned());
-    }
-    match chunks.send(Ok(framer.take_partial())).await {
-        Ok(()) => StreamEnd::Complete,
-        Err(_) => StreamEnd::CallerLeft,
+    if ends_with_connection(&started.head) && call.history.events == 0 {
+        return broken("the connection was closed before the first event");
     }
+    StreamEnd::Complete
 }
