Do not take the crash of an endpoint for the end of its response

Callers saw a whole 200 with a part of the answer when an endpoint crashed in the middle of a response that has neither a length nor chunks: such a response ends with its connection, and a crash closes that as well.

At the end of such a response the router now asks whether the endpoint still listens, unless it is known to leave; if it does not, the response counts as broken off, for streams and plain ones.

Responses that are read whole move to `full_relay.rs`, beside `stream_relay.rs`.

--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -377,6 +377,11 @@
         self.crash_evidence.set_engines(self.endpoints.len());
     }
 
+    /// Returns whether requests may be sent to an endpoint start.
+    pub fn has_endpoint_start(&self, endpoint: EndpointId) -> bool {
+        self.endpoints.contains_key(&endpoint)
+    }
+
     /// Returns whether the request's service has an endpoint that has not been tried for it.
     pub fn has_untried_endpoint(&self, spec: &RequestSpec) -> bool {
         let of_service = self.endpoints_by_service.get(&spec.service);
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod event_log;
 mod forward;
+mod full_relay;
 mod head_limit;
 mod ingress;
 mod listener;
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -8,8 +8,7 @@
 use bytes::Bytes;
 use daisynotch_core::Timestamp;
 use daisynotch_core::direct::{
-    Grant, OpenRun, RefuseReason, RequestSpec, Route, RouteKind, RouteTable, RunOutcome, TeamEntry,
-    Verdict,
+    Grant, OpenRun, RefuseReason, RequestSpec, Route, RouteKind, RouteTable, TeamEntry, Verdict,
 };
 use daisynotch_platform::ports::CallerHeaders;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -27,16 +26,13 @@
 use super::response::{LocalResponse, ResponseBody, strip_connection_headers};
 use super::send::{SendFailure, StartedResponse};
 use super::state::Router;
-use super::stream_relay;
+use super::{full_relay, stream_relay};
 
 /// Deadline of a request without one: the longest that callers use.
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
 /// Number of endpoints that may refuse the request or be unreachable before the caller gets an
 /// error.
 const UNRUN_SENDS_MAX: u32 = 3;
-/// Maximum size of a response that is not a stream: the body is held in memory, and hosts have
-/// 88 MB.
-const FULL_RESPONSE_MAX_BYTES: usize = 1024 * 1024;
 /// `Retry-After` of a refusal when there is no better estimate.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(300);
 /// Status of a request with a prompt part that crashes endpoints. Callers do not repeat a request
@@ -286,87 +282,7 @@
     if call.route.kind.is_stream() && started.head.status.is_success() {
         return stream_relay::start(call, started);
     }
-    relay_full_response(call, started).await
-}
-
-/// Reads a response that is not a stream to its end and forwards it.
-async fn relay_full_response(
-    mut call: Call,
-    mut started: StartedResponse,
-) -> Response<ResponseBody> {
-    loop {
-        let is_error = started.head.status.is_server_error();
-        let read = Limited::new(started.incoming, FULL_RESPONSE_MAX_BYTES).collect();
-        let failure = match tokio::time::timeout_at(call.give_up_at, read).await {
-            Ok(Ok(body)) => {
-                let ended = if is_error {
-                    RunOutcome::ErrorAnswer
-                } else {
-                    started.guard.on_event();
-                    RunOutcome::Done
-                };
-                started.guard.end(ended);
-                if started.connection.is_usable() {
-                    let connections = &call.router.connections;
-                    let now = call.router.now();
-                    connections.put(started.grant.endpoint, started.connection, now);
-                }
-                let should_retry = is_error && call.take_retry();
-                if !should_retry {
-                    let status = started.head.status;
-                    let outcome = if status.is_success() {
-                        "done"
-                    } else {
-                        "endpoint_error"
-                    };
-                    call.log_end(outcome, status);
-                    return to_caller_response(
-                        started.head,
-                        ResponseBody::Full(Some(body.to_bytes())),
-                    );
-                }
-                call.history
-                    .failures
-                    .push(format!("status {}", started.head.status));
-                None
-            }
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                started.guard.end(RunOutcome::Broken);
-                let problem = format!("the response body exceeds {FULL_RESPONSE_MAX_BYTES} bytes");
-                call.history.failures.push(problem);
-                Some(LocalResponse::new(
-                    StatusCode::BAD_GATEWAY,
-                    "answer_too_long",
-                ))
-            }
-            Ok(Err(error)) => {
-                let open_run = started.guard.open_run();
-                started.guard.end(RunOutcome::Broken);
-                call.history
-                    .failures
-                    .push(format!("reading the response body failed: {error}"));
-                let may_go_elsewhere = call.may_go_elsewhere(&started.grant, open_run).await;
-                let should_retry = may_go_elsewhere && call.take_retry();
-                (!should_retry)
-                    .then(|| LocalResponse::new(StatusCode::BAD_GATEWAY, "answer_broke_off"))
-            }
-            Err(_) => {
-                started.guard.end(RunOutcome::Cancelled);
-                Some(LocalResponse::new(StatusCode::GATEWAY_TIMEOUT, "timed_out"))
-            }
-        };
-        if let Some(response) = failure {
-            call.log_end(response.reason, response.status);
-            return response.into_response();
-        }
-        started = match call.start_response(None).await {
-            Ok(started) => started,
-            Err(response) => {
-                call.log_end(response.reason, response.status);
-                return response.into_response();
-            }
-        };
-    }
+    full_relay::relay(call, started).await
 }
 
 /// Converts the response of an endpoint to the response to the caller.
--- /dev/null
+++ b/crates/daisynotch_router/src/direct/full_relay.rs
@@ -0,0 +1,105 @@
+//! Reads a response that is not a stream to its end, then passes it on.
+
+use bytes::Bytes;
+use daisynotch_core::direct::RunOutcome;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::{Response, StatusCode};
+
+use super::forward::{Call, to_caller_response};
+use super::response::{LocalResponse, ResponseBody};
+use super::send::StartedResponse;
+
+/// Maximum size of a response that is not a stream: the body is held in memory, and hosts have
+/// 88 MB.
+const FULL_RESPONSE_MAX_BYTES: usize = 1024 * 1024;
+
+/// How reading the body of a response ended.
+enum BodyEnd {
+    /// The body is complete.
+    Whole(Bytes),
+    /// The connection broke.
+    Broken(String),
+    /// The body is too long to be held in memory.
+    TooLong,
+    /// The request's deadline passed.
+    TimedOut,
+}
+
+/// Passes on the first response whose body arrives completely, unless no retry is left.
+pub(super) async fn relay(mut call: Call, mut started: StartedResponse) -> Response<ResponseBody> {
+    loop {
+        let status = started.head.status;
+        let is_error = status.is_server_error();
+        let failure = match read_body(&call, &mut started).await {
+            BodyEnd::Whole(body) => {
+                let ended = if is_error {
+                    RunOutcome::ErrorAnswer
+                } else {
+                    started.guard.on_event();
+                    RunOutcome::Done
+                };
+                started.guard.end(ended);
+                if started.connection.is_usable() {
+                    let connections = &call.router.connections;
+                    let now = call.router.now();
+                    connections.put(started.grant.endpoint, started.connection, now);
+                }
+                if !is_error || !call.take_retry() {
+                    let outcome = if status.is_success() {
+                        "done"
+                    } else {
+                        "endpoint_error"
+                    };
+                    call.log_end(outcome, status);
+                    return to_caller_response(started.head, ResponseBody::Full(Some(body)));
+                }
+                call.history.failures.push(format!("status {status}"));
+                None
+            }
+            BodyEnd::TooLong => {
+                started.guard.end(RunOutcome::Broken);
+                let problem = format!("the response body exceeds {FULL_RESPONSE_MAX_BYTES} bytes");
+                call.history.failures.push(problem);
+                Some((StatusCode::BAD_GATEWAY, "answer_too_long"))
+            }
+            BodyEnd::Broken(problem) => {
+                let open_run = started.guard.open_run();
+                started.guard.end(RunOutcome::Broken);
+                call.history.failures.push(problem);
+                let may_retry = call.may_go_elsewhere(&started.grant, open_run).await;
+                let is_retried = may_retry && call.take_retry();
+                (!is_retried).then_some((StatusCode::BAD_GATEWAY, "answer_broke_off"))
+            }
+            BodyEnd::TimedOut => {
+                started.guard.end(RunOutcome::Cancelled);
+                Some((StatusCode::GATEWAY_TIMEOUT, "timed_out"))
+            }
+        };
+        if let Some((status, reason)) = failure {
+            call.log_end(reason, status);
+            return LocalResponse::new(status, reason).into_response();
+        }
+        started = match call.start_response(None).await {
+            Ok(started) => started,
+            Err(response) => {
+                call.log_end(response.reason, response.status);
+                return response.into_response();
+            }
+        };
+    }
+}
+
+async fn read_body(call: &Call, started: &mut StartedResponse) -> BodyEnd {
+    let incoming: &mut Incoming = &mut started.incoming;
+    let read = Limited::new(incoming, FULL_RESPONSE_MAX_BYTES).collect();
+    match tokio::time::timeout_at(call.give_up_at, read).await {
+        Ok(Ok(_)) if call.was_cut_by_crash(started).await => {
+            BodyEnd::Broken("the endpoint crashed at the end of the response body".to_owned())
+        }
+        Ok(Ok(body)) => BodyEnd::Whole(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => BodyEnd::TooLong,
+        Ok(Err(error)) => BodyEnd::Broken(format!("reading the response body failed: {error}")),
+        Err(_) => BodyEnd::TimedOut,
+    }
+}
--- a/crates/daisynotch_router/src/direct/response.rs
+++ b/crates/daisynotch_router/src/direct/response.rs
@@ -123,7 +123,9 @@
 /// Returns whether the body of an endpoint's response has neither a length nor chunks, so that it
 /// ends with the connection.
 pub(crate) fn ends_with_connection(head: &ResponseHead) -> bool {
-    !head.headers.contains_key(header::CONTENT_LENGTH)
+    let has_body = ![StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status);
+    has_body
+        && !head.headers.contains_key(header::CONTENT_LENGTH)
         && !head.headers.contains_key(header::TRANSFER_ENCODING)
 }
 
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -157,7 +157,7 @@
         let bytes = match frame {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             Some(Err(error)) => return StreamEnd::Broken(format!("the stream failed: {error}")),
-            None => return end(call, started, framer),
+            None => return end(call, started, framer).await,
         };
         if bytes.is_empty() {
             continue;
@@ -192,8 +192,8 @@
 /// Returns how a stream ended whose body ended without an error.
 ///
 /// A body without a length or chunks ends with its connection, whether or not the endpoint was
-/// done, so it must at least have an event.
-fn end(call: &Call, started: &StartedResponse, framer: &EventFramer) -> StreamEnd {
+/// done, so it must at least have an event and its endpoint must not have crashed.
+async fn end(call: &Call, started: &StartedResponse, framer: &EventFramer) -> StreamEnd {
     let broken = |reason: &str| StreamEnd::Broken(reason.to_owned());
     if !framer.is_at_boundary() {
         return broken("the stream ended within an event");
@@ -201,5 +201,8 @@
     if ends_with_connection(&started.head) && call.history.events == 0 {
         return broken("the connection was closed before the first event");
     }
+    if call.was_cut_by_crash(started).await {
+        return broken("the endpoint crashed at the end of the stream");
+    }
     StreamEnd::Complete
 }
