Let operators list and lift blocked prompt parts

On-call engineers had no way to see which parts a router refuses but its log, and none to end a block before its trial is due once the engines are mended.

`GET /blocked-parts` and `DELETE /blocked-parts/PART` at a router's metrics address, and `daisynotch blocked` and `daisynotch unblock`. The lift travels to the other routers as a proof does, so one call is enough; if the part is still fatal, it is blocked anew after the usual evidence.

--- a/crates/daisynotch/src/args.rs
+++ b/crates/daisynotch/src/args.rs
@@ -34,6 +34,8 @@
     history --key-value ADDRESS      print the latest changes
     status --router ADDRESS          print what a router knows
     drain --router ADDRESS           make a router finish its requests and end
+    blocked --router ADDRESS         print the prompt parts that a router refuses
+    unblock PART --router ADDRESS    make all routers accept a prompt part again
     report burn --router ADDRESS... --key-value ADDRESS
                                      print error budgets and burn rates
     credential TOKEN                 print a token's digest for the objects
@@ -100,6 +102,13 @@
     Drain {
         router: SocketAddr,
     },
+    Blocked {
+        router: SocketAddr,
+    },
+    Unblock {
+        part: String,
+        router: SocketAddr,
+    },
     Standin {
         kind: StandinKind,
         listen: SocketAddr,
@@ -186,6 +195,13 @@
             Some("drain") => Command::Drain {
                 router: raw.value_from_str("--router")?,
             },
+            Some("blocked") => Command::Blocked {
+                router: raw.value_from_str("--router")?,
+            },
+            Some("unblock") => Command::Unblock {
+                router: raw.value_from_str("--router")?,
+                part: raw.free_from_str()?,
+            },
             Some("standin") => Command::Standin {
                 listen: raw.value_from_str("--listen")?,
                 kind: raw.free_from_str()?,
--- a/crates/daisynotch/src/commands.rs
+++ b/crates/daisynotch/src/commands.rs
@@ -1,6 +1,7 @@
 //! The subcommands, one module each, and what they share.
 
 pub(crate) mod apply;
+pub(crate) mod blocked;
 pub(crate) mod check;
 pub(crate) mod credential;
 pub(crate) mod demo;
--- a/crates/daisynotch/src/main.rs
+++ b/crates/daisynotch/src/main.rs
@@ -52,6 +52,10 @@
         Command::Status { router } => commands::status::run(router, printer).await?,
         Command::ReportBurn(options) => commands::report::run(&options, printer).await?,
         Command::Drain { router } => commands::drain::run(router, printer).await?,
+        Command::Blocked { router } => commands::blocked::list(router, printer).await?,
+        Command::Unblock { part, router } => {
+            commands::blocked::unblock(&part, router, printer).await?;
+        }
         Command::Standin { kind, listen } => {
             commands::standin::run(kind, listen, printer).await?;
         }
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -3,6 +3,7 @@
 //! All tasks run on one thread and share one state without locks. `docs/design/platform.md`
 //! describes the programs, `docs/design/direct-dispatch.md` the decisions.
 
+mod admin;
 mod connections;
 mod crash_check;
 mod daemon;
@@ -24,5 +25,6 @@
 mod stream_relay;
 mod unread;
 
+pub use admin::BlockedParts;
 pub use daemon::{DirectAddresses, DirectDaemon, DirectError, run};
 pub use settings::{CredentialSettings, DirectSettings, RetrySettings};
--- a/crates/daisynotch_router/src/direct/crash_check.rs
+++ b/crates/daisynotch_router/src/direct/crash_check.rs
@@ -153,7 +153,7 @@
     }
 
     /// Returns an endpoint's name, or its identifier if it is no longer known.
-    fn endpoint_label(&self, endpoint: EndpointId) -> String {
+    pub(super) fn endpoint_label(&self, endpoint: EndpointId) -> String {
         let names = self.endpoint_names.borrow();
         let name = names.get(&endpoint).map(|name| name.to_string());
         name.unwrap_or_else(|| format!("{:08x}", endpoint.0))
--- a/crates/daisynotch_router/src/direct/directory.rs
+++ b/crates/daisynotch_router/src/direct/directory.rs
@@ -96,7 +96,7 @@
     }
 }
 
-fn with_content_type(body: Bytes, content_type: &'static str) -> Response<ResponseBody> {
+pub(super) fn with_content_type(body: Bytes, content_type: &'static str) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::Full(Some(body)));
     let content_type = HeaderValue::from_static(content_type);
     response.headers_mut().insert(CONTENT_TYPE, content_type);
--- a/crates/daisynotch_router/src/direct/ingress.rs
+++ b/crates/daisynotch_router/src/direct/ingress.rs
@@ -19,7 +19,7 @@
 use super::listener::Listener;
 use super::response::ResponseBody;
 use super::state::Router;
-use super::{directory, forward, peers};
+use super::{admin, directory, forward, peers};
 use crate::stall::StallGuard;
 
 /// How long a caller may accept no byte of a response.
@@ -240,7 +240,7 @@
         }
         ListenerKind::Readiness => directory::readiness(&router, path),
         ListenerKind::Directory => directory::directory(&router, path),
-        ListenerKind::Metrics => directory::metrics(&router, path),
+        ListenerKind::Metrics => admin::serve(&router, request.method(), path),
         ListenerKind::Peers => peers::serve_store_view(&router, request.uri()),
     };
     if connection.closes_after_response(&router) {
