Emulate a prompt part that crashes engines

The emulator had no input that ends who handles it, so no policy could be compared on it. New fault `fatal_part`, new baselines `no_detection` and `block_after_crashes` (three crashes, counted for the whole fleet at once), and figures for crashes under the part, sound requests refused, and the time from the first crash to the block, in the table, in JSON and in a second panel of `--plot`. Routers' digests carry the evidence and go to 24 others a round, as in production.

Loads that were there before draw the same arrivals; engines now come back from a crash as a new start.

--- a/crates/daisynotch_emulator/src/emulation.rs
+++ b/crates/daisynotch_emulator/src/emulation.rs
@@ -2,20 +2,24 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use daisynotch_core::Timestamp;
 use daisynotch_core::direct::{
-    Digest, Dispatcher, EndpointEntry, QueueId, RequestSpec, RunId, RunOutcome, Verdict,
+    CrashNews, Digest, Dispatcher, EndpointEntry, QueueId, RefuseReason, RequestSpec, RunId,
+    RunOutcome, Verdict,
 };
 use daisynotch_objects::EndpointId;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use smallvec::SmallVec;
 
+pub(crate) use crashes::Crashes;
+
 use crate::engine::{Engine, EngineCounters, Sequence, StepOutput};
-use crate::experiment::{Experiment, FaultKind};
+use crate::experiment::Experiment;
 use crate::figures::{Figures, Outcome, Report, figures};
 use crate::fleet::{SERVICE, dispatcher, endpoint_entry};
 use crate::load::{Request, requests};
@@ -83,7 +87,16 @@
     },
     ReceiveDigest {
         router: usize,
-        digest: Box<Digest>,
+        digest: Rc<(Digest, CrashNews)>,
+    },
+    /// The engine crashes because it begins to answer a fatal request.
+    Crash {
+        engine: usize,
+        incarnation: u32,
+    },
+    /// A crashed engine is back.
+    Restart {
+        engine: usize,
     },
     StartFault {
         fault: usize,
@@ -144,6 +157,9 @@
     callers: Vec<Caller>,
     outcomes: Vec<Outcome>,
     digest_seqs: Vec<u64>,
+    /// The first peer that gets each router's next digest.
+    digest_cursors: Vec<usize>,
+    crashes: Crashes,
 }
 
 impl<'a> Emulation<'a> {
@@ -155,11 +171,13 @@
     ) -> Self {
         let engines = experiment.engines.count;
         let entries: Vec<EndpointEntry> = (0..engines)
-            .map(|index| endpoint_entry(experiment, index))
+            .map(|index| endpoint_entry(experiment, index, 0))
             .collect();
         let routers = experiment.fleet.routers;
         let new_router = || match policy {
-            PolicyName::Direct => Router::Direct(Box::new(dispatcher(experiment, &entries))),
+            policy if policy.has_dispatcher() => {
+                Router::Direct(Box::new(dispatcher(experiment, &entries)))
+            }
             _ => Router::Baseline(Baseline::new(policy, engines)),
         };
         let endpoints: Vec<EndpointId> = entries.iter().map(EndpointEntry::id).collect();
@@ -186,6 +204,8 @@
             callers: requests.iter().map(|_| Caller::default()).collect(),
             outcomes: vec![Outcome::default(); requests.len()],
             digest_seqs: vec![0; routers],
+            digest_cursors: (0..routers).collect(),
+            crashes: Crashes::default(),
         };
         emulation.schedule_initial_events();
         emulation
@@ -204,7 +224,7 @@
             let ends_us = ((fault_spec.at_s + fault_spec.for_s) * 1e6) as u64;
             self.schedule(ends_us, Event::EndFault { fault });
         }
-        if self.policy == PolicyName::Direct {
+        if self.policy.has_dispatcher() {
             for router in 0..self.routers.len() {
                 // Random offsets keep the routers' timers from firing in lockstep.
                 let offset_us = self.rng.random_range(0..PUMP_INTERVAL_US);
@@ -253,6 +273,7 @@
             self.requests,
             &self.outcomes,
             counters,
+            &self.crashes,
         )
     }
 
@@ -295,9 +316,15 @@
             Event::ReceiveDigest { router, digest } => {
                 let now = self.now();
                 if let Router::Direct(dispatcher) = &mut self.routers[router] {
-                    dispatcher.on_digest(&digest, now);
+                    dispatcher.on_digest(&digest.0, now);
+                    dispatcher.on_crash_news(&digest.1, now);
                 }
             }
+            Event::Crash {
+                engine,
+                incarnation,
+            } => self.crash_by_part(engine, incarnation),
+            Event::Restart { engine } => self.restart(engine),
             Event::StartFault { fault } => self.set_fault_active(fault, true),
             Event::EndFault { fault } => self.set_fault_active(fault, false),
         }
@@ -318,6 +345,10 @@
 
     fn submit(&mut self, request: usize, spec: RequestSpec) {
         let router = self.requests[request].router;
+        if self.is_blocked_by_count(request) {
+            self.refuse_blocked(request);
+            return;
+        }
         match &mut self.routers[router] {
             Router::Direct(dispatcher) => {
                 let id = dispatcher.submit(spec);
@@ -368,26 +399,15 @@
                     let engine = self.engine_by_endpoint[&grant.endpoint];
                     self.send(request, engine, Some(grant.run));
                 }
+                Verdict::Refuse {
+                    reason: RefuseReason::CrashingPart,
+                    ..
+                } => self.refuse_blocked(request),
                 Verdict::Refuse { retry_after, .. } => self.refuse(request, retry_after),
             }
         }
     }
 
-    fn refuse(&mut self, request: usize, retry_after: Duration) {
-        self.outcomes[request].refusals += 1;
-        let caller_request = &self.requests[request];
-        let deadline_us = self.experiment.demand[caller_request.demand].deadline_ms * 1_000;
-        let left_us =
-            (START_US + caller_request.arrives_us + deadline_us).saturating_sub(self.now_us);
-        let after_us = retry_after.as_micros() as u64;
-        let has_time = after_us as f64 <= left_us as f64 * RETRY_AFTER_MAX_FRACTION;
-        if self.callers[request].tries < TRIES_MAX && has_time {
-            self.schedule(after_us, Event::Arrive { request });
-        } else {
-            self.callers[request].is_finished = true;
-        }
-    }
-
     fn send(&mut self, request: usize, engine: usize, run: Option<RunId>) {
         let attempt = self.attempts.len();
         self.attempts.push(Attempt {
@@ -459,6 +479,14 @@
                 StepOutput::Event(attempt) => (attempt, false),
                 StepOutput::LastEvent(attempt) => (attempt, true),
             };
+            if self.requests[self.attempts[attempt].request].is_fatal {
+                let crash = Event::Crash {
+                    engine,
+                    incarnation,
+                };
+                self.schedule(duration_us, crash);
+                continue;
+            }
             self.schedule(
                 duration_us + self.link_us(),
                 Event::Output { attempt, is_last },
@@ -492,6 +520,7 @@
         let now = self.now();
         if let (Router::Direct(dispatcher), Some(run)) = (&mut self.routers[router], run) {
             dispatcher.on_bytes(run, now);
+            dispatcher.on_event(run, now);
         }
         if is_last {
             self.outcomes[request].is_complete = true;
@@ -500,97 +529,11 @@
         }
         self.pump(router);
     }
-
-    fn fail(&mut self, attempt: usize, outcome: RunOutcome) {
-        let Attempt {
-            request,
-            router,
-            engine,
-            is_finished,
-            ..
-        } = self.attempts[attempt];
-        if is_finished {
-            return;
-        }
-        self.end(attempt, outcome);
-        let has_started = self.outcomes[request].first_event_us.is_some();
-        let now = self.now();
-        let may_retry = match &mut self.routers[router] {
-            Router::Direct(dispatcher) => dispatcher.take_retry(&Arc::from(SERVICE), now),
-            Router::Baseline(_) => self.callers[request].tries < TRIES_MAX,
-        };
-        if has_started || !may_retry {
-            self.callers[request].is_finished = true;
-            return;
-        }
-        self.callers[request].tries += 1;
-        let spec = self.spec(request, SmallVec::from_slice(&[self.endpoints[engine]]));
-        self.submit(request, spec);
-    }
-
-    fn end(&mut self, attempt: usize, outcome: RunOutcome) {
-        let now = self.now();
-        let attempt = &mut self.attempts[attempt];
-        attempt.is_finished = true;
-        match &mut self.routers[attempt.router] {
-            Router::Direct(dispatcher) => {
-                let run = attempt
-                    .run
-                    .expect("the dispatcher assigns each attempt a run");
-                dispatcher.on_ended(run, outcome, now);
-            }
-            Router::Baseline(baseline) => baseline.on_ended(attempt.engine),
-        }
-    }
-
-    fn give_up(&mut self, request: usize) {
-        if std::mem::replace(&mut self.callers[request].is_finished, true) {
-            return;
-        }
-        let router = self.requests[request].router;
-        if let (Router::Direct(dispatcher), Some(id)) =
-            (&mut self.routers[router], self.callers[request].queue_id)
-        {
-            dispatcher.withdraw(id);
-            self.queued.remove(&(router, id));
-        }
-        if let Some(attempt) = self.callers[request].attempt
-            && !self.attempts[attempt].is_finished
-        {
-            self.end(attempt, RunOutcome::Cancelled);
-            let engine = self.attempts[attempt].engine;
-            self.engines[engine].cancel(attempt);
-        }
-    }
-
-    fn set_fault_active(&mut self, fault: usize, is_active: bool) {
-        let fault_spec = &self.experiment.faults[fault];
-        for engine in 0..fault_spec.engines {
-            match fault_spec.kind {
-                FaultKind::Slow => {
-                    self.engines[engine].slowdown = if is_active { fault_spec.times } else { 1.0 };
-                }
-                FaultKind::Grey => {
-                    self.engines[engine].error_fraction =
-                        if is_active { fault_spec.times } else { 0.0 };
-                }
-                FaultKind::Crash => {
-                    self.engines[engine].is_down = is_active;
-                    if is_active {
-                        self.is_stepping[engine] = false;
-                        for attempt in self.engines[engine].crash() {
-                            let outcome = RunOutcome::Broken;
-                            self.schedule(self.link_us(), Event::Fail { attempt, outcome });
-                        }
-                    }
-                }
-                // The generated arrivals already contain these.
-                FaultKind::Burst | FaultKind::HotTeam => {}
-            }
-        }
-    }
 }
 
+mod crashes;
 mod digest;
+mod ends;
+mod faults;
 #[cfg(test)]
 mod tests;
--- a/crates/daisynotch_emulator/src/emulation/digest.rs
+++ b/crates/daisynotch_emulator/src/emulation/digest.rs
@@ -1,10 +1,17 @@
 //! Digests that the emulated routers send to each other.
 
+use std::rc::Rc;
+
 use daisynotch_core::direct::{ConfigurationStamp, Digest, StorePosition};
 
 use super::{Emulation, Event, Router};
 use crate::fleet::host_introduction;
 
+/// Routers that get one digest; a larger fleet is served round-robin, as in production.
+const FANOUT_MAX: usize = 24;
+/// Reports on crashes in a digest, as in production.
+const CRASH_REPORTS_MAX: usize = 16;
+
 impl Emulation<'_> {
     pub(super) fn send_digest(&mut self, router: usize) {
         let now = self.now();
@@ -14,6 +21,8 @@
             return;
         };
         dispatcher.expire(now);
+        let news = dispatcher.crash_news(CRASH_REPORTS_MAX, now);
+        dispatcher.take_evidence_changes();
         let (endpoints, teams, placed) = dispatcher.to_digest(now);
         let digest = Digest {
             host: host_introduction(router),
@@ -32,11 +41,17 @@
             heartbeats: Vec::new(),
             introduced: Vec::new(),
         };
-        for peer in (0..self.routers.len()).filter(|peer| *peer != router) {
-            let digest = Box::new(digest.clone());
+        let digest = Rc::new((digest, news));
+        let routers = self.routers.len();
+        let fanout = FANOUT_MAX.min(routers - 1);
+        for _ in 0..fanout {
+            self.digest_cursors[router] = (self.digest_cursors[router] + 1) % routers;
+            if self.digest_cursors[router] == router {
+                self.digest_cursors[router] = (router + 1) % routers;
+            }
             let receive = Event::ReceiveDigest {
-                router: peer,
-                digest,
+                router: self.digest_cursors[router],
+                digest: Rc::clone(&digest),
             };
             self.schedule(self.link_us(), receive);
         }
--- a/crates/daisynotch_emulator/src/emulation/tests.rs
+++ b/crates/daisynotch_emulator/src/emulation/tests.rs
@@ -73,6 +73,25 @@
     assert!(returned > 0.0);
 }
 
+/// Guards against one prompt part that crashes engine after engine, beside ordinary crashes.
+#[test]
+fn a_fatal_part_is_blocked_after_few_crashes_and_sound_requests_are_not() {
+    let mut experiment = experiment("fatal-part");
+    // Six engines of which one crashes otherwise take several seconds to tell the causes apart.
+    experiment.length_s = 14.0;
+    let report = run(&experiment);
+    let figures = |policy| report.runs.iter().find(|run| run.policy == policy).unwrap();
+    let direct = figures(PolicyName::Direct);
+    assert!(direct.part_crashes <= 5, "{}", direct.part_crashes);
+    assert_eq!(direct.blocked_sound, 0);
+    assert!(direct.block_after_s.is_some());
+    assert!(figures(PolicyName::NoDetection).part_crashes > direct.part_crashes);
+    assert!(figures(PolicyName::BlockAfterCrashes).blocked_sound > 0);
+    let svg = to_svg(&report);
+    assert_eq!(svg.matches("<polyline").count(), 2 * 3);
+    assert!(svg.contains("engines crashed under the fatal part"));
+}
+
 #[test]
 fn a_plot_has_a_line_for_each_policy() {
     let mut experiment = experiment("rush");
--- a/crates/daisynotch_emulator/src/experiment.rs
+++ b/crates/daisynotch_emulator/src/experiment.rs
@@ -170,6 +170,9 @@
     Slow,
     /// Engines answer a fraction `times` (0 to 1) of their requests with an error.
     Grey,
+    /// A fraction `times` (0 to 1) of the first kind of request has a prompt part that crashes each
+    /// engine which begins to answer it. The engine is back some seconds later.
+    FatalPart,
 }
 
 impl std::str::FromStr for Experiment {
@@ -267,6 +270,8 @@
             let engines_exist = fault.engines <= engines.count;
             let allowed = "at most `engines.count`";
             require(engines_exist, &key("engines"), &fault.engines, allowed)?;
+            let is_fraction = fault.kind != FaultKind::FatalPart || fault.times <= 1.0;
+            require(is_fraction, &key("times"), &fault.times, fraction_range)?;
         }
         Ok(())
     }
--- a/crates/daisynotch_emulator/src/figures.rs
+++ b/crates/daisynotch_emulator/src/figures.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 
+use crate::emulation::Crashes;
 use crate::engine::EngineCounters;
 use crate::experiment::Experiment;
 use crate::load::Request;
@@ -34,6 +35,8 @@
     pub owed: f64,
     /// The worth that their responses earned.
     pub earned: f64,
+    /// The engines that had crashed under a fatal prompt part by the end of the second.
+    pub part_crashes: usize,
 }
 
 /// The figures of one run.
@@ -67,6 +70,13 @@
     pub refusals: u64,
     /// The fraction of the refused requests that were completed by a retry.
     pub returned_part: f64,
+    /// The engines that crashed under a fatal prompt part.
+    pub part_crashes: usize,
+    /// The requests without such a part that were refused for their prompts.
+    pub blocked_sound: u64,
+    /// The time from the first crash under a fatal part to the first refusal of a request with
+    /// it, in seconds; `None` if none was refused.
+    pub block_after_s: Option<f64>,
     /// The seconds of the run in order.
     pub seconds: Vec<Second>,
 }
@@ -101,7 +111,7 @@
             }
         }
         let mut lines = vec![format!(
-            "{:26}{:>9}{:>9}{:>9}{:>9}{:>10}{:>12}{:>10}{:>9}{:>10}",
+            "{:26}{:>9}{:>9}{:>9}{:>9}{:>10}{:>12}{:>10}{:>9}{:>10}{:>9}{:>9}",
             "policy",
             "goodput",
             "teams",
@@ -111,12 +121,14 @@
             "read again",
             "preempted",
             "refused",
-            "came back"
+            "came back",
+            "crashes",
+            "blocked"
         )];
         for policy in policies {
             let mean = |figure: fn(&Figures) -> f64| self.mean(policy, figure);
             lines.push(format!(
-                "{:26}{:>9.3}{:>9.3}{:>9.3}{:>9.3}{:>10.0}{:>12.0}{:>10.0}{:>9.0}{:>10.2}",
+                "{:26}{:>9.3}{:>9.3}{:>9.3}{:>9.3}{:>10.0}{:>12.0}{:>10.0}{:>9.0}{:>10.2}{:>9.1}{:>9.1}",
                 policy.as_str(),
                 mean(|run| run.goodput),
                 mean(|run| run.worst_teams),
@@ -127,6 +139,8 @@
                 mean(|run| run.preemptions as f64),
                 mean(|run| run.refusals as f64),
                 mean(|run| run.returned_part),
+                mean(|run| run.part_crashes as f64),
+                mean(|run| run.blocked_sound as f64),
             ));
         }
         lines.join("\n")
@@ -141,6 +155,7 @@
     requests: &[Request],
     outcomes: &[Outcome],
     counters: EngineCounters,
+    crashes: &Crashes,
 ) -> Figures {
     let owed_fractions = owed_fractions(experiment, requests);
     let mut seconds = vec![Second::default(); experiment.length_s.ceil() as usize];
@@ -148,7 +163,14 @@
     let mut by_kind: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
     let mut first_event_times_us = Vec::new();
     let (mut refused_requests, mut served_after_refusal) = (0_u64, 0_u64);
-    for (request, outcome) in requests.iter().zip(outcomes) {
+    for (index, second) in seconds.iter_mut().enumerate() {
+        let ends_us = (index as u64 + 1) * 1_000_000;
+        let crashes = crashes.at_us.iter();
+        second.part_crashes = crashes.filter(|at_us| **at_us < ends_us).count();
+    }
+    // Fatal requests earn nothing and are not owed.
+    let sound = requests.iter().zip(outcomes);
+    for (request, outcome) in sound.filter(|(request, _)| !request.is_fatal) {
         let demand = &experiment.demand[request.demand];
         let is_on_time = outcome
             .first_event_us
@@ -214,6 +236,12 @@
             .map(|outcome| u64::from(outcome.refusals))
             .sum(),
         returned_part: served_after_refusal as f64 / refused_requests.max(1) as f64,
+        part_crashes: crashes.at_us.len(),
+        blocked_sound: crashes.blocked_sound,
+        block_after_s: crashes.first_blocked_at_us.map(|at_us| {
+            let first_us = crashes.at_us.first().copied().unwrap_or(at_us);
+            at_us.saturating_sub(first_us) as f64 / 1e6
+        }),
         seconds,
     }
 }
--- a/crates/daisynotch_emulator/src/figures/tests.rs
+++ b/crates/daisynotch_emulator/src/figures/tests.rs
@@ -17,6 +17,7 @@
         team,
         router: 0,
         parts: vec![Part { id: 1, tokens }],
+        is_fatal: false,
     }
 }
 
@@ -71,6 +72,7 @@
         &requests,
         &outcomes,
         EngineCounters::default(),
+        &Crashes::default(),
     );
     assert!((figures.goodput - (3.3 + 1.0 + 1.0) / (4.0 * 3.3)).abs() < 1e-9);
     assert_eq!((figures.refusals, figures.returned_part), (3, 0.5));
--- a/crates/daisynotch_emulator/src/fleet.rs
+++ b/crates/daisynotch_emulator/src/fleet.rs
@@ -15,11 +15,11 @@
 /// The service of all requests.
 pub(crate) const SERVICE: &str = "models";
 
-/// Returns the endpoint entry of an engine.
-pub(crate) fn endpoint_entry(experiment: &Experiment, index: usize) -> EndpointEntry {
+/// Returns the endpoint entry of one start of an engine.
+pub(crate) fn endpoint_entry(experiment: &Experiment, index: usize, start: u32) -> EndpointEntry {
     EndpointEntry {
         name: Arc::from(format!("engine-{index}")),
-        started_unix_ms: 1,
+        started_unix_ms: 1 + u64::from(start),
         report_seq: 1,
         service: Arc::from(SERVICE),
         address: ([10, 0, (index >> 8) as u8, index as u8], 80).into(),
@@ -29,8 +29,8 @@
     }
 }
 
-/// Returns a dispatcher that knows all engines.
-pub(crate) fn dispatcher(experiment: &Experiment, entries: &[EndpointEntry]) -> Dispatcher {
+/// Returns the configuration of the service.
+pub(crate) fn route_table(experiment: &Experiment) -> RouteTable {
     let sharing = &experiment.sharing;
     let limits = CallerLimits {
         shared_tokens_per_s: Some(sharing.tokens_per_s),
@@ -45,6 +45,13 @@
             memory_tokens: experiment.engines.memory_tokens,
         }),
     });
+    table
+}
+
+/// Returns a dispatcher that knows all engines.
+pub(crate) fn dispatcher(experiment: &Experiment, entries: &[EndpointEntry]) -> Dispatcher {
+    let sharing = &experiment.sharing;
+    let table = route_table(experiment);
     let settings = DispatcherSettings {
         shares: ShareSettings {
             tokens_per_s: None,
--- a/crates/daisynotch_emulator/src/load.rs
+++ b/crates/daisynotch_emulator/src/load.rs
@@ -11,6 +11,10 @@
 const SHARED_PART_ID_BASE: u32 = 1_000;
 const SESSION_PART_ID_STRIDE: u32 = 1 << 16;
 const OWN_PART_ID_BASE: u32 = 1 << 24;
+/// The id of the part that crashes engines.
+const FATAL_PART_ID: u32 = 999;
+/// Its length in tokens.
+const FATAL_PART_TOKENS: u32 = 200;
 
 /// A caller's request.
 #[derive(Debug, Clone)]
@@ -21,6 +25,8 @@
     pub(crate) team: u32,
     pub(crate) router: usize,
     pub(crate) parts: Vec<Part>,
+    /// Whether a part of the prompt crashes the engine that begins to answer it.
+    pub(crate) is_fatal: bool,
 }
 
 /// Generates all requests for one seed, ordered by arrival time.
@@ -58,15 +64,20 @@
                 let session = rng.random_range(0..demand.sessions);
                 let router =
                     pinned_routers[team as usize].unwrap_or_else(|| rng.random_range(0..routers));
+                let fatal_fraction = fatal_fraction(experiment, at_s);
+                let is_fatal =
+                    index == 0 && fatal_fraction > 0.0 && rng.random::<f64>() < fatal_fraction;
                 if is_rejected {
                     continue;
                 }
                 let kind = index as u32;
                 let session_id =
                     SESSION_PART_ID_STRIDE * (kind + 1) + team * demand.sessions + session;
+                let fatal_tokens = if is_fatal { FATAL_PART_TOKENS } else { 0 };
                 let parts = [
                     (SHARED_PART_ID_BASE + kind, demand.shared_tokens),
                     (session_id, demand.session_tokens),
+                    (FATAL_PART_ID, fatal_tokens),
                     (
                         OWN_PART_ID_BASE + requests.len() as u32,
                         own_tokens.max(1.0) as u32,
@@ -79,6 +90,7 @@
                     team,
                     router,
                     parts: parts.map(|(id, tokens)| Part { id, tokens }).collect(),
+                    is_fatal,
                 });
             }
         }
@@ -87,6 +99,14 @@
     requests
 }
 
+/// Returns the fraction of the first kind of request that has the fatal part at that time.
+fn fatal_fraction(experiment: &Experiment, at_s: f64) -> f64 {
+    let active = experiment.faults.iter().filter(|fault| {
+        fault.kind == FaultKind::FatalPart && (fault.at_s..fault.at_s + fault.for_s).contains(&at_s)
+    });
+    active.map(|fault| fault.times).fold(0.0, f64::max)
+}
+
 /// Returns the product of the `times` of all faults that change the team's rate at that time.
 fn rate_factor(experiment: &Experiment, team: u32, at_s: f64) -> f64 {
     let active = experiment
--- a/crates/daisynotch_emulator/src/policy.rs
+++ b/crates/daisynotch_emulator/src/policy.rs
@@ -19,6 +19,10 @@
 pub enum PolicyName {
     /// The production dispatcher, `daisynotch_core::direct::Dispatcher`.
     Direct,
+    /// The production dispatcher without evidence on prompt parts.
+    NoDetection,
+    /// The same, with each prompt part refused after three crashes of engines that had it.
+    BlockAfterCrashes,
     /// A random engine.
     Random,
     /// The engine with the fewest outstanding requests of the same router.
@@ -31,10 +35,20 @@
 }
 
 impl PolicyName {
+    /// Returns whether the policy uses the production dispatcher.
+    pub(crate) fn has_dispatcher(self) -> bool {
+        matches!(
+            self,
+            Self::Direct | Self::NoDetection | Self::BlockAfterCrashes
+        )
+    }
+
     /// Returns the policy's name in experiment files and reports.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Direct => "direct",
+            Self::NoDetection => "no_detection",
+            Self::BlockAfterCrashes => "block_after_crashes",
             Self::Random => "random",
             Self::LeastOutstanding => "least_outstanding",
             Self::PrefixOnly => "prefix_only",
@@ -88,7 +102,7 @@
                     .filter(|last_engine| f64::from(self.outstanding[*last_engine]) <= allowed)
                     .unwrap_or(least_loaded)
             }
-            PolicyName::LeastOutstanding | PolicyName::Direct => least_loaded(),
+            _ => least_loaded(),
         };
         self.last_engines.insert(session, engine);
         self.outstanding[engine] += 1;
