Keep blocked prompt parts in the store

What must last belongs in the platform's store: the first reader writes each block under a lease of its own that outlives the next trial by a minute, renews it with the block and ends it with it; a router that reads the store at its start reads the blocks before the configuration, and others get both in one message. One call more at each reader's start, two a block, none otherwise.

`block_outlives_a_restart_of_all_routers` failed before (no entry within 20 s) and passes. `endpoint_failure_appears_in_logs_and_metrics` relied on a watch that returned for the router's own registration, which came after the list that the watch follows; with one call more before that list it may come first, and the watch then returns after its 3 s. The test now waits for the counter and demands it as before.

--- a/crates/daisynotch_platform/src/ports.rs
+++ b/crates/daisynotch_platform/src/ports.rs
@@ -117,6 +117,8 @@
     pub endpoints: &'static str,
     /// Prefix of the routers' own entries.
     pub routers: &'static str,
+    /// Prefix of the prompt parts that routers refuse.
+    pub blocked_parts: &'static str,
 }
 
 /// The values that the router reads from the headers of a caller's request.
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -20,6 +20,7 @@
 mod send;
 mod settings;
 mod state;
+mod store_blocks;
 mod store_client;
 mod store_follower;
 mod stream_relay;
--- a/crates/daisynotch_router/src/direct/daemon.rs
+++ b/crates/daisynotch_router/src/direct/daemon.rs
@@ -21,6 +21,7 @@
 use super::peers;
 use super::settings::DirectSettings;
 use super::state::Router;
+use super::store_blocks;
 use super::store_follower;
 use super::unread;
 use crate::settings::SettingsError;
@@ -245,6 +246,9 @@
         tasks.push(tokio::task::spawn_local(catching_up));
         let registering = store_follower::register(Rc::clone(&router));
         tasks.push(tokio::task::spawn_local(registering));
+        let ticks = timers.subscribe(store_blocks::COMPARE_INTERVAL);
+        let keeping = store_blocks::keep(Rc::clone(&router), ticks);
+        tasks.push(tokio::task::spawn_local(keeping));
         let refusing = unread::refuse_unread(Rc::clone(&router));
         tasks.push(tokio::task::spawn_local(refusing));
         let ticks = timers.subscribe(REFUSED_LOG_INTERVAL);
--- a/crates/daisynotch_router/src/direct/store_follower.rs
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -17,11 +17,12 @@
 
 use super::event_log::Importance;
 use super::state::{RecentChange, Router};
+use super::store_blocks;
 use super::store_client::{StoreClient, StoreError};
 
 /// Timeout of a call, not counting the time that a watch waits: 150 times the store's usual 8
 /// ms.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// How long a watch waits. A watch that went silent is noticed soon after this.
 const WATCH_WAIT: Duration = Duration::from_millis(3_000);
 /// How long a watch waits if keys are trusted only while the configuration is known to be the
@@ -179,8 +180,13 @@
 }
 
 async fn list_all(router: &Rc<Router>, client: &StoreClient) -> Result<StorePosition, FollowError> {
-    let sent_at = router.now();
     let prefixes = router.platform.prefixes();
+    if router.routes().is_none() {
+        // Known before the first prompt can be sent, for which a configuration is needed.
+        let (items, _) = list(router, client, prefixes.blocked_parts, "list", false).await?;
+        store_blocks::apply(router, &items);
+    }
+    let sent_at = router.now();
     let prefix = prefixes.configuration;
     let (items, at) = list(router, client, prefix, "list", false).await?;
     let era_began_at = record_era_start(router, at);
