Blame a proven part that became fatal despite new companions

Found by reading: a part that was proven earlier and becomes fatal was never blamed if each request with it had another part without a proof, as the blame looked at the unproven parts alone. Engines would have gone on ending.

The blame now looks at the unproven parts first, and at all suspects if none of those met enough crashes. An unproven part that accounts for nearly the same crashes still keeps others from being blocked.

The blame is also worked out only when reports or proofs have come, not at each datagram of another router.

--- a/crates/daisynotch_core/src/direct/crash_evidence.rs
+++ b/crates/daisynotch_core/src/direct/crash_evidence.rs
@@ -42,7 +42,6 @@
 const BLOCK_MAX: Duration = Duration::from_secs(3_600);
 /// Maximum number of blocks that are kept.
 const BLOCKS_MAX: usize = 256;
-
 /// How long after a crash bytes that were on their way may still be read.
 const LATE_BYTES_MAX: Duration = Duration::from_millis(500);
 /// Maximum number of crashed engine starts that a block names.
@@ -172,6 +171,8 @@
     /// Engines on which other routers run trials, with the time until which this counts.
     peer_trials: HashMap<EndpointId, Timestamp>,
     changes: Vec<EvidenceChange>,
+    /// Whether reports or proofs have come since parts were last blamed.
+    has_new_evidence: bool,
     /// Number of engines among which crashes are counted.
     engines: usize,
 }
@@ -310,6 +311,7 @@
         if self.reports.is_empty() && self.blocks.is_empty() {
             return;
         }
+        self.has_new_evidence = true;
         let mut has_contradicted = false;
         for report in &mut self.reports {
             if report.at < proven_at && report.parts.contains(&part) {
@@ -385,6 +387,7 @@
                 && contains_all(&report.parts, &other.parts)
         });
         if let Some(same) = same {
+            self.has_new_evidence |= report.is_trial && !same.is_trial;
             same.at = same.at.min(report.at);
             same.is_trial |= report.is_trial;
             return;
@@ -400,6 +403,7 @@
                 self.reports.swap_remove(weakest);
             }
         }
+        self.has_new_evidence = true;
         self.reports.push(report);
     }
 
@@ -436,6 +440,9 @@
 
     /// Blocks the parts that the reports leave no doubt about.
     fn decide_blocks(&mut self, now: Timestamp) {
+        if !std::mem::take(&mut self.has_new_evidence) {
+            return;
+        }
         while let Some((parts, at)) = self.find_fatal_parts(now) {
             let reports = self.reports.iter();
             let explained = reports.filter(|report| contains_all(&report.parts, &parts));
--- a/crates/daisynotch_core/src/direct/crash_evidence/blame.rs
+++ b/crates/daisynotch_core/src/direct/crash_evidence/blame.rs
@@ -35,15 +35,12 @@
         while let Some(report) = candidates.find(|report| report.is_trial || may_skip_trial) {
             let mut suspects = report.parts.clone();
             suspects.retain(|part| self.is_suspect(*part));
-            if suspects.iter().any(|part| self.proofs.get(*part).is_none()) {
-                suspects.retain(|part| self.proofs.get(*part).is_none());
-            }
-            let most = suspects.iter().map(|part| self.crashes_of(*part)).max();
-            let Some(most) = most.filter(|most| *most >= CRASHES_TO_BLOCK) else {
+            let mut unproven = suspects.clone();
+            unproven.retain(|part| self.proofs.get(*part).is_none());
+            let parts = self.with_most_crashes(unproven);
+            let Some(parts) = parts.or_else(|| self.with_most_crashes(suspects)) else {
                 continue;
             };
-            let mut parts = suspects;
-            parts.retain(|part| self.crashes_of(*part) == most);
             let together: Vec<&Report> = self
                 .reports
                 .iter()
@@ -64,6 +61,13 @@
         None
     }
 
+    /// Returns those of the parts that met the most crashes, if these are enough to block them.
+    fn with_most_crashes(&self, mut parts: PartIds) -> Option<PartIds> {
+        let most = parts.iter().map(|part| self.crashes_of(*part)).max()?;
+        parts.retain(|part| self.crashes_of(*part) == most);
+        (most >= CRASHES_TO_BLOCK).then_some(parts)
+    }
+
     /// Returns the number of recent crashes that neither these parts nor a block accounts for.
     fn crashes_without(&self, parts: &[u32], now: Timestamp) -> usize {
         let recent = self.crashes.iter().filter(|(endpoint, crash)| {
--- a/crates/daisynotch_core/src/direct/crash_evidence/tests.rs
+++ b/crates/daisynotch_core/src/direct/crash_evidence/tests.rs
@@ -150,6 +150,21 @@
     assert!(is_blocked(&evidence, &[FATAL], at(1_600)));
 }
 
+/// The part is in each prompt of a kind, and each prompt has another part that is new.
+#[test]
+fn a_proven_part_that_becomes_fatal_is_blamed_despite_new_companions() {
+    let mut evidence = evidence_with_proofs();
+    for endpoint in 1..=5 {
+        let run = OpenRun {
+            is_trial: endpoint > 3,
+            ..open_run(endpoint, &[SHARED, 1_000 + endpoint])
+        };
+        evidence.on_crash(&run, at(1_000 + u64::from(endpoint) * 400));
+    }
+    assert!(is_blocked(&evidence, &[SHARED, 2_000], at(4_000)));
+    assert!(!is_blocked(&evidence, &[1_001], at(4_000)));
+}
+
 #[test]
 fn a_block_ends_with_one_trial_and_lasts_twice_as_long_if_that_fails() {
     let mut evidence = evidence_with_proofs();
