Finish the check for a crash when its callers have left

Found by reading: the check of whether an endpoint crashed is polled by the requests that wait for it. If all their callers left within its few milliseconds it stayed unfinished, and the next break of that endpoint's connections got its outdated time-out for an answer: "not crashed". It now runs as a task of its own. Not shown by a test; the tests of crashes pass.

--- a/crates/daisynotch_core/src/direct/crash_evidence.rs
+++ b/crates/daisynotch_core/src/direct/crash_evidence.rs
@@ -5,7 +5,7 @@
 //! are among those of the open requests. One answer that gets past the point at which an engine
 //! would have crashed proves all parts of its prompt. Parts without a later proof are suspects of
 //! a crash; requests with a suspect go to one engine that is kept free of others, and a part is
-//! blocked only after two such trials have failed.
+//! blocked only after such trials have failed.
 //!
 //! Routers exchange reports, proofs and blocks, as each of them sees only its own requests. See
 //! `docs/design/crashing-parts.md`.
@@ -59,12 +59,13 @@
     shared.iter().map(|part| part.id).collect()
 }
 
-/// A request whose connection broke before its answer got past the point of a crash.
+/// A request that was at an engine when its connection broke.
 #[daisynotch_macros::value]
 pub struct OpenRun {
     /// The engine start that had the request.
     pub endpoint: EndpointId,
-    /// The shared parts of the prompt.
+    /// The shared parts of the prompt; none if the answer got past the point at which a part
+    /// crashes an engine.
     pub parts: PartIds,
     /// Whether the head of the response had arrived.
     pub has_head: bool,
--- a/crates/daisynotch_router/src/direct/crash_check.rs
+++ b/crates/daisynotch_router/src/direct/crash_check.rs
@@ -79,6 +79,8 @@
                 .crash_checks
                 .borrow_mut()
                 .insert(endpoint, check.clone());
+            // The check ends even if all callers whose requests wait for it leave.
+            tokio::task::spawn_local(check.clone().map(drop));
             check
         });
         check.await
