Test trials and blocks of prompt parts across dispatchers

Three routers agree on the engine of a trial without having heard of each other's, other requests avoid it, and a blocked part is refused at once on each of them while the other sessions of its team are served. The two panels of the plot draw their lines by one function.

--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -457,6 +457,8 @@
     }
 }
 
+#[cfg(test)]
+mod crash_tests;
 #[cfg(test)]
 mod overload_tests;
 #[cfg(test)]
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -107,7 +107,11 @@
 }
 
 /// Queues a request and returns the verdict on it; `None` if it stays queued.
-fn decide_new(dispatcher: &mut Dispatcher, spec: RequestSpec, now: Timestamp) -> Option<Verdict> {
+pub(super) fn decide_new(
+    dispatcher: &mut Dispatcher,
+    spec: RequestSpec,
+    now: Timestamp,
+) -> Option<Verdict> {
     dispatcher.on_request(&spec, now);
     let id = dispatcher.submit(spec);
     let verdicts = dispatcher.decide_waiting(now);
@@ -117,7 +121,7 @@
     verdict.map(|(_, verdict)| verdict)
 }
 
-fn expect_grant(verdict: Option<Verdict>) -> Grant {
+pub(super) fn expect_grant(verdict: Option<Verdict>) -> Grant {
     match verdict {
         Some(Verdict::Send(grant)) => grant,
         other => panic!("expected a grant, got {other:?}"),
--- a/crates/daisynotch_emulator/src/plot.rs
+++ b/crates/daisynotch_emulator/src/plot.rs
@@ -65,11 +65,7 @@
                 format!("{:.1},{:.1}", x(second), y(fraction))
             })
             .collect();
-        let _ = writeln!(
-            svg,
-            "<polyline fill=\"none\" stroke=\"{colour}\" stroke-width=\"2\" points=\"{}\"/>",
-            points.join(" ")
-        );
+        draw_line(&mut svg, colour, &points);
     }
     for (index, policy) in policies.iter().enumerate() {
         let left = MARGIN + 170.0 * index as f64;
@@ -88,6 +84,14 @@
     svg
 }
 
+fn draw_line(svg: &mut String, colour: &str, points: &[String]) {
+    let _ = writeln!(
+        svg,
+        "<polyline fill=\"none\" stroke=\"{colour}\" stroke-width=\"2\" points=\"{}\"/>",
+        points.join(" ")
+    );
+}
+
 /// Draws the engines that crashed under a fatal prompt part by the end of each second.
 fn draw_crashes(
     svg: &mut String,
@@ -117,11 +121,7 @@
         let points: Vec<String> = (0..seconds)
             .map(|second| format!("{:.1},{:.1}", x(second), y(crashes_by(*policy, second))))
             .collect();
-        let _ = writeln!(
-            svg,
-            "<polyline fill=\"none\" stroke=\"{colour}\" stroke-width=\"2\" points=\"{}\"/>",
-            points.join(" ")
-        );
+        draw_line(svg, colour, &points);
     }
     for (index, policy) in policies.iter().enumerate() {
         let runs = report.runs.iter().filter(|run| run.policy == *policy);
