Write blocked parts again after the store was restored

The router that keeps the blocks in the store took them for written after the store came back from a backup that lacked them; a restart of all routers would then have lost them. Their leases are gone as well, so nothing of an earlier era counts as written. `block_is_written_again_after_the_store_is_restored` failed before (no entry within 20 s) and passes.

`block_outlives_a_restart_of_all_routers` failed once beside a load of 17, with a 503 of unknown reason: listed.

--- a/crates/daisynotch_router/src/direct/store_blocks.rs
+++ b/crates/daisynotch_router/src/direct/store_blocks.rs
@@ -40,7 +40,13 @@
 pub(super) async fn keep(router: Rc<Router>, mut ticks: mpsc::Receiver<Tick>) {
     let client = StoreClient::new(&router);
     let mut written: HashMap<PartIds, Written> = HashMap::new();
+    let mut written_in_era = router.store_era.get();
     while ticks.recv().await.is_some() {
+        // A store that was restored from a backup lacks the latest entries and their leases.
+        let era = router.store_era.get();
+        if std::mem::replace(&mut written_in_era, era) != era {
+            written.clear();
+        }
         let blocks = router.dispatcher.borrow().blocked_parts(router.now());
         if blocks.is_empty() && written.is_empty() {
             continue;
