Log and count what the ends of endpoints' responses are taken for

Callers saw streams framed as complete that were not (docs/incidents/cut-responses-taken-for-whole.md). Neither logs nor metrics told how a response was delimited and why its end counted as its completion, so that the three hypotheses looked alike, and log lines of the moment itself are gone after a minute.

`daisynotch_response_ends_total` counts ends by delimiter (framing, connection) and verdict; a `response_cut` line is written for each end that was not taken for complete. A crash of the endpoint (hypothesis 1) counts as `crashed`, a response that a living endpoint broke off (2) as `within_event` or `broken`, and a response that the router broke off itself (3) has neither, only the `request` line.

--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -17,6 +17,7 @@
 mod metrics;
 mod peers;
 mod response;
+mod response_end;
 mod send;
 mod settings;
 mod state;
--- a/crates/daisynotch_router/src/direct/full_relay.rs
+++ b/crates/daisynotch_router/src/direct/full_relay.rs
@@ -8,6 +8,7 @@
 
 use super::forward::{Call, to_caller_response};
 use super::response::{LocalResponse, ResponseBody};
+use super::response_end::{CutReason, EndVerdict};
 use super::send::StartedResponse;
 
 /// Maximum size of a response that is not a stream: the body is held in memory, and hosts have
@@ -95,11 +96,19 @@
     let read = Limited::new(incoming, FULL_RESPONSE_MAX_BYTES).collect();
     match tokio::time::timeout_at(call.give_up_at, read).await {
         Ok(Ok(_)) if call.was_cut_by_crash(started).await => {
-            BodyEnd::Broken("the endpoint crashed at the end of the response body".to_owned())
+            call.report_end(started, EndVerdict::Cut(CutReason::Crashed));
+            let reason = CutReason::Crashed;
+            BodyEnd::Broken(format!("the response body was cut: {reason}"))
+        }
+        Ok(Ok(body)) => {
+            call.report_end(started, EndVerdict::Whole);
+            BodyEnd::Whole(body.to_bytes())
         }
-        Ok(Ok(body)) => BodyEnd::Whole(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => BodyEnd::TooLong,
-        Ok(Err(error)) => BodyEnd::Broken(format!("reading the response body failed: {error}")),
+        Ok(Err(error)) => {
+            call.report_end(started, EndVerdict::Cut(CutReason::Broken));
+            BodyEnd::Broken(format!("reading the response body failed: {error}"))
+        }
         Err(_) => BodyEnd::TimedOut,
     }
 }
--- a/crates/daisynotch_router/src/direct/metrics.rs
+++ b/crates/daisynotch_router/src/direct/metrics.rs
@@ -23,6 +23,8 @@
     pub(crate) requests: IntCounterVec,
     /// Sends to endpoints by how they ended.
     pub(crate) sends: IntCounterVec,
+    /// Ends of successful responses by what delimits them and by what the end was taken for.
+    pub(crate) response_ends: IntCounterVec,
     /// Time from the arrival of a request to the start of its response, by kind of route.
     pub(crate) answer_start: HistogramVec,
     /// Time that requests waited for an endpoint.
@@ -66,6 +68,11 @@
             registry: Registry::new(),
             requests: counters("requests_total", "Ended requests.", &["kind", "outcome"])?,
             sends: counters("sends_total", "Sends to endpoints.", &["ended"])?,
+            response_ends: counters(
+                "response_ends_total",
+                "Ends of successful responses.",
+                &["delimiter", "verdict"],
+            )?,
             answer_start: HistogramVec::new(
                 latency(
                     "answer_start_seconds",
@@ -121,9 +128,10 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 15] = [
+        let collectors: [Box<dyn Collector>; 16] = [
             Box::new(self.requests.clone()),
             Box::new(self.sends.clone()),
+            Box::new(self.response_ends.clone()),
             Box::new(self.answer_start.clone()),
             Box::new(self.wait.clone()),
             Box::new(self.waiting.clone()),
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -12,6 +12,7 @@
 
 use super::forward::{Call, to_caller_response};
 use super::response::{ResponseBody, TruncatedResponse, ends_with_connection};
+use super::response_end::{CutReason, EndVerdict};
 use super::send::{SILENCE_CHECK_INTERVAL, StartedResponse};
 
 /// Maximum number of chunks queued for a caller that reads slowly.
@@ -156,8 +157,20 @@
         };
         let bytes = match frame {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-            Some(Err(error)) => return StreamEnd::Broken(format!("the stream failed: {error}")),
-            None => return end(call, started, framer).await,
+            Some(Err(error)) => {
+                call.report_end(started, EndVerdict::Cut(CutReason::Broken));
+                return StreamEnd::Broken(format!("the stream failed: {error}"));
+            }
+            None => {
+                let verdict = judge_end(call, started, framer).await;
+                call.report_end(started, verdict);
+                return match verdict {
+                    EndVerdict::Whole => StreamEnd::Complete,
+                    EndVerdict::Cut(reason) => {
+                        StreamEnd::Broken(format!("the stream was cut: {reason}"))
+                    }
+                };
+            }
         };
         if bytes.is_empty() {
             continue;
@@ -189,20 +202,19 @@
     }
 }
 
-/// Returns how a stream ended whose body ended without an error.
+/// Returns whether a stream is complete whose body ended without an error.
 ///
 /// A body without a length or chunks ends with its connection, whether or not the endpoint was
 /// done, so it must at least have an event and its endpoint must not have crashed.
-async fn end(call: &Call, started: &StartedResponse, framer: &EventFramer) -> StreamEnd {
-    let broken = |reason: &str| StreamEnd::Broken(reason.to_owned());
+async fn judge_end(call: &Call, started: &StartedResponse, framer: &EventFramer) -> EndVerdict {
     if !framer.is_at_boundary() {
-        return broken("the stream ended within an event");
+        return EndVerdict::Cut(CutReason::WithinEvent);
     }
     if ends_with_connection(&started.head) && call.history.events == 0 {
-        return broken("the connection was closed before the first event");
+        return EndVerdict::Cut(CutReason::BeforeFirstEvent);
     }
     if call.was_cut_by_crash(started).await {
-        return broken("the endpoint crashed at the end of the stream");
+        return EndVerdict::Cut(CutReason::Crashed);
     }
-    StreamEnd::Complete
+    EndVerdict::Whole
 }
