Ask which start of an endpoint answers before its unframed response counts as complete

Callers saw a 200 with a part of the response, framed as complete, when its endpoint crashed in the middle of a response without length or chunks: while its entry said draining or was gone, or when something else accepted connections at its address right away.

Cause: whether a response is complete was inferred from the life of its endpoint at one moment. The check was left out for endpoints that are not in use, and took any process that accepts a connection, and a timeout, for the endpoint.

One rule in the core (response_end.rs) for streams, resumed ones and plain responses: such a body is complete only if the start that sent it answers a question asked after the end. Engines report when they started; for others a connection from before the end proves it. What is unknown is cut.

docs/design/response-ends.md has what was weighed and the limits.

--- a/crates/daisynotch_core/benches/direct_decision.rs
+++ b/crates/daisynotch_core/benches/direct_decision.rs
@@ -90,6 +90,7 @@
     table.add_service(ServiceView {
         name: Arc::from("models"),
         connections_max: 600,
+        status_path: Arc::from("/status"),
         engine: Some(EngineLimits {
             slots: 64,
             memory_tokens: 400_000,
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -433,6 +433,7 @@
             run: id,
             endpoint: choice.endpoint,
             endpoint_name: Arc::clone(&load.entry.name),
+            started_unix_ms: load.entry.started_unix_ms,
             address: load.entry.address,
             expected,
             cached_tokens: choice.cached_tokens,
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -25,6 +25,7 @@
     table.add_service(ServiceView {
         name: Arc::from("models"),
         connections_max: 100,
+        status_path: Arc::from("/status"),
         engine: Some(EngineLimits {
             slots: 64,
             memory_tokens: 400_000,
@@ -33,6 +34,7 @@
     table.add_service(ServiceView {
         name: Arc::from("orders"),
         connections_max: 100,
+        status_path: Arc::from("/status"),
         engine: None,
     });
     table
--- a/crates/daisynotch_core/src/direct/request.rs
+++ b/crates/daisynotch_core/src/direct/request.rs
@@ -64,6 +64,8 @@
     pub endpoint: EndpointId,
     /// The endpoint's name, which the endpoint compares with its own.
     pub endpoint_name: Arc<str>,
+    /// The wall-clock time of the endpoint's start, in milliseconds; 0 if it is unknown.
+    pub started_unix_ms: u64,
     /// The address that the endpoint listens on.
     pub address: SocketAddr,
     /// The expected time until the answer begins.
--- a/crates/daisynotch_core/src/direct/routes.rs
+++ b/crates/daisynotch_core/src/direct/routes.rs
@@ -95,6 +95,8 @@
     pub name: Arc<str>,
     /// The number of connections that one endpoint accepts from all routers together.
     pub connections_max: u32,
+    /// The path at which an endpoint describes itself.
+    pub status_path: Arc<str>,
     /// The limits of each engine, set for services of batch engines only.
     pub engine: Option<EngineLimits>,
 }
--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -18,6 +18,7 @@
 mod message;
 mod node;
 mod placement;
+mod response_end;
 mod scheduler;
 pub mod seeded_fault;
 mod time;
@@ -51,5 +52,8 @@
 };
 pub use node::{Input, Node, NodeSettings, Output};
 pub use placement::rendezvous;
+pub use response_end::{
+    AskedOn, BodyContent, CutReason, Delimiter, EndVerdict, EndpointStatus, SenderEvidence,
+};
 pub use scheduler::{Scheduler, SchedulerAction, SchedulerSettings, TicketKey};
 pub use time::Timestamp;
--- a/crates/daisynotch_core/src/seeded_fault.rs
+++ b/crates/daisynotch_core/src/seeded_fault.rs
@@ -1,7 +1,7 @@
-//! Deliberate faults that validate the model check and the check of crash histories.
+//! Deliberate faults that validate the model check and the checks of generated histories.
 //!
-//! Each fault breaks one invariant of `docs/design/protocol-specification.md` or of
-//! `docs/design/crashing-parts.md`. Seeding
+//! Each fault breaks one invariant of `docs/design/protocol-specification.md`,
+//! `docs/design/crashing-parts.md` or `docs/design/response-ends.md`. Seeding
 //! requires the cargo feature `seeded_faults`, which only the tests of this crate enable;
 //! without it the checks compile to a constant and cost nothing. The seeded fault is a
 //! thread-local value, so tests can run in parallel.
@@ -36,6 +36,12 @@
     IgnorePartProofs,
     /// Parts are blocked without a trial.
     BlockWithoutTrial,
+    /// Whatever listens at a sender's address is taken for the sender.
+    TrustAnyListener,
+    /// A later start of a sender is taken for the one that sent the body.
+    IgnoreStart,
+    /// A body whose sender does not answer is taken for complete.
+    TrustSilence,
 }
 
 #[cfg(feature = "seeded_faults")]
--- a/crates/daisynotch_core/tests/crash_histories.rs
+++ b/crates/daisynotch_core/tests/crash_histories.rs
@@ -96,6 +96,7 @@
         table.add_service(ServiceView {
             name: Arc::from(SERVICE),
             connections_max: 100,
+            status_path: Arc::from("/status"),
             engine: Some(EngineLimits {
                 slots: 64,
                 memory_tokens: 1_000_000,
--- a/crates/daisynotch_emulator/src/fleet.rs
+++ b/crates/daisynotch_emulator/src/fleet.rs
@@ -40,6 +40,7 @@
     table.add_service(ServiceView {
         name: Arc::from(SERVICE),
         connections_max: experiment.engines.slots as u32 * 4,
+        status_path: Arc::from("/status"),
         engine: Some(EngineLimits {
             slots: experiment.engines.slots as u32,
             memory_tokens: experiment.engines.memory_tokens,
--- a/crates/daisynotch_platform/src/ports.rs
+++ b/crates/daisynotch_platform/src/ports.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use daisynotch_core::EndpointStatus;
 use daisynotch_core::direct::{EndpointEntry, Parts, RouteTable};
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -216,6 +217,9 @@
     /// Decodes an endpoint's entry; `name` is its key without the prefix.
     fn decode_endpoint(&self, name: &str, value: &[u8]) -> Result<EndpointEntry, DecodeError>;
 
+    /// Decodes what an endpoint says about itself at the status path of its service.
+    fn decode_endpoint_status(&self, headers: &HeaderMap, body: &[u8]) -> EndpointStatus;
+
     /// Decodes the headers of a caller's request.
     fn decode_caller_headers(&self, headers: &HeaderMap) -> Result<CallerHeaders, DecodeError>;
 
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -26,6 +26,7 @@
 mod store_follower;
 mod stream_relay;
 mod unread;
+mod witness;
 
 pub use admin::BlockedParts;
 pub use daemon::{DirectAddresses, DirectDaemon, DirectError, run};
--- a/crates/daisynotch_router/src/direct/connections.rs
+++ b/crates/daisynotch_router/src/direct/connections.rs
@@ -22,6 +22,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use super::head_limit::{HeadLimit, LimitedStream};
 
@@ -60,6 +61,7 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     idle_since: Timestamp,
+    opened_at: Instant,
     head_limit: HeadLimit,
 }
 
@@ -95,6 +97,7 @@
             sender,
             task,
             idle_since: Timestamp::default(),
+            opened_at: Instant::now(),
             head_limit,
         })
     }
@@ -122,6 +125,11 @@
         }
     }
 
+    /// Returns when the connection was opened.
+    pub(crate) fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+
     /// Returns whether the connection can take another request.
     pub(crate) fn is_usable(&self) -> bool {
         self.sender.is_ready()
@@ -162,6 +170,24 @@
         None
     }
 
+    /// Returns a connection that was opened before `before` and used a moment ago, if there is
+    /// one.
+    pub(crate) fn take_opened_before(
+        &self,
+        endpoint: EndpointId,
+        before: Instant,
+        now: Timestamp,
+    ) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let idle_connections = idle.get_mut(&endpoint)?;
+        let position = idle_connections.iter().position(|connection| {
+            connection.opened_at < before
+                && now.since(connection.idle_since) < REUSE_IDLE_MAX
+                && connection.is_usable()
+        })?;
+        Some(idle_connections.swap_remove(position))
+    }
+
     /// Returns a connection to the pool after its response has ended.
     pub(crate) fn put(&self, endpoint: EndpointId, mut connection: Connection, now: Timestamp) {
         connection.idle_since = now;
--- a/crates/daisynotch_router/src/direct/crash_check.rs
+++ b/crates/daisynotch_router/src/direct/crash_check.rs
@@ -11,8 +11,6 @@
 use super::connections::SendError;
 use super::event_log::Importance;
 use super::forward::Call;
-use super::response::ends_with_connection;
-use super::send::StartedResponse;
 use super::state::Router;
 
 /// A check of whether an endpoint crashed, shared by all requests whose connections broke.
@@ -50,17 +48,6 @@
         dispatcher.may_repeat_after_crash(&self.spec, now)
     }
 
-    /// Returns whether the connection may have ended a response early because the endpoint
-    /// crashed.
-    ///
-    /// A response without a length or chunks ends as it does after a crash. An endpoint that leaves
-    /// as planned ends after its responses, so its absence says nothing.
-    pub(super) async fn was_cut_by_crash(&self, started: &StartedResponse) -> bool {
-        let endpoint = started.grant.endpoint;
-        let is_in_use = self.router.dispatcher.borrow().has_endpoint_start(endpoint);
-        ends_with_connection(&started.head) && is_in_use && self.has_crashed(&started.grant).await
-    }
-
     /// Returns whether the endpoint's process is gone: nothing listens at its address.
     ///
     /// A connection that breaks alone says little, since it may have been reset on the way. All
--- a/crates/daisynotch_router/src/direct/full_relay.rs
+++ b/crates/daisynotch_router/src/direct/full_relay.rs
@@ -1,6 +1,7 @@
 //! Reads a response that is not a stream to its end, then passes it on.
 
 use bytes::Bytes;
+use daisynotch_core::BodyContent;
 use daisynotch_core::direct::RunOutcome;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -8,8 +9,8 @@
 
 use super::forward::{Call, to_caller_response};
 use super::response::{LocalResponse, ResponseBody};
-use super::response_end::{CutReason, EndVerdict};
 use super::send::StartedResponse;
+use super::witness::Witness;
 
 /// Maximum size of a response that is not a stream: the body is held in memory, and hosts have
 /// 88 MB.
@@ -94,19 +95,15 @@
 async fn read_body(call: &Call, started: &mut StartedResponse) -> BodyEnd {
     let incoming: &mut Incoming = &mut started.incoming;
     let read = Limited::new(incoming, FULL_RESPONSE_MAX_BYTES).collect();
+    let read = Witness::observe(&mut started.witness, read);
     match tokio::time::timeout_at(call.give_up_at, read).await {
-        Ok(Ok(_)) if call.was_cut_by_crash(started).await => {
-            call.report_end(started, EndVerdict::Cut(CutReason::Crashed));
-            let reason = CutReason::Crashed;
-            BodyEnd::Broken(format!("the response body was cut: {reason}"))
-        }
-        Ok(Ok(body)) => {
-            call.report_end(started, EndVerdict::Whole);
-            BodyEnd::Whole(body.to_bytes())
-        }
+        Ok(Ok(body)) => match call.judge_end(started, BodyContent::Opaque).await {
+            Ok(()) => BodyEnd::Whole(body.to_bytes()),
+            Err(reason) => BodyEnd::Broken(format!("the response was cut: {reason}")),
+        },
         Ok(Err(error)) if error.is::<LengthLimitError>() => BodyEnd::TooLong,
         Ok(Err(error)) => {
-            call.report_end(started, EndVerdict::Cut(CutReason::Broken));
+            call.report_broken(started);
             BodyEnd::Broken(format!("reading the response body failed: {error}"))
         }
         Err(_) => BodyEnd::TimedOut,
--- a/crates/daisynotch_router/src/direct/send.rs
+++ b/crates/daisynotch_router/src/direct/send.rs
@@ -10,11 +10,13 @@
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response::Parts as ResponseHead;
 use hyper::{Request, Response, StatusCode};
+use tokio::time::Instant;
 
 use super::connections::{Connection, SendError};
 use super::forward::Call;
-use super::response::strip_connection_headers;
+use super::response::{ends_with_connection, strip_connection_headers};
 use super::state::RunGuard;
+use super::witness::Witness;
 
 /// Interval at which a waiting resumable stream checks whether its endpoint went silent.
 pub(super) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -41,6 +43,8 @@
     pub(super) connection: Connection,
     pub(super) guard: RunGuard,
     pub(super) grant: Grant,
+    /// A second connection to the endpoint, if the response ends with its connection.
+    pub(super) witness: Option<Witness>,
 }
 
 impl Call {
@@ -51,8 +55,10 @@
         resume_after: Option<&str>,
     ) -> Result<StartedResponse, SendFailure> {
         let guard = self.router.guard_run(grant.run);
+        let sent_at = Instant::now();
+        let mut witness = self.witness_for_request(&grant);
         let attempt_timeout = self.attempt_timeout(&guard, &grant);
-        let exchange = self.exchange(&grant, resume_after);
+        let exchange = Witness::observe(&mut witness, self.exchange(&grant, resume_after));
         let sent = tokio::select! {
             sent = tokio::time::timeout_at(self.give_up_at, exchange) => sent,
             () = attempt_timeout => {
@@ -83,12 +89,18 @@
         };
         guard.on_bytes();
         let (head, incoming) = response.into_parts();
+        if ends_with_connection(&head) {
+            witness = witness.or_else(|| self.witness_for_response(&grant, sent_at));
+        } else if let Some(unused) = witness.take() {
+            unused.release(&self.router, &grant);
+        }
         Ok(StartedResponse {
             head,
             incoming,
             connection,
             guard,
             grant,
+            witness,
         })
     }
 
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -67,6 +67,8 @@
     pub(crate) endpoints: RefCell<EndpointList>,
     /// Names of the endpoints in use, for logs.
     pub(super) endpoint_names: RefCell<HashMap<EndpointId, Arc<str>>>,
+    /// When services last sent responses that end with their connection.
+    pub(super) unframed_services: RefCell<HashMap<Arc<str>, Timestamp>>,
     /// Checks in progress of whether an endpoint crashed.
     pub(super) crash_checks: RefCell<HashMap<EndpointId, CrashCheck>>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
@@ -122,6 +124,7 @@
             routes: RefCell::new(None),
             endpoints: RefCell::default(),
             endpoint_names: RefCell::default(),
+            unframed_services: RefCell::default(),
             crash_checks: RefCell::default(),
             hosts: RefCell::default(),
             store_view: RefCell::default(),
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use daisynotch_core::BodyContent;
 use daisynotch_core::direct::{EventFramer, RouteKind, RunOutcome};
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
@@ -11,9 +12,9 @@
 use tokio::time::Instant;
 
 use super::forward::{Call, to_caller_response};
-use super::response::{ResponseBody, TruncatedResponse, ends_with_connection};
-use super::response_end::{CutReason, EndVerdict};
+use super::response::{ResponseBody, TruncatedResponse};
 use super::send::{SILENCE_CHECK_INTERVAL, StartedResponse};
+use super::witness::Witness;
 
 /// Maximum number of chunks queued for a caller that reads slowly.
 const QUEUED_CHUNKS_MAX: usize = 16;
@@ -134,7 +135,7 @@
     let mut last_checked_at = None;
     loop {
         let frame = tokio::select! {
-            frame = started.incoming.frame() => frame,
+            frame = Witness::observe(&mut started.witness, started.incoming.frame()) => frame,
             () = chunks.closed() => return StreamEnd::CallerLeft,
             () = tokio::time::sleep_until(call.give_up_at) => return StreamEnd::TimedOut,
             () = tokio::time::sleep(SILENCE_CHECK_INTERVAL), if is_resumable => {
@@ -158,17 +159,18 @@
         let bytes = match frame {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             Some(Err(error)) => {
-                call.report_end(started, EndVerdict::Cut(CutReason::Broken));
+                call.report_broken(started);
                 return StreamEnd::Broken(format!("the stream failed: {error}"));
             }
             None => {
-                let verdict = judge_end(call, started, framer).await;
-                call.report_end(started, verdict);
-                return match verdict {
-                    EndVerdict::Whole => StreamEnd::Complete,
-                    EndVerdict::Cut(reason) => {
-                        StreamEnd::Broken(format!("the stream was cut: {reason}"))
-                    }
+                let content = body_content(call, framer);
+                let judged = tokio::select! {
+                    judged = call.judge_end(started, content) => judged,
+                    () = chunks.closed() => return StreamEnd::CallerLeft,
+                };
+                return match judged {
+                    Ok(()) => StreamEnd::Complete,
+                    Err(reason) => StreamEnd::Broken(format!("the stream was cut: {reason}")),
                 };
             }
         };
@@ -202,19 +204,12 @@
     }
 }
 
-/// Returns whether a stream is complete whose body ended without an error.
-///
-/// A body without a length or chunks ends with its connection, whether or not the endpoint was
-/// done, so it must at least have an event and its endpoint must not have crashed.
-async fn judge_end(call: &Call, started: &StartedResponse, framer: &EventFramer) -> EndVerdict {
+fn body_content(call: &Call, framer: &EventFramer) -> BodyContent {
     if !framer.is_at_boundary() {
-        return EndVerdict::Cut(CutReason::WithinEvent);
-    }
-    if ends_with_connection(&started.head) && call.history.events == 0 {
-        return EndVerdict::Cut(CutReason::BeforeFirstEvent);
-    }
-    if call.was_cut_by_crash(started).await {
-        return EndVerdict::Cut(CutReason::Crashed);
+        BodyContent::PartialEvent
+    } else if call.history.events == 0 {
+        BodyContent::NoEvent
+    } else {
+        BodyContent::CompleteEvents
     }
-    EndVerdict::Whole
 }
