Use an idle connection as the second one to an endpoint where there is one

A service that has sent unframed responses gets a second connection with each request, so that its end can be confirmed.

--- a/crates/daisynotch_router/src/direct/witness.rs
+++ b/crates/daisynotch_router/src/direct/witness.rs
@@ -104,8 +104,13 @@
     pub(super) fn witness_for_request(&self, grant: &Grant) -> Option<Witness> {
         let services = self.router.unframed_services.borrow();
         let seen_at = services.get(&self.spec.service)?;
-        let is_expected = self.router.now().since(*seen_at) < UNFRAMED_MEMORY;
-        (is_expected && !self.says_start(grant)).then(|| Witness::open(&self.router, grant))
+        let router = &self.router;
+        let now = router.now();
+        if now.since(*seen_at) >= UNFRAMED_MEMORY || self.says_start(grant) {
+            return None;
+        }
+        let idle = router.connections.take(grant.endpoint, now);
+        Some(idle.map_or_else(|| Witness::open(router, grant), Witness::Open))
     }
 
     /// Returns a connection on which the sender of a response can be asked when the response has
