Count only chunks as the framing of an encoded response

Callers saw a 200 with a part of the response, framed as complete, when an endpoint crashed in the middle of a response with a transfer encoding other than chunked.

Cause: any transfer-encoding header counted as framing, but such a body ends with its connection, which is also how the HTTP library reads it. Only chunked as the last encoding delimits a body, as RFC 9112 says.

--- a/crates/daisynotch_router/src/direct/response.rs
+++ b/crates/daisynotch_router/src/direct/response.rs
@@ -122,11 +122,25 @@
 
 /// Returns whether the body of an endpoint's response has neither a length nor chunks, so that it
 /// ends with the connection.
+///
+/// A transfer encoding overrides the length, and only `chunked` as the last one delimits the body.
 pub(crate) fn ends_with_connection(head: &ResponseHead) -> bool {
-    let has_body = ![StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status);
-    has_body
-        && !head.headers.contains_key(header::CONTENT_LENGTH)
-        && !head.headers.contains_key(header::TRANSFER_ENCODING)
+    if [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status) {
+        return false;
+    }
+    let encodings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
+    match encodings.last() {
+        Some(encodings) => !is_chunked(encodings),
+        None => !head.headers.contains_key(header::CONTENT_LENGTH),
+    }
+}
+
+fn is_chunked(encodings: &HeaderValue) -> bool {
+    let last = encodings
+        .to_str()
+        .ok()
+        .and_then(|text| text.rsplit(',').next());
+    last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
 }
 
 /// Removes hop-by-hop headers, including those that the `Connection` header names, and the
