Reset the connection of an HTTP/1.0 caller whose response was cut

Callers of HTTP/1.0 got whole events and then an orderly close of the connection for a stream that was broken off. They know no chunks, so that was a complete response, however the endpoint had ended it.

The HTTP library shuts a connection down after a complete response and drops it when the body fails, so a connection that is dropped without a shutdown is reset if its caller takes an orderly close for the end.

--- a/crates/daisynotch_router/src/direct/ingress.rs
+++ b/crates/daisynotch_router/src/direct/ingress.rs
@@ -20,6 +20,7 @@
 use super::response::ResponseBody;
 use super::state::Router;
 use super::{admin, directory, forward, peers};
+use crate::caller_stream::{CallerStream, ClosesEndResponses};
 use crate::stall::StallGuard;
 
 /// How long a caller may accept no byte of a response.
@@ -145,6 +146,7 @@
         .map(|routes| routes.limits)
         .unwrap_or_default();
     let has_received_request = Rc::new(Cell::new(false));
+    let closes_end_responses = ClosesEndResponses::default();
     let service = {
         let connection = Connection {
             kind,
@@ -152,11 +154,14 @@
             connected_at: router.now(),
         };
         let has_received_request = Rc::clone(&has_received_request);
-        service_fn(move |request| {
+        let closes_end_responses = closes_end_responses.clone();
+        service_fn(move |request: Request<Incoming>| {
             has_received_request.set(true);
+            closes_end_responses.note_version(request.version());
             handle_request(Rc::clone(&router), request, connection.clone())
         })
     };
+    let stream = CallerStream::new(stream, closes_end_responses);
     let stream = TokioIo::new(StallGuard::new(stream, WRITE_STALL_TIMEOUT));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/daisynotch_router/src/direct/response.rs
+++ b/crates/daisynotch_router/src/direct/response.rs
@@ -128,8 +128,8 @@
     if [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status) {
         return false;
     }
-    let encodings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
-    match encodings.last() {
+    let mut encodings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
+    match encodings.next_back() {
         Some(encodings) => !is_chunked(encodings),
         None => !head.headers.contains_key(header::CONTENT_LENGTH),
     }
--- a/crates/daisynotch_router/src/lib.rs
+++ b/crates/daisynotch_router/src/lib.rs
@@ -5,6 +5,7 @@
 //! request through these modules.
 
 mod api;
+mod caller_stream;
 mod clock;
 mod configuration;
 mod core_task;
