Do not take the end of a connection for the end of a plain response where endpoints are scheduled

Callers of a plain service behind the scheduled way of dispatch saw a 201 with half of the body, framed as complete, when the service crashed in the middle of a response without length or chunks.

Cause: the relay took any body without a transport error for complete. The rule is the one of the other way of dispatch (daisynotch_core's response_end.rs). Endpoints there say neither their start nor their name, so such a body is never confirmed and its caller's connection breaks: no whole one can be told from a cut one. Event streams end with [DONE] and completions with their JSON object, as before. What delimits a body is found in one place (delimiter.rs) for both ways.

--- a/crates/daisynotch_core/src/response_end.rs
+++ b/crates/daisynotch_core/src/response_end.rs
@@ -139,7 +139,7 @@
     #[error("its connection was closed and its sender is gone")]
     OtherStart,
     /// The sender did not answer after the connection was closed.
-    #[error("its connection was closed and its sender does not answer")]
+    #[error("its connection was closed and its sender did not confirm its end")]
     Unconfirmed,
 }
 
--- a/crates/daisynotch_router/src/api/inference.rs
+++ b/crates/daisynotch_router/src/api/inference.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use daisynotch_core::{Catalogue, Cost, PoolView, ReleaseReason, RequestSpec, RouteView};
+use daisynotch_core::{
+    BodyContent, Catalogue, Cost, EndVerdict, PoolView, ReleaseReason, RequestSpec, RouteView,
+};
 use daisynotch_platform::ConnectionUse;
 use http_body_util::{BodyExt, Limited};
 use hyper::header::{ACCEPT_ENCODING, CONTENT_TYPE};
@@ -16,6 +18,7 @@
 use super::chat::ChatRequest;
 use super::inbound::{authenticate_team, read_body, strip_unforwarded_headers};
 use super::response::ApiError;
+use crate::delimiter::body_delimiter;
 use crate::dispatch::{self, EndpointResponse, OpenRequest, Outbound, Usage};
 use crate::event_stream::EventStreamWatcher;
 use crate::relay::{RelayBody, RequestLabels, ResponseKind, TokenGapWindow};
@@ -124,7 +127,7 @@
     let kind = if is_event_stream {
         ResponseKind::EventStream(EventStreamWatcher::default())
     } else {
-        ResponseKind::Opaque
+        ResponseKind::Opaque(body_delimiter(&response.head))
     };
     Ok(relay(app, response, kind, pool.idle_timeout, labels))
 }
@@ -141,7 +144,7 @@
     let length = head.headers.get(hyper::header::CONTENT_LENGTH).cloned();
     strip_unforwarded_headers(&mut head.headers);
     if let Some(length) = length
-        && matches!(kind, ResponseKind::Opaque)
+        && matches!(kind, ResponseKind::Opaque(_))
     {
         head.headers.insert(hyper::header::CONTENT_LENGTH, length);
     }
@@ -178,11 +181,19 @@
         Err(_) => return Err(fail(request, "the endpoint was silent for too long")),
     };
     let cost = match completion_cost(&body) {
+        // A completion is one JSON object, so it does not end early.
         Some(cost) => cost,
         None if head.status.is_success() => {
             return Err(fail(request, "the endpoint's answer is no chat completion"));
         }
-        None => Cost::default(),
+        None => {
+            let delimiter = body_delimiter(&head);
+            let judged = EndVerdict::judge(delimiter, BodyContent::Opaque, None).into_result();
+            if let Err(reason) = judged {
+                return Err(fail(request, &format!("the answer was cut: {reason}")));
+            }
+            Cost::default()
+        }
     };
     // The response arrived in one piece, so the time of its first token is unknown.
     request.record_usage(Usage {
--- a/crates/daisynotch_router/src/api/plain.rs
+++ b/crates/daisynotch_router/src/api/plain.rs
@@ -15,6 +15,7 @@
 use super::inference::relay;
 use super::keyed::{self, FORWARDED_HEADER, KEY_HEADER};
 use super::response::ApiError;
+use crate::delimiter::body_delimiter;
 use crate::dispatch::{self, Outbound};
 use crate::relay::{RequestLabels, ResponseKind};
 
@@ -149,6 +150,6 @@
     let response = response
         .await
         .inspect_err(|error: &ApiError| call.count(app, error.label()))?;
-    let kind = ResponseKind::Opaque;
+    let kind = ResponseKind::Opaque(body_delimiter(&response.head));
     Ok(relay(app, response, kind, call.idle_timeout, call.labels))
 }
--- a/crates/daisynotch_router/src/direct/response.rs
+++ b/crates/daisynotch_router/src/direct/response.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::http::response::Parts as ResponseHead;
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc;
 
@@ -120,29 +119,6 @@
     }
 }
 
-/// Returns whether the body of an endpoint's response has neither a length nor chunks, so that it
-/// ends with the connection.
-///
-/// A transfer encoding overrides the length, and only `chunked` as the last one delimits the body.
-pub(crate) fn ends_with_connection(head: &ResponseHead) -> bool {
-    if [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status) {
-        return false;
-    }
-    let mut encodings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
-    match encodings.next_back() {
-        Some(encodings) => !is_chunked(encodings),
-        None => !head.headers.contains_key(header::CONTENT_LENGTH),
-    }
-}
-
-fn is_chunked(encodings: &HeaderValue) -> bool {
-    let last = encodings
-        .to_str()
-        .ok()
-        .and_then(|text| text.rsplit(',').next());
-    last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
-}
-
 /// Removes hop-by-hop headers, including those that the `Connection` header names, and the
 /// content length.
 pub(crate) fn strip_connection_headers(headers: &mut HeaderMap) {
--- a/crates/daisynotch_router/src/direct/response_end.rs
+++ b/crates/daisynotch_router/src/direct/response_end.rs
@@ -4,7 +4,7 @@
 
 use daisynotch_core::direct::Grant;
 use daisynotch_core::{
-    AskedOn, BodyContent, CutReason, Delimiter, EndVerdict, EndpointStatus, SenderEvidence,
+    AskedOn, BodyContent, CutReason, EndVerdict, EndpointStatus, SenderEvidence,
 };
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
@@ -15,8 +15,8 @@
 use super::connections::{Connection, SendError};
 use super::event_log::Importance;
 use super::forward::Call;
-use super::response::ends_with_connection;
 use super::send::StartedResponse;
+use crate::delimiter::body_delimiter;
 
 /// How long the end of a response waits for its sender to answer. A health check may wait for a
 /// slot of a plain service.
@@ -42,7 +42,7 @@
         started: &mut StartedResponse,
         content: BodyContent,
     ) -> Result<(), CutReason> {
-        let delimiter = delimiter(started);
+        let delimiter = body_delimiter(&started.head);
         let verdict = EndVerdict::judge(delimiter, content, None);
         if verdict != EndVerdict::AskSender {
             self.report_end(started, verdict, None);
@@ -168,7 +168,7 @@
         if !started.head.status.is_success() {
             return;
         }
-        let delimiter = delimiter(started);
+        let delimiter = body_delimiter(&started.head);
         let labels = [delimiter.as_str(), verdict.as_str()];
         let ends = &self.router.metrics.response_ends;
         ends.with_label_values(&labels).inc();
@@ -189,11 +189,3 @@
         log.write(Importance::Essential, "response_cut", fields);
     }
 }
-
-fn delimiter(started: &StartedResponse) -> Delimiter {
-    if ends_with_connection(&started.head) {
-        Delimiter::Connection
-    } else {
-        Delimiter::Framing
-    }
-}
--- a/crates/daisynotch_router/src/direct/send.rs
+++ b/crates/daisynotch_router/src/direct/send.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use daisynotch_core::Delimiter;
 use daisynotch_core::direct::{Grant, RouteKind, RunOutcome};
 use daisynotch_platform::ports::EndpointRequestHeaders;
 use http_body_util::Full;
@@ -14,9 +15,10 @@
 
 use super::connections::{Connection, SendError};
 use super::forward::Call;
-use super::response::{ends_with_connection, strip_connection_headers};
+use super::response::strip_connection_headers;
 use super::state::RunGuard;
 use super::witness::Witness;
+use crate::delimiter::body_delimiter;
 
 /// Interval at which a waiting resumable stream checks whether its endpoint went silent.
 pub(super) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -89,7 +91,7 @@
         };
         guard.on_bytes();
         let (head, incoming) = response.into_parts();
-        if ends_with_connection(&head) {
+        if body_delimiter(&head) == Delimiter::Connection {
             witness = witness.or_else(|| self.witness_for_response(&grant, sent_at));
         } else if let Some(unused) = witness.take() {
             unused.release(&self.router, &grant);
--- a/crates/daisynotch_router/src/lib.rs
+++ b/crates/daisynotch_router/src/lib.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod core_task;
 mod daemon;
+mod delimiter;
 pub mod direct;
 mod dispatch;
 mod event_stream;
--- a/crates/daisynotch_router/src/relay.rs
+++ b/crates/daisynotch_router/src/relay.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use daisynotch_core::{Cost, ReleaseReason};
+use daisynotch_core::{BodyContent, Cost, CutReason, Delimiter, EndVerdict, ReleaseReason};
 use hyper::body::{Body, Frame, Incoming};
 use tokio::time::{Instant, Sleep};
 
@@ -26,6 +26,9 @@
     /// The endpoint ended its stream without the end mark, the `[DONE]` event.
     #[error("the endpoint's answer ended without its end mark")]
     NoEndMark,
+    /// The endpoint's answer is not known to be complete.
+    #[error("the endpoint's answer was cut: {0}")]
+    Cut(CutReason),
     /// The endpoint sent nothing for the idle timeout.
     #[error("the endpoint was silent for too long")]
     Idle,
@@ -36,9 +39,8 @@
 pub(crate) enum ResponseKind {
     /// Server-sent events up to the `[DONE]` event; each event is one cost unit.
     EventStream(EventStreamWatcher),
-    /// A body that HTTP delimits by its length or chunks and whose content is not interpreted;
-    /// each millisecond is one cost unit.
-    Opaque,
+    /// A body whose content is not interpreted; each millisecond is one cost unit.
+    Opaque(Delimiter),
 }
 
 /// The metric labels of a request, and its arrival time for the latency histogram.
@@ -134,7 +136,7 @@
     fn events(&self) -> u64 {
         match &self.kind {
             ResponseKind::EventStream(watcher) => watcher.events(),
-            ResponseKind::Opaque => 0,
+            ResponseKind::Opaque(_) => 0,
         }
     }
 
@@ -152,7 +154,7 @@
                     .flatten(),
             },
             // The time to the first byte of a plain service says nothing about its slots.
-            ResponseKind::Opaque => Usage {
+            ResponseKind::Opaque(_) => Usage {
                 cost: Cost((now - self.dispatched_at).as_millis() as u64),
                 first_token_ms: None,
                 token_gap_us: None,
@@ -161,22 +163,28 @@
     }
 
     fn on_end(&mut self) -> Option<Result<Frame<Bytes>, RelayError>> {
-        match &self.kind {
+        let judged = match &self.kind {
             ResponseKind::EventStream(watcher) if !watcher.has_ended() => {
-                self.fail(RelayError::NoEndMark)
+                return self.fail(RelayError::NoEndMark);
             }
-            ResponseKind::EventStream(_) | ResponseKind::Opaque => {
-                self.finish(ReleaseReason::Done, "done");
-                None
+            ResponseKind::EventStream(_) => Ok(()),
+            // These endpoints do not say which start of theirs answers.
+            ResponseKind::Opaque(delimiter) => {
+                EndVerdict::judge(*delimiter, BodyContent::Opaque, None).into_result()
             }
+        };
+        if let Err(reason) = judged {
+            return self.fail(RelayError::Cut(reason));
         }
+        self.finish(ReleaseReason::Done, "done");
+        None
     }
 
     /// Ends the response as failed; a stream first reports the error in an event.
     fn fail(&mut self, error: RelayError) -> Option<Result<Frame<Bytes>, RelayError>> {
         self.finish(ReleaseReason::Failed, "failed");
         match self.kind {
-            ResponseKind::Opaque => Some(Err(error)),
+            ResponseKind::Opaque(_) => Some(Err(error)),
             ResponseKind::EventStream(_) => {
                 let body = serde_json::json!({
                     "error": { "message": error.to_string(), "type": "unknown" }
