Take an engine that restarts at once for crashed

Callers saw engine after engine end on one prompt part when engines accept connections again right after a crash: with the same part, 20 of 20 requests ended an engine.

After a break the router asked whether anything accepts a connection at the endpoint's address, so the next start of an engine disproved the crash of the one before, and no evidence against the part was kept. The connection to whatever had accepted also went into the pool under the old start.

The check asks which start answers; another start, another name or a refused connection is a crash, and a connection goes into the pool only if its endpoint is the one that was meant. Asking is one module (inquiry.rs) for both uses.

--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -13,6 +13,7 @@
 mod full_relay;
 mod head_limit;
 mod ingress;
+mod inquiry;
 mod listener;
 mod metrics;
 mod peers;
--- a/crates/daisynotch_router/src/direct/connections.rs
+++ b/crates/daisynotch_router/src/direct/connections.rs
@@ -45,13 +45,16 @@
 const IDLE_PER_ENDPOINT_MAX: usize = 16;
 
 /// Why a request got no response.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub(crate) enum SendError {
     /// No process listens at the address, and nothing was sent.
+    #[error("{0}")]
     Refused(String),
     /// No byte of the request was sent.
+    #[error("{0}")]
     NotSent(String),
     /// The request was sent, at least in part.
+    #[error("{0}")]
     NoAnswer(String),
 }
 
@@ -60,8 +63,11 @@
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    /// When the connection came to the pool, by a clock that counts suspended time.
     idle_since: Timestamp,
     opened_at: Instant,
+    /// When the connection was opened or came to the pool.
+    last_used_at: Instant,
     head_limit: HeadLimit,
 }
 
@@ -98,6 +104,7 @@
             task,
             idle_since: Timestamp::default(),
             opened_at: Instant::now(),
+            last_used_at: Instant::now(),
             head_limit,
         })
     }
@@ -125,9 +132,10 @@
         }
     }
 
-    /// Returns when the connection was opened.
-    pub(crate) fn opened_at(&self) -> Instant {
-        self.opened_at
+    /// Returns whether the connection was opened or used a moment ago, so that a sound server has
+    /// not closed it for being idle.
+    pub(crate) fn was_used_lately(&self) -> bool {
+        self.last_used_at.elapsed() < REUSE_IDLE_MAX
     }
 
     /// Returns whether the connection can take another request.
@@ -191,6 +199,7 @@
     /// Returns a connection to the pool after its response has ended.
     pub(crate) fn put(&self, endpoint: EndpointId, mut connection: Connection, now: Timestamp) {
         connection.idle_since = now;
+        connection.last_used_at = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let idle_connections = idle.entry(endpoint).or_default();
         if idle_connections.len() < IDLE_PER_ENDPOINT_MAX {
--- a/crates/daisynotch_router/src/direct/crash_check.rs
+++ b/crates/daisynotch_router/src/direct/crash_check.rs
@@ -1,9 +1,11 @@
 //! Finds out whether an endpoint crashed when a connection to it breaks, and reports it.
 
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 
-use daisynotch_core::EndpointId;
 use daisynotch_core::direct::{EvidenceChange, Grant, OpenRun};
+use daisynotch_core::{EndpointId, SenderEvidence};
 use futures::FutureExt;
 use futures::future::{LocalBoxFuture, Shared};
 use serde_json::json;
@@ -13,6 +15,9 @@
 use super::forward::Call;
 use super::state::Router;
 
+/// How long requests whose connections broke wait to hear whether their endpoint crashed.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
+
 /// A check of whether an endpoint crashed, shared by all requests whose connections broke.
 pub(super) type CrashCheck = Shared<LocalBoxFuture<'static, bool>>;
 
@@ -48,7 +53,8 @@
         dispatcher.may_repeat_after_crash(&self.spec, now)
     }
 
-    /// Returns whether the endpoint's process is gone: nothing listens at its address.
+    /// Returns whether the endpoint's process is gone: nothing listens at its address, or another
+    /// start or another endpoint does.
     ///
     /// A connection that breaks alone says little, since it may have been reset on the way. All
     /// requests whose connections broke wait for the same check.
@@ -60,7 +66,8 @@
         }
         let known = router.crash_checks.borrow().get(&endpoint).cloned();
         let check = known.unwrap_or_else(|| {
-            let check = check_endpoint(Rc::clone(router), grant.clone());
+            let service = Arc::clone(&self.spec.service);
+            let check = check_endpoint(Rc::clone(router), grant.clone(), service);
             let check = check.boxed_local().shared();
             router
                 .crash_checks
@@ -74,23 +81,20 @@
     }
 }
 
-async fn check_endpoint(router: Rc<Router>, grant: Grant) -> bool {
-    router.metrics.connections_opened.inc();
-    let opened = super::connections::Connection::open(grant.address).await;
+async fn check_endpoint(router: Rc<Router>, grant: Grant, service: Arc<str>) -> bool {
+    let asked = router.ask_on_new_connection(&grant, &service);
+    let asked = tokio::time::timeout(ANSWER_TIMEOUT, asked).await;
     router.crash_checks.borrow_mut().remove(&grant.endpoint);
-    match opened {
-        Ok(connection) => {
-            let now = router.now();
-            router.connections.put(grant.endpoint, connection, now);
-            false
-        }
-        Err(SendError::Refused(_)) => true,
-        Err(SendError::NotSent(reason) | SendError::NoAnswer(reason)) => {
-            let name = &grant.endpoint_name;
-            log::debug!("can't tell whether endpoint {name} crashed: {reason}");
-            false
-        }
-    }
+    let problem = match asked {
+        Ok(Ok(SenderEvidence::OtherStart) | Err(SendError::Refused(_))) => return true,
+        Ok(Ok(SenderEvidence::SameStart | SenderEvidence::SameName)) => return false,
+        Ok(Ok(SenderEvidence::NoAnswer)) => "what answers does not name itself".to_owned(),
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "timed out".to_owned(),
+    };
+    let name = &grant.endpoint_name;
+    log::debug!("can't tell whether endpoint {name} crashed: {problem}");
+    false
 }
 
 impl Router {
--- /dev/null
+++ b/crates/daisynotch_router/src/direct/inquiry.rs
@@ -0,0 +1,78 @@
+//! Asks an endpoint which start of it answers.
+
+use std::rc::Rc;
+
+use daisynotch_core::direct::Grant;
+use daisynotch_core::{AskedOn, EndpointStatus, SenderEvidence};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use hyper::header::{HOST, HeaderValue};
+
+use super::connections::{Connection, SendError};
+use super::state::Router;
+
+/// Maximum size of an endpoint's description of itself, which lists its requests.
+const STATUS_MAX_BYTES: usize = 256 * 1024;
+
+impl Router {
+    /// Asks whatever listens at an endpoint's address which start of an endpoint it is.
+    pub(super) async fn ask_on_new_connection(
+        self: &Rc<Self>,
+        grant: &Grant,
+        service: &str,
+    ) -> Result<SenderEvidence, SendError> {
+        self.metrics.connections_opened.inc();
+        let connection = Connection::open(grant.address).await?;
+        self.ask_on(connection, grant, service, AskedOn::NewConnection)
+            .await
+    }
+
+    /// Asks on a connection which start of an endpoint is at its other end. Requests can use the
+    /// connection afterwards if it is the endpoint's.
+    pub(super) async fn ask_on(
+        &self,
+        mut connection: Connection,
+        grant: &Grant,
+        service: &str,
+        asked_on: AskedOn,
+    ) -> Result<SenderEvidence, SendError> {
+        let status = self.request_status(&mut connection, grant, service).await?;
+        let (name, started_unix_ms) = (&grant.endpoint_name, grant.started_unix_ms);
+        let evidence = SenderEvidence::from_status(name, started_unix_ms, &status, asked_on);
+        let is_sender = matches!(
+            evidence,
+            SenderEvidence::SameStart | SenderEvidence::SameName
+        );
+        let is_in_use = self.dispatcher.borrow().has_endpoint_start(grant.endpoint);
+        if is_sender && is_in_use && connection.is_usable() {
+            self.connections.put(grant.endpoint, connection, self.now());
+        }
+        Ok(evidence)
+    }
+
+    async fn request_status(
+        &self,
+        connection: &mut Connection,
+        grant: &Grant,
+        service: &str,
+    ) -> Result<EndpointStatus, SendError> {
+        let routes = self.routes();
+        let service = routes.as_ref().and_then(|routes| routes.service(service));
+        let service = service.ok_or_else(|| {
+            SendError::NotSent("its service is not in the configuration".to_owned())
+        })?;
+        let path = &service.status_path;
+        let target = path.parse();
+        let host = HeaderValue::from_str(&grant.address.to_string());
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = target
+            .map_err(|error| SendError::NotSent(format!("the status path `{path}`: {error}")))?;
+        let host = host.expect("a socket address is a valid header value");
+        request.headers_mut().insert(HOST, host);
+        let (head, body) = connection.send(request).await?.into_parts();
+        let body = Limited::new(body, STATUS_MAX_BYTES).collect().await;
+        let body = body.map_err(|error| SendError::NoAnswer(error.to_string()))?;
+        let platform = &self.platform;
+        Ok(platform.decode_endpoint_status(&head.headers, &body.to_bytes()))
+    }
+}
--- a/crates/daisynotch_router/src/direct/response_end.rs
+++ b/crates/daisynotch_router/src/direct/response_end.rs
@@ -2,29 +2,19 @@
 
 use std::time::Duration;
 
-use daisynotch_core::direct::Grant;
-use daisynotch_core::{
-    AskedOn, BodyContent, CutReason, EndVerdict, EndpointStatus, SenderEvidence,
-};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::Request;
-use hyper::header::{HOST, HeaderValue};
+use daisynotch_core::{AskedOn, BodyContent, CutReason, EndVerdict, SenderEvidence};
 use serde_json::json;
 use tokio::time::Instant;
 
-use super::connections::{Connection, SendError};
 use super::event_log::Importance;
 use super::forward::Call;
 use super::send::StartedResponse;
+use super::witness::Witness;
 use crate::delimiter::body_delimiter;
 
 /// How long the end of a response waits for its sender to answer. A health check may wait for a
 /// slot of a plain service.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Maximum size of an endpoint's description of itself, which lists its requests.
-const STATUS_MAX_BYTES: usize = 256 * 1024;
-/// Idle time during which a sound endpoint does not close a connection.
-const IDLE_MIN: Duration = Duration::from_millis(900);
 
 /// What was found out about the sender of a response that has ended.
 #[derive(Debug, Clone, Copy)]
@@ -65,102 +55,28 @@
     }
 
     async fn ask_sender(&self, started: &mut StartedResponse) -> SenderEvidence {
-        let grant = &started.grant;
-        if self.router.dispatcher.borrow().has_crashed(grant.endpoint) {
+        let (router, grant) = (&self.router, &started.grant);
+        if router.dispatcher.borrow().has_crashed(grant.endpoint) {
             return SenderEvidence::OtherStart;
         }
+        let service = &self.spec.service;
         let witness = started.witness.take();
-        if let Some(connection) = witness.and_then(|witness| witness.into_connection()) {
-            let age = connection.opened_at().elapsed();
-            if let Some(evidence) = self
-                .ask_on(connection, grant, AskedOn::EarlierConnection)
-                .await
-            {
-                return evidence;
-            }
-            // The sender's connections end together if it crashes.
-            if age < IDLE_MIN {
-                return SenderEvidence::NoAnswer;
-            }
-        }
-        self.router.metrics.connections_opened.inc();
-        match Connection::open(grant.address).await {
-            Ok(connection) => {
-                let answer = self.ask_on(connection, grant, AskedOn::NewConnection).await;
-                answer.unwrap_or(SenderEvidence::NoAnswer)
-            }
-            Err(error) => {
-                let name = &grant.endpoint_name;
-                log::debug!("can't ask endpoint {name} whether it crashed: {error:?}");
-                SenderEvidence::NoAnswer
+        if let Some(connection) = witness.and_then(Witness::into_connection) {
+            let was_used_lately = connection.was_used_lately();
+            let asked_on = AskedOn::EarlierConnection;
+            match router.ask_on(connection, grant, service, asked_on).await {
+                Ok(evidence) => return evidence,
+                // The sender's connections end together if it crashes.
+                Err(_) if was_used_lately => return SenderEvidence::NoAnswer,
+                Err(_) => {}
             }
         }
-    }
-
-    /// Asks an endpoint on a connection what it is; `None` if no answer arrives.
-    async fn ask_on(
-        &self,
-        mut connection: Connection,
-        grant: &Grant,
-        asked_on: AskedOn,
-    ) -> Option<SenderEvidence> {
-        let status = match self.request_status(&mut connection, grant).await {
-            Ok(status) => status,
-            Err(reason) => {
-                let name = &grant.endpoint_name;
-                log::debug!("endpoint {name} does not say whether it crashed: {reason}");
-                return None;
-            }
-        };
-        let router = &self.router;
-        let (name, started_unix_ms) = (&grant.endpoint_name, grant.started_unix_ms);
-        let evidence = SenderEvidence::from_status(name, started_unix_ms, &status, asked_on);
-        let is_sender = matches!(
-            evidence,
-            SenderEvidence::SameStart | SenderEvidence::SameName
-        );
-        let is_in_use = router
-            .dispatcher
-            .borrow()
-            .has_endpoint_start(grant.endpoint);
-        if is_sender && is_in_use && connection.is_usable() {
-            router
-                .connections
-                .put(grant.endpoint, connection, router.now());
-        }
-        Some(evidence)
-    }
-
-    async fn request_status(
-        &self,
-        connection: &mut Connection,
-        grant: &Grant,
-    ) -> Result<EndpointStatus, String> {
-        let routes = self.router.routes();
-        let service = routes
-            .as_ref()
-            .and_then(|routes| routes.service(&self.spec.service));
-        let service = service.ok_or("its service is not in the configuration")?;
-        let path = &service.status_path;
-        let target = path.parse();
-        let host = HeaderValue::from_str(&grant.address.to_string());
-        let mut request = Request::new(Full::default());
-        *request.uri_mut() = target.map_err(|error| format!("status path `{path}`: {error}"))?;
-        let host = host.expect("a socket address is a valid header value");
-        request.headers_mut().insert(HOST, host);
-        let response = connection
-            .send(request)
-            .await
-            .map_err(|error| match error {
-                SendError::Refused(reason)
-                | SendError::NotSent(reason)
-                | SendError::NoAnswer(reason) => reason,
-            })?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, STATUS_MAX_BYTES).collect().await;
-        let body = body.map_err(|error| error.to_string())?.to_bytes();
-        let platform = &self.router.platform;
-        Ok(platform.decode_endpoint_status(&head.headers, &body))
+        let asked = router.ask_on_new_connection(grant, service).await;
+        asked.unwrap_or_else(|error| {
+            let name = &grant.endpoint_name;
+            log::debug!("endpoint {name} does not confirm the end of a response: {error}");
+            SenderEvidence::NoAnswer
+        })
     }
 
     /// Counts the end of a successful response, and logs it if the response is not complete.
--- a/crates/daisynotch_router/src/direct/witness.rs
+++ b/crates/daisynotch_router/src/direct/witness.rs
@@ -47,7 +47,7 @@
                 }
                 Err(error) => {
                     let name = &grant.endpoint_name;
-                    log::debug!("can't open a second connection to endpoint {name}: {error:?}");
+                    log::debug!("can't open a second connection to endpoint {name}: {error}");
                 }
             }
         });
