--- a/crates/daisynotch_router/src/direct/response_end.rs
+++ b/crates/daisynotch_router/src/direct/response_end.rs
@@ -15,6 +15,9 @@
 /// How long the end of a response waits for its sender to answer. A health check may wait for a
 /// slot of a plain service.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Additional time for an answer that arrived while the router's process was paused, during which
+/// the timeout passed as well.
+const PAUSE_GRACE: Duration = Duration::from_millis(100);
 
 /// What was found out about the sender of a response that has ended.
 #[derive(Debug, Clone, Copy)]
@@ -39,9 +42,8 @@
             return verdict.into_result();
         }
         let ended_at = Instant::now();
-        let asked = tokio::time::timeout(ANSWER_TIMEOUT, self.ask_sender(started));
         let inquiry = Inquiry {
-            evidence: asked.await.unwrap_or(SenderEvidence::NoAnswer),
+            evidence: self.ask_sender_in_time(started).await,
             age: ended_at.elapsed(),
         };
         let verdict = EndVerdict::judge(delimiter, content, Some(inquiry.evidence));
@@ -54,6 +56,15 @@
         self.report_end(started, EndVerdict::Cut(CutReason::Broken), None);
     }
 
+    async fn ask_sender_in_time(&self, started: &mut StartedResponse) -> SenderEvidence {
+        let mut asked = std::pin::pin!(self.ask_sender(started));
+        let mut evidence = tokio::time::timeout(ANSWER_TIMEOUT, asked.as_mut()).await;
+        if evidence.is_err() {
+            evidence = tokio::time::timeout(PAUSE_GRACE, asked).await;
+        }
+        evidence.unwrap_or(SenderEvidence::NoAnswer)
+    }
+
     async fn ask_sender(&self, started: &mut StartedResponse) -> SenderEvidence {
         let (router, grant) = (&self.router, &started.grant);
         if router.dispatcher.borrow().has_crashed(grant.endpoint) {
