Reset HTTP/1.0 callers of cut responses where endpoints are scheduled, too

Callers of HTTP/1.0 behind the scheduled way of dispatch got an orderly close of the connection for a response that was cut, which is a complete response to them.

Cause: as for the other way of dispatch, only that server was mended. Both servers use the same connection type (caller_stream.rs).

--- a/crates/daisynotch_router/src/server.rs
+++ b/crates/daisynotch_router/src/server.rs
@@ -1,15 +1,20 @@
 //! An HTTP/1 server that limits connections and shuts down gracefully.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Request;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::Service;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, oneshot};
 use viz::{Responder, Router, Tree};
 
+use crate::caller_stream::{CallerStream, ClosesEndResponses};
 use crate::settings::HttpLimits;
 use crate::stall::StallGuard;
 
@@ -59,18 +64,41 @@
     graceful.shutdown().await;
 }
 
+/// Notes the versions of the requests on a connection.
+struct VersionObserver {
+    responder: Responder<SocketAddr>,
+    closes_end_responses: ClosesEndResponses,
+}
+
+impl Service<Request<Incoming>> for VersionObserver {
+    type Response = <Responder<SocketAddr> as Service<Request<Incoming>>>::Response;
+    type Error = <Responder<SocketAddr> as Service<Request<Incoming>>>::Error;
+    type Future = <Responder<SocketAddr> as Service<Request<Incoming>>>::Future;
+
+    fn call(&self, request: Request<Incoming>) -> Self::Future {
+        self.closes_end_responses.note_version(request.version());
+        self.responder.call(request)
+    }
+}
+
 fn serve(
     stream: TcpStream,
-    responder: Responder<std::net::SocketAddr>,
+    responder: Responder<SocketAddr>,
     limits: &HttpLimits,
-) -> http1::Connection<TokioIo<StallGuard<TcpStream>>, Responder<std::net::SocketAddr>> {
+) -> http1::Connection<TokioIo<StallGuard<CallerStream>>, VersionObserver> {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("could not set TCP_NODELAY on an HTTP connection: {error}");
     }
+    let closes_end_responses = ClosesEndResponses::default();
+    let stream = CallerStream::new(stream, closes_end_responses.clone());
     let stream = StallGuard::new(stream, WRITE_STALL_TIMEOUT);
+    let observer = VersionObserver {
+        responder,
+        closes_end_responses,
+    };
     http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
         .max_buf_size(limits.header_max_bytes)
-        .serve_connection(TokioIo::new(stream), responder)
+        .serve_connection(TokioIo::new(stream), observer)
 }
