Repeat requests on new connections

Callers of a request that may be repeated got 502 when a late copy of an earlier answer waited on an idle connection to each endpoint: each copy cost one attempt, and the second attempt took an idle connection like the first.

A request that has run once goes on a new connection: what failed the run before, a late answer or a silent path, may wait on other idle connections too. Only repeats and resumed streams pay for it.

--- a/crates/daisynotch_router/src/direct/send.rs
+++ b/crates/daisynotch_router/src/direct/send.rs
@@ -138,11 +138,11 @@
             }
             SendError::NoAnswer(reason) => SendFailure::Unknown(RunOutcome::Broken, reason),
         };
-        let idle = self
-            .router
-            .connections
-            .take(grant.endpoint, self.router.now());
-        let mut connection = match idle {
+        // What failed one run, a late answer or a silent path, may wait on other idle connections.
+        let may_reuse = self.history.runs == 0;
+        let connections = &self.router.connections;
+        let idle = may_reuse.then(|| connections.take(grant.endpoint, self.router.now()));
+        let mut connection = match idle.flatten() {
             Some(connection) => connection,
             None => self.open(grant).await.map_err(unreachable)?,
         };
