Do not take a late answer for the sender's word on an earlier connection

Found by reading the change: an endpoint is asked after an unframed response on a connection from before its end, and any answer there counted.

Evidence: the test answer_to_a_request_is_no_answer_to_a_question fails without the check, since decode_status then names the endpoint.

--- a/crates/daisynotch_platform/src/ports.rs
+++ b/crates/daisynotch_platform/src/ports.rs
@@ -217,8 +217,9 @@
     /// Decodes an endpoint's entry; `name` is its key without the prefix.
     fn decode_endpoint(&self, name: &str, value: &[u8]) -> Result<EndpointEntry, DecodeError>;
 
-    /// Decodes what an endpoint says about itself at the status path of its service.
-    fn decode_endpoint_status(&self, headers: &HeaderMap, body: &[u8]) -> EndpointStatus;
+    /// Decodes what an endpoint says about itself at the status path of its service; `None` if the
+    /// response is one to a caller's request, which may come late.
+    fn decode_endpoint_status(&self, headers: &HeaderMap, body: &[u8]) -> Option<EndpointStatus>;
 
     /// Decodes the headers of a caller's request.
     fn decode_caller_headers(&self, headers: &HeaderMap) -> Result<CallerHeaders, DecodeError>;
--- a/crates/daisynotch_router/src/direct/inquiry.rs
+++ b/crates/daisynotch_router/src/direct/inquiry.rs
@@ -73,6 +73,7 @@
         let body = Limited::new(body, STATUS_MAX_BYTES).collect().await;
         let body = body.map_err(|error| SendError::NoAnswer(error.to_string()))?;
         let platform = &self.platform;
-        Ok(platform.decode_endpoint_status(&head.headers, &body.to_bytes()))
+        let status = platform.decode_endpoint_status(&head.headers, &body.to_bytes());
+        status.ok_or_else(|| SendError::NoAnswer("the answer is one to a request".to_owned()))
     }
 }
