Do not wait beyond a request's deadline for the end of its response to be confirmed

Found by reading: the confirmation of an unframed response could last a second beyond the deadline of its request, past which its caller has gone. unframed_answers.rs and requests.rs pass as before.

--- a/crates/daisynotch_router/src/direct/response_end.rs
+++ b/crates/daisynotch_router/src/direct/response_end.rs
@@ -12,8 +12,8 @@
 use super::witness::Witness;
 use crate::delimiter::body_delimiter;
 
-/// How long the end of a response waits for its sender to answer. A health check may wait for a
-/// slot of a plain service.
+/// How long the end of a response waits for its sender to answer, at most until the request's
+/// deadline. A health check may wait for a slot of a plain service.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Additional time for an answer that arrived while the router's process was paused, during which
 /// the timeout passed as well.
@@ -57,8 +57,9 @@
     }
 
     async fn ask_sender_in_time(&self, started: &mut StartedResponse) -> SenderEvidence {
+        let answer_due_at = self.give_up_at.min(Instant::now() + ANSWER_TIMEOUT);
         let mut asked = std::pin::pin!(self.ask_sender(started));
-        let mut evidence = tokio::time::timeout(ANSWER_TIMEOUT, asked.as_mut()).await;
+        let mut evidence = tokio::time::timeout_at(answer_due_at, asked.as_mut()).await;
         if evidence.is_err() {
             evidence = tokio::time::timeout(PAUSE_GRACE, asked).await;
         }
