Let a leaving router wait for requests that are not at an endpoint

Callers got no answer when a planned stop met a request whose body was still arriving: the connection was closed 2.5 s after the signal. A leaving router counted requests that wait for an endpoint or are at one, not those whose body arrives, whose endpoint is asked after the end, or whose response its caller has not read in full. It waits for callers' open connections now, until leave_max_s as before; idle connections are closed before, so that those left carry a request. Before the change leaving_router_answers_a_request_whose_body_is_still_arriving read Ok(0): ""; after it 200. The `left` line says how many connections were cut.

--- a/crates/daisynotch_router/src/direct/daemon.rs
+++ b/crates/daisynotch_router/src/direct/daemon.rs
@@ -294,16 +294,16 @@
         tokio::time::sleep(ingress::NEW_CONNECTION_GRACE).await;
         loop {
             tokio::time::sleep(LEAVE_POLL_INTERVAL).await;
-            let open = {
+            let open_requests = {
                 let dispatcher = router.dispatcher.borrow();
                 dispatcher.running_len() + dispatcher.waiting_len() + router.unread.len()
             };
-            if open == 0 || Instant::now() > end_at {
-                router.log.write(
-                    Importance::Essential,
-                    "left",
-                    json!({"open_requests": open}),
-                );
+            // Idle connections are closed by now. The others carry a request that is still
+            // arriving or a response that its caller has not received in full.
+            let open_callers = router.open_caller_connections.get();
+            if open_requests + open_callers == 0 || Instant::now() > end_at {
+                let fields = json!({"open_requests": open_requests, "open_callers": open_callers});
+                router.log.write(Importance::Essential, "left", fields);
                 break;
             }
         }
