Log why the end of a response is unconfirmed

The line now says why in its field `unconfirmed`, and daisynotch_unconfirmed_ends_total counts the causes. No decision changes.

--- a/crates/daisynotch_router/src/direct/crash_check.rs
+++ b/crates/daisynotch_router/src/direct/crash_check.rs
@@ -10,9 +10,9 @@
 use futures::future::{LocalBoxFuture, Shared};
 use serde_json::json;
 
-use super::connections::SendError;
 use super::event_log::Importance;
 use super::forward::Call;
+use super::inquiry::AskError;
 use super::state::Router;
 
 /// How long requests whose connections broke wait to hear whether their endpoint crashed.
@@ -86,7 +86,7 @@
     let asked = tokio::time::timeout(ANSWER_TIMEOUT, asked).await;
     router.crash_checks.borrow_mut().remove(&grant.endpoint);
     let problem = match asked {
-        Ok(Ok(SenderEvidence::OtherStart) | Err(SendError::Refused(_))) => return true,
+        Ok(Ok(SenderEvidence::OtherStart) | Err(AskError::Refused(_))) => return true,
         Ok(Ok(SenderEvidence::SameStart | SenderEvidence::SameName)) => return false,
         Ok(Ok(SenderEvidence::NoAnswer)) => "what answers does not name itself".to_owned(),
         Ok(Err(error)) => error.to_string(),
--- a/crates/daisynotch_router/src/direct/inquiry.rs
+++ b/crates/daisynotch_router/src/direct/inquiry.rs
@@ -11,6 +11,45 @@
 use super::connections::{Connection, SendError};
 use super::state::Router;
 
+/// Why a question to an endpoint brought no answer.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum AskError {
+    /// The question could not be written.
+    #[error("not asked: {0}")]
+    NotAsked(String),
+    /// Nothing listens at the endpoint's address.
+    #[error("refused: {0}")]
+    Refused(String),
+    /// No connection could be opened or used.
+    #[error("not reached: {0}")]
+    NotReached(String),
+    /// The connection broke, or the answer was none to this question.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+}
+
+impl AskError {
+    /// Returns the name in metrics.
+    pub(super) fn as_str(&self) -> &'static str {
+        match self {
+            Self::NotAsked(_) => "not_asked",
+            Self::Refused(_) => "refused",
+            Self::NotReached(_) => "not_reached",
+            Self::NoAnswer(_) => "no_answer",
+        }
+    }
+}
+
+impl From<SendError> for AskError {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::Refused(reason) => Self::Refused(reason),
+            SendError::NotSent(reason) => Self::NotReached(reason),
+            SendError::NoAnswer(reason) => Self::NoAnswer(reason),
+        }
+    }
+}
+
 /// Maximum size of an endpoint's description of itself, which lists its requests.
 const STATUS_MAX_BYTES: usize = 256 * 1024;
 
@@ -20,7 +59,7 @@
         self: &Rc<Self>,
         grant: &Grant,
         service: &str,
-    ) -> Result<SenderEvidence, SendError> {
+    ) -> Result<SenderEvidence, AskError> {
         self.metrics.connections_opened.inc();
         let connection = Connection::open(grant.address).await?;
         self.ask_on(connection, grant, service, AskedOn::NewConnection)
@@ -35,7 +74,7 @@
         grant: &Grant,
         service: &str,
         asked_on: AskedOn,
-    ) -> Result<SenderEvidence, SendError> {
+    ) -> Result<SenderEvidence, AskError> {
         let status = self.request_status(&mut connection, grant, service).await?;
         let (name, started_unix_ms) = (&grant.endpoint_name, grant.started_unix_ms);
         let evidence = SenderEvidence::from_status(name, started_unix_ms, &status, asked_on);
@@ -55,25 +94,25 @@
         connection: &mut Connection,
         grant: &Grant,
         service: &str,
-    ) -> Result<EndpointStatus, SendError> {
+    ) -> Result<EndpointStatus, AskError> {
         let routes = self.routes();
         let service = routes.as_ref().and_then(|routes| routes.service(service));
         let service = service.ok_or_else(|| {
-            SendError::NotSent("its service is not in the configuration".to_owned())
+            AskError::NotAsked("its service is not in the configuration".to_owned())
         })?;
         let path = &service.status_path;
         let target = path.parse();
         let host = HeaderValue::from_str(&grant.address.to_string());
         let mut request = Request::new(Full::default());
         *request.uri_mut() = target
-            .map_err(|error| SendError::NotSent(format!("the status path `{path}`: {error}")))?;
+            .map_err(|error| AskError::NotAsked(format!("the status path `{path}`: {error}")))?;
         let host = host.expect("a socket address is a valid header value");
         request.headers_mut().insert(HOST, host);
         let (head, body) = connection.send(request).await?.into_parts();
         let body = Limited::new(body, STATUS_MAX_BYTES).collect().await;
-        let body = body.map_err(|error| SendError::NoAnswer(error.to_string()))?;
+        let body = body.map_err(|error| AskError::NoAnswer(error.to_string()))?;
         let platform = &self.platform;
         let status = platform.decode_endpoint_status(&head.headers, &body.to_bytes());
-        status.ok_or_else(|| SendError::NoAnswer("the answer is one to a request".to_owned()))
+        status.ok_or_else(|| AskError::NoAnswer("the answer is one to a request".to_owned()))
     }
 }
--- a/crates/daisynotch_router/src/direct/metrics.rs
+++ b/crates/daisynotch_router/src/direct/metrics.rs
@@ -25,6 +25,8 @@
     pub(crate) sends: IntCounterVec,
     /// Ends of successful responses by what delimits them and by what the end was taken for.
     pub(crate) response_ends: IntCounterVec,
+    /// Responses whose senders did not confirm their end, by cause.
+    pub(crate) unconfirmed_ends: IntCounterVec,
     /// Time from the arrival of a request to the start of its response, by kind of route.
     pub(crate) answer_start: HistogramVec,
     /// Time that requests waited for an endpoint.
@@ -73,6 +75,11 @@
                 "Ends of successful responses.",
                 &["delimiter", "verdict"],
             )?,
+            unconfirmed_ends: counters(
+                "unconfirmed_ends_total",
+                "Responses whose senders did not confirm their end.",
+                &["cause"],
+            )?,
             answer_start: HistogramVec::new(
                 latency(
                     "answer_start_seconds",
@@ -128,10 +135,11 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 16] = [
+        let collectors: [Box<dyn Collector>; 17] = [
             Box::new(self.requests.clone()),
             Box::new(self.sends.clone()),
             Box::new(self.response_ends.clone()),
+            Box::new(self.unconfirmed_ends.clone()),
             Box::new(self.answer_start.clone()),
             Box::new(self.wait.clone()),
             Box::new(self.waiting.clone()),
--- a/crates/daisynotch_router/src/direct/response_end.rs
+++ b/crates/daisynotch_router/src/direct/response_end.rs
@@ -8,6 +8,7 @@
 
 use super::event_log::Importance;
 use super::forward::Call;
+use super::inquiry::AskError;
 use super::send::StartedResponse;
 use super::witness::Witness;
 use crate::delimiter::body_delimiter;
@@ -20,13 +21,46 @@
 const PAUSE_GRACE: Duration = Duration::from_millis(100);
 
 /// What was found out about the sender of a response that has ended.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct Inquiry {
-    evidence: SenderEvidence,
-    /// Time from the end of the response to the evidence.
+    finding: Finding,
+    /// Time from the end of the response to the finding.
     age: Duration,
 }
 
+/// What the questions to a sender led to.
+#[derive(Debug)]
+enum Finding {
+    /// An answer, or the sender's crash.
+    Evidence(SenderEvidence),
+    /// The last question failed.
+    Failed(AskError),
+    /// No answer came in time.
+    TimedOut,
+}
+
+impl Finding {
+    fn evidence(&self) -> SenderEvidence {
+        match self {
+            Self::Evidence(evidence) => *evidence,
+            Self::Failed(_) | Self::TimedOut => SenderEvidence::NoAnswer,
+        }
+    }
+
+    /// Returns why the sender did not confirm the end: a name for metrics, and the details.
+    fn unconfirmed_cause(&self) -> Option<(&'static str, String)> {
+        match self {
+            Self::Evidence(SenderEvidence::NoAnswer) => {
+                let problem = "nameless: what answers does not name itself";
+                Some(("nameless", problem.to_owned()))
+            }
+            Self::Evidence(_) => None,
+            Self::Failed(error) => Some((error.as_str(), error.to_string())),
+            Self::TimedOut => Some(("timed_out", "timed out".to_owned())),
+        }
+    }
+}
+
 impl Call {
     /// Decides whether a response is complete whose body ended without an error, asks its sender
     /// if necessary, and reports the decision. The error says why the response is incomplete.
@@ -43,11 +77,11 @@
         }
         let ended_at = Instant::now();
         let inquiry = Inquiry {
-            evidence: self.ask_sender_in_time(started).await,
+            finding: self.ask_sender_in_time(started).await,
             age: ended_at.elapsed(),
         };
-        let verdict = EndVerdict::judge(delimiter, content, Some(inquiry.evidence));
-        self.report_end(started, verdict, Some(inquiry));
+        let verdict = EndVerdict::judge(delimiter, content, Some(inquiry.finding.evidence()));
+        self.report_end(started, verdict, Some(&inquiry));
         verdict.into_result()
     }
 
@@ -56,20 +90,20 @@
         self.report_end(started, EndVerdict::Cut(CutReason::Broken), None);
     }
 
-    async fn ask_sender_in_time(&self, started: &mut StartedResponse) -> SenderEvidence {
+    async fn ask_sender_in_time(&self, started: &mut StartedResponse) -> Finding {
         let answer_due_at = self.give_up_at.min(Instant::now() + ANSWER_TIMEOUT);
         let mut asked = std::pin::pin!(self.ask_sender(started));
-        let mut evidence = tokio::time::timeout_at(answer_due_at, asked.as_mut()).await;
-        if evidence.is_err() {
-            evidence = tokio::time::timeout(PAUSE_GRACE, asked).await;
+        let mut finding = tokio::time::timeout_at(answer_due_at, asked.as_mut()).await;
+        if finding.is_err() {
+            finding = tokio::time::timeout(PAUSE_GRACE, asked).await;
         }
-        evidence.unwrap_or(SenderEvidence::NoAnswer)
+        finding.unwrap_or(Finding::TimedOut)
     }
 
-    async fn ask_sender(&self, started: &mut StartedResponse) -> SenderEvidence {
+    async fn ask_sender(&self, started: &mut StartedResponse) -> Finding {
         let (router, grant) = (&self.router, &started.grant);
         if router.dispatcher.borrow().has_crashed(grant.endpoint) {
-            return SenderEvidence::OtherStart;
+            return Finding::Evidence(SenderEvidence::OtherStart);
         }
         let service = &self.spec.service;
         let witness = started.witness.take();
@@ -77,22 +111,23 @@
             let was_used_lately = connection.was_used_lately();
             let asked_on = AskedOn::EarlierConnection;
             match router.ask_on(connection, grant, service, asked_on).await {
-                Ok(evidence) => return evidence,
+                Ok(evidence) => return Finding::Evidence(evidence),
                 // The sender's connections end together if it crashes.
-                Err(_) if was_used_lately => return SenderEvidence::NoAnswer,
+                Err(error) if was_used_lately => return Finding::Failed(error),
                 Err(_) => {}
             }
         }
         let asked = router.ask_on_new_connection(grant, service).await;
-        asked.unwrap_or_else(|error| {
-            let name = &grant.endpoint_name;
-            log::debug!("endpoint {name} does not confirm the end of a response: {error}");
-            SenderEvidence::NoAnswer
-        })
+        asked.map_or_else(Finding::Failed, Finding::Evidence)
     }
 
     /// Counts the end of a successful response, and logs it if the response is not complete.
-    fn report_end(&self, started: &StartedResponse, verdict: EndVerdict, inquiry: Option<Inquiry>) {
+    fn report_end(
+        &self,
+        started: &StartedResponse,
+        verdict: EndVerdict,
+        inquiry: Option<&Inquiry>,
+    ) {
         if !started.head.status.is_success() {
             return;
         }
@@ -103,6 +138,11 @@
         if verdict == EndVerdict::Whole {
             return;
         }
+        let cause = inquiry.and_then(|inquiry| inquiry.finding.unconfirmed_cause());
+        if let Some((name, _)) = &cause {
+            let unconfirmed = &self.router.metrics.unconfirmed_ends;
+            unconfirmed.with_label_values(&[name]).inc();
+        }
         let fields = json!({
             "id": self.attempt_id.to_str().unwrap_or(""),
             "endpoint": &*started.grant.endpoint_name,
@@ -110,7 +150,8 @@
             "delimiter": delimiter.as_str(),
             "verdict": verdict.as_str(),
             "events": self.history.events,
-            "evidence": inquiry.map(|inquiry| format!("{:?}", inquiry.evidence)),
+            "evidence": inquiry.map(|inquiry| format!("{:?}", inquiry.finding.evidence())),
+            "unconfirmed": cause.map(|(_, details)| details),
             "evidence_age_ms": inquiry.map(|inquiry| inquiry.age.as_millis() as u64),
         });
         let log = &self.router.log;
