Let a request keep the configuration that it arrived under

Callers of an unframed response got all ten events and then a break, or 502, if a new configuration dropped the service while the response went on: the status path at which its sender is asked was looked up in the configuration in force at the end. The sender could not be asked, so its end was `unconfirmed`. The check for a crash and the question whether an endpoint says when it started looked there as well.

A call now carries the route table of its arrival to its end, and the three take the service from there.

whole_answer_is_not_cut_by_a_configuration_that_drops_its_service failed before with "4 of 4": /stream/1 and /once/1, plain and engine, the latter with 502 answer_broke_off.

--- a/crates/daisynotch_router/src/direct/crash_check.rs
+++ b/crates/daisynotch_router/src/direct/crash_check.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use daisynotch_core::direct::{EvidenceChange, Grant, OpenRun};
+use daisynotch_core::direct::{EvidenceChange, Grant, OpenRun, ServiceView};
 use daisynotch_core::{EndpointId, SenderEvidence};
 use futures::FutureExt;
 use futures::future::{LocalBoxFuture, Shared};
@@ -66,7 +66,7 @@
         }
         let known = router.crash_checks.borrow().get(&endpoint).cloned();
         let check = known.unwrap_or_else(|| {
-            let service = Arc::clone(&self.spec.service);
+            let service = self.service().cloned();
             let check = check_endpoint(Rc::clone(router), grant.clone(), service);
             let check = check.boxed_local().shared();
             router
@@ -81,8 +81,12 @@
     }
 }
 
-async fn check_endpoint(router: Rc<Router>, grant: Grant, service: Arc<str>) -> bool {
-    let asked = router.ask_on_new_connection(&grant, &service);
+async fn check_endpoint(
+    router: Rc<Router>,
+    grant: Grant,
+    service: Option<Arc<ServiceView>>,
+) -> bool {
+    let asked = router.ask_on_new_connection(&grant, service.as_deref());
     let asked = tokio::time::timeout(ANSWER_TIMEOUT, asked).await;
     router.crash_checks.borrow_mut().remove(&grant.endpoint);
     let problem = match asked {
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use daisynotch_core::Timestamp;
 use daisynotch_core::direct::{
-    Grant, OpenRun, RefuseReason, RequestSpec, Route, RouteKind, RouteTable, TeamEntry, Verdict,
+    Grant, OpenRun, RefuseReason, RequestSpec, Route, RouteKind, RouteTable, ServiceView,
+    TeamEntry, Verdict,
 };
 use daisynotch_platform::ports::CallerHeaders;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -56,7 +57,8 @@
     pub(super) give_up_at: Instant,
     /// When the caller gives up. Endpoints receive the remaining time as their deadline.
     pub(super) deadline_at: Timestamp,
-    pub(super) configuration_version: u64,
+    /// The configuration that the request arrived under, which holds for it until its end.
+    pub(super) routes: Rc<RouteTable>,
     pub(super) history: RequestHistory,
     /// The latest run whose connection broke before its response began.
     pub(super) open_run: Option<OpenRun>,
@@ -250,7 +252,7 @@
         arrived_at,
         give_up_at: arrived_at + give_up,
         deadline_at: now + deadline,
-        configuration_version: routes.version,
+        routes,
         history: RequestHistory::default(),
         open_run: None,
         is_end_logged: Cell::new(false),
@@ -297,6 +299,11 @@
 }
 
 impl Call {
+    /// Returns the service that the request is for.
+    pub(super) fn service(&self) -> Option<&Arc<ServiceView>> {
+        self.routes.service(&self.spec.service)
+    }
+
     /// Sends the request to endpoints until one starts to respond.
     ///
     /// `resume_after` is the id of the last event that the caller has received, when a
@@ -493,7 +500,7 @@
             "total_ms": ms(self.arrived_at.elapsed()),
             "share_used_percent": history.refusal_basis.map(|(percent, _)| percent),
             "backlog_ms": history.refusal_basis.and_then(|(_, backlog)| backlog).map(ms),
-            "configuration": self.configuration_version,
+            "configuration": self.routes.version,
         });
         router.log.write(importance, "request", fields);
     }
--- a/crates/daisynotch_router/src/direct/inquiry.rs
+++ b/crates/daisynotch_router/src/direct/inquiry.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use daisynotch_core::direct::Grant;
+use daisynotch_core::direct::{Grant, ServiceView};
 use daisynotch_core::{AskedOn, EndpointStatus, SenderEvidence};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
@@ -58,7 +58,7 @@
     pub(super) async fn ask_on_new_connection(
         self: &Rc<Self>,
         grant: &Grant,
-        service: &str,
+        service: Option<&ServiceView>,
     ) -> Result<SenderEvidence, AskError> {
         self.metrics.connections_opened.inc();
         let connection = Connection::open(grant.address).await?;
@@ -72,7 +72,7 @@
         &self,
         mut connection: Connection,
         grant: &Grant,
-        service: &str,
+        service: Option<&ServiceView>,
         asked_on: AskedOn,
     ) -> Result<SenderEvidence, AskError> {
         let status = self.request_status(&mut connection, grant, service).await?;
@@ -93,12 +93,10 @@
         &self,
         connection: &mut Connection,
         grant: &Grant,
-        service: &str,
+        service: Option<&ServiceView>,
     ) -> Result<EndpointStatus, AskError> {
-        let routes = self.routes();
-        let service = routes.as_ref().and_then(|routes| routes.service(service));
         let service = service.ok_or_else(|| {
-            AskError::NotAsked("its service is not in the configuration".to_owned())
+            AskError::NotAsked("the request's configuration lacks its service".to_owned())
         })?;
         let path = &service.status_path;
         let target = path.parse();
--- a/crates/daisynotch_router/src/direct/response_end.rs
+++ b/crates/daisynotch_router/src/direct/response_end.rs
@@ -1,5 +1,6 @@
 //! Decides whether the response of an endpoint is complete, and reports the decision.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use daisynotch_core::{AskedOn, BodyContent, CutReason, EndVerdict, SenderEvidence};
@@ -105,7 +106,7 @@
         if router.dispatcher.borrow().has_crashed(grant.endpoint) {
             return Finding::Evidence(SenderEvidence::OtherStart);
         }
-        let service = &self.spec.service;
+        let service = self.service().map(Arc::as_ref);
         let witness = started.witness.take();
         if let Some(connection) = witness.and_then(Witness::into_connection) {
             let was_used_lately = connection.was_used_lately();
--- a/crates/daisynotch_router/src/direct/witness.rs
+++ b/crates/daisynotch_router/src/direct/witness.rs
@@ -92,11 +92,10 @@
 impl Call {
     /// Returns whether an endpoint of the request's service says when it started.
     pub(super) fn says_start(&self, grant: &Grant) -> bool {
-        let routes = self.router.routes();
-        let service = routes
-            .as_ref()
-            .and_then(|routes| routes.service(&self.spec.service));
-        grant.started_unix_ms != 0 && service.is_some_and(|service| service.engine.is_some())
+        let is_engine = self
+            .service()
+            .is_some_and(|service| service.engine.is_some());
+        grant.started_unix_ms != 0 && is_engine
     }
 
     /// Returns a connection on which the endpoint can be asked later, if its service has lately
