Find the end of every form of a chunked request that is refused

What callers saw: a router that refuses requests without handling them closed the connection after 1 s without a response if the body was chunked and empty, had trailers, an extension on its last chunk, a last chunk written "000", or data that ended in a part of a last chunk. A caller that expected 100-continue waited as long. A last chunk within the data of a chunk was taken for the end, and the rest reset the connection.

Cause: the end was searched for as the bytes CR LF 0 CR LF CR LF.

The new module request_end parses chunked bodies with a state machine of a few bytes, without I/O. A request that expects 100-continue is answered at its head, and so is one whose end can't be known (a coding that is not chunked, lengths that differ or are no numbers), which was taken for complete.

Before, on the old matcher: the_end_of_a_chunked_request_is_found_in_all_its_forms: ["0\r\n\r\n", "2\r\nab\r\n0\r\ndigest: a\r\n\r\n", "2\r\nab\r\n000\r\n\r\n", "2;a=b\r\nab\r\n0;last=\"yes\"\r\n\r\n"] were missed.

generated_chunked_requests_end_with_their_last_byte compares 5,000 generated requests, split at random, with the end known from their generation. The tests of the finder moved with it, unchanged.

--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -17,6 +17,7 @@
 mod listener;
 mod metrics;
 mod peers;
+mod request_end;
 mod response;
 mod response_end;
 mod send;
--- a/crates/daisynotch_router/src/direct/unread.rs
+++ b/crates/daisynotch_router/src/direct/unread.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use super::event_log::Importance;
+use super::request_end::RequestEndFinder;
 use super::state::Router;
 use crate::timer::Tick;
 
@@ -28,111 +29,12 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Maximum number of connections; a new one beyond them replaces the oldest.
 const CONNECTIONS_MAX: usize = 512;
-/// Maximum number of headers in a request that is searched for its length.
-const HEADERS_MAX: usize = 64;
-/// Maximum size of a request head; a request with a longer one is refused at once.
-const HEAD_MAX_BYTES: usize = 64 * 1024;
 /// Maximum number of bytes per read.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Range of `Retry-After`, drawn uniformly: early enough for most latency objectives, and
 /// spread to keep callers from returning all at once.
 const RETRY_AFTER_RANGE_MS: (u32, u32) = (200, 800);
 
-/// Part of a request that has not arrived yet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Remaining {
-    /// The rest of the head.
-    Head,
-    /// A number of bytes of the body.
-    Bytes(u64),
-    /// Chunks up to and including the last one. The number counts the bytes of [`LAST_CHUNK`]
-    /// that have matched.
-    LastChunk(usize),
-    /// The request is complete.
-    Nothing,
-}
-
-/// Finds the end of a request.
-#[derive(Debug)]
-struct RequestEndFinder {
-    head: Vec<u8>,
-    remaining: Remaining,
-}
-
-impl RequestEndFinder {
-    fn new() -> Self {
-        Self {
-            head: Vec::new(),
-            remaining: Remaining::Head,
-        }
-    }
-
-    /// Processes bytes of the request; returns whether the request is complete or invalid.
-    fn push(&mut self, bytes: &[u8]) -> bool {
-        match self.remaining {
-            Remaining::Head => {
-                self.head.extend_from_slice(bytes);
-                self.read_head();
-            }
-            remaining => self.remaining = remaining.after(bytes),
-        }
-        self.remaining == Remaining::Nothing
-    }
-
-    fn read_head(&mut self) {
-        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
-        let mut request = httparse::Request::new(&mut headers);
-        let head_len = match request.parse(&self.head) {
-            Ok(httparse::Status::Complete(head_len)) => head_len,
-            Ok(httparse::Status::Partial) if self.head.len() < HEAD_MAX_BYTES => return,
-            // A head that is too long or invalid is refused as well.
-            Ok(httparse::Status::Partial) | Err(_) => {
-                self.remaining = Remaining::Nothing;
-                return;
-            }
-        };
-        let value_of = |name: &str| {
-            let mut headers = request.headers.iter();
-            let header = headers.find(|header| header.name.eq_ignore_ascii_case(name))?;
-            std::str::from_utf8(header.value).ok()
-        };
-        let body = &self.head[head_len..];
-        let remaining = if value_of("transfer-encoding").is_some() {
-            Remaining::LastChunk(0)
-        } else {
-            let length = value_of("content-length").and_then(|length| length.trim().parse().ok());
-            length.map_or(Remaining::Nothing, Remaining::Bytes)
-        };
-        self.remaining = remaining.after(body);
-        self.head = Vec::new();
-    }
-}
-
-/// End of a chunked body without trailers.
-const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
-
-impl Remaining {
-    fn after(self, bytes: &[u8]) -> Self {
-        match self {
-            Self::Bytes(remaining) if remaining <= bytes.len() as u64 => Self::Nothing,
-            Self::Bytes(remaining) => Self::Bytes(remaining - bytes.len() as u64),
-            Self::LastChunk(mut matched) => {
-                for byte in bytes {
-                    matched = match matched {
-                        matched if LAST_CHUNK[matched] == *byte => matched + 1,
-                        _ => usize::from(*byte == LAST_CHUNK[0]),
-                    };
-                    if matched == LAST_CHUNK.len() {
-                        return Self::Nothing;
-                    }
-                }
-                Self::LastChunk(matched)
-            }
-            Self::Head | Self::Nothing => self,
-        }
-    }
-}
-
 /// A connection whose request is refused.
 #[derive(Debug)]
 struct UnreadConnection {
