Answer slow requests and connections beyond the maxima before closing them

What callers saw: a reset or a close without a response, in three places. A request that arrived for more than 1 s on a connection whose request is refused was dropped. Beyond 512 such connections the oldest was dropped, also with a whole request in it. At the maximum of callers' connections each new one was closed at once.

A 503 with Retry-After is true at any moment: the request is not handled. It is therefore written after 1 s at the latest, then the sending side is shut down and what still arrives is read for up to 2 s, because unread bytes turn the close into a reset that may overtake the response. A caller that has sent nothing gets it too, since its request may be on the way; it is not counted as a refused request. Connections beyond the maximum of callers' connections go the same way. At most 384 connections wait for their response; one more has the oldest answered. All together stay at 512, as before; beyond them the oldest answered one is closed.

--- a/crates/daisynotch_router/src/direct/ingress.rs
+++ b/crates/daisynotch_router/src/direct/ingress.rs
@@ -80,15 +80,7 @@
             }
         };
         match accepted {
-            // The connection is closed at once, and the caller goes to another router.
-            Ok(_) if kind == ListenerKind::Callers && router.caller_connections_left() == 0 => {}
-            Ok(stream)
-                if kind == ListenerKind::Callers
-                    && router
-                        .pressure
-                        .borrow()
-                        .should_shed(rand::rng().random(), router.now()) =>
-            {
+            Ok(stream) if kind == ListenerKind::Callers && !admits_connection(&router) => {
                 match stream.into_std() {
                     Ok(stream) => router.unread.add(stream),
                     Err(error) => log::debug!("can't refuse a caller's connection: {error}"),
@@ -106,6 +98,13 @@
     }
 }
 
+/// Returns whether the requests of a new connection are handled.
+fn admits_connection(router: &Router) -> bool {
+    let draw = rand::rng().random();
+    router.caller_connections_left() > 0
+        && !router.pressure.borrow().should_shed(draw, router.now())
+}
+
 /// Refuses the connections that the kernel has already accepted, which closing the listener
 /// would reset.
 ///
--- a/crates/daisynotch_router/src/direct/request_end.rs
+++ b/crates/daisynotch_router/src/direct/request_end.rs
@@ -77,11 +77,15 @@
             }
             remaining => self.remaining = remaining.after(bytes),
         }
+        self.is_answerable()
+    }
+
+    /// Returns whether the request is complete, or no end is to be waited for.
+    pub(super) fn is_answerable(&self) -> bool {
         matches!(self.remaining, Remaining::Nothing | Remaining::Unknown)
     }
 
     /// Returns whether the whole request was processed.
-    #[cfg(test)]
     pub(super) fn is_complete(&self) -> bool {
         self.remaining == Remaining::Nothing
     }
--- a/crates/daisynotch_router/src/direct/unread.rs
+++ b/crates/daisynotch_router/src/direct/unread.rs
@@ -1,14 +1,16 @@
 //! Refuses the requests of new connections while parsing no more of them than it takes to find
-//! their end.
+//! their end, and answers those whose end is late or unknown before it.
 //!
 //! Load pattern: a large team sends its requests to one small host, which can serve a fraction
 //! of them, each on a connection of its own. A refusal through the whole HTTP server costs a
 //! third of a served request. Here, many connections share one wake-up and one buffer.
-//! Connections that the kernel accepted before the listener closed get such a response too.
+//! Connections that the kernel accepted before the listener closed and connections beyond the
+//! maximum get such a response too. A connection is closed only once its request was read or the
+//! caller has had time to read the response, since unread bytes would reset it.
 
 use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, Read, Write};
-use std::net::TcpStream as StdTcpStream;
+use std::net::{Shutdown, TcpStream as StdTcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,22 +27,65 @@
 /// Interval at which the connections are polled: a caller's request follows its connection
 /// within one round trip, a few milliseconds.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// How long a request may take to arrive: as long as callers wait for a connection.
+/// How long a request may take to arrive before it is answered: as long as callers wait for a
+/// connection.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Maximum number of connections; a new one beyond them replaces the oldest.
+/// How long the rest of an answered request is read, so that no reset overtakes the response: a
+/// lost packet is sent again within it, even twice.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum number of connections.
 const CONNECTIONS_MAX: usize = 512;
+/// Maximum number of connections without a response; a new one beyond them has the oldest
+/// answered at once. The rest of [`CONNECTIONS_MAX`] is for the rests of their requests.
+const WAITING_MAX: usize = 384;
+/// Maximum number of reads per connection and poll, so that a fast sender does not keep the others
+/// waiting.
+const READS_PER_POLL_MAX: usize = 16;
 /// Maximum number of bytes per read.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum number of bytes per read while room is made for a connection.
+const ROOM_BUFFER_BYTES: usize = 16 * 1024;
 /// Range of `Retry-After`, drawn uniformly: early enough for most latency objectives, and
 /// spread to keep callers from returning all at once.
 const RETRY_AFTER_RANGE_MS: (u32, u32) = (200, 800);
 
+/// Progress of a connection whose request is refused.
+#[derive(Debug)]
+enum Stage {
+    /// The request arrives.
+    Arriving(RequestEndFinder),
+    /// The response was written, and the rest of the request is read.
+    Answered,
+}
+
 /// A connection whose request is refused.
 #[derive(Debug)]
 struct UnreadConnection {
     stream: StdTcpStream,
-    request: RequestEndFinder,
+    stage: Stage,
+    /// When the stage began.
     since: Instant,
+    has_sent_bytes: bool,
+}
+
+/// Result of reading from a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadResult {
+    /// All bytes that have arrived were read.
+    Drained,
+    /// More bytes have arrived.
+    More,
+    /// The caller sends no more.
+    Closed,
+}
+
+/// What became of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Polled {
+    /// The connection stays open.
+    Open { was_refused: bool },
+    /// The connection ended and can be closed without a reset, or its caller is gone.
+    Ended { was_refused: bool },
 }
 
 /// The connections whose requests are refused.
@@ -48,7 +93,10 @@
 pub(crate) struct UnreadConnections {
     connections: RefCell<Vec<UnreadConnection>>,
     added: Notify,
+    /// Requests that were refused since the last log line.
     refused: Cell<u64>,
+    /// Requests that were refused between polls.
+    refused_early: Cell<u64>,
 }
 
 impl UnreadConnections {
@@ -58,60 +106,126 @@
             log::debug!("can't refuse a caller's connection: {error}");
             return;
         }
-        let mut connections = self.connections.borrow_mut();
-        if connections.len() >= CONNECTIONS_MAX {
-            connections.swap_remove(0);
-        }
-        connections.push(UnreadConnection {
+        self.make_room();
+        self.connections.borrow_mut().push(UnreadConnection {
             stream,
-            request: RequestEndFinder::new(),
+            stage: Stage::Arriving(RequestEndFinder::new()),
             since: Instant::now(),
+            has_sent_bytes: false,
         });
         self.added.notify_one();
     }
 
-    /// Returns the number of connections without a response.
+    /// Returns the number of open connections.
     pub(crate) fn len(&self) -> usize {
         self.connections.borrow().len()
     }
 
-    /// Polls all connections once; returns the number of refused requests.
+    /// Makes room for one connection.
+    fn make_room(&self) {
+        let mut connections = self.connections.borrow_mut();
+        let is_waiting = |unread: &&UnreadConnection| matches!(unread.stage, Stage::Arriving(_));
+        if connections.iter().filter(is_waiting).count() >= WAITING_MAX
+            && let Some(index) = connections.iter().position(|unread| is_waiting(&unread))
+        {
+            let mut oldest = connections.remove(index);
+            let mut buffer = [0; ROOM_BUFFER_BYTES];
+            let polled = oldest.poll(&mut buffer, Duration::ZERO);
+            if polled.was_refused() {
+                self.refused_early.set(self.refused_early.get() + 1);
+            }
+            if let Polled::Open { .. } = polled {
+                connections.push(oldest);
+            }
+        }
+        if connections.len() >= CONNECTIONS_MAX
+            && let Some(index) = connections.iter().position(|unread| !is_waiting(&unread))
+        {
+            connections.remove(index);
+        }
+    }
+
+    /// Polls all connections once; returns the number of requests that were refused.
     fn poll_all(&self, buffer: &mut [u8]) -> u64 {
-        let mut refused = 0;
-        let now = Instant::now();
+        let mut refused = self.refused_early.take();
         self.connections.borrow_mut().retain_mut(|unread| {
-            let is_timed_out = now.duration_since(unread.since) > READ_TIMEOUT;
-            match unread.read(buffer) {
-                Ok(true) => {
-                    unread.refuse();
-                    refused += 1;
-                    false
-                }
-                Ok(false) => !is_timed_out,
-                Err(error) => {
-                    log::debug!("a connection ended before its request was refused: {error}");
-                    false
-                }
-            }
+            let polled = unread.poll(buffer, READ_TIMEOUT);
+            refused += u64::from(polled.was_refused());
+            matches!(polled, Polled::Open { .. })
         });
         refused
     }
 }
 
+impl Polled {
+    fn was_refused(self) -> bool {
+        let (Self::Open { was_refused } | Self::Ended { was_refused }) = self;
+        was_refused
+    }
+}
+
 impl UnreadConnection {
-    /// Reads the bytes that have arrived; returns whether the request is complete.
-    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<bool> {
-        loop {
+    /// Reads what has arrived and answers a request that is complete, has no known end or takes
+    /// `arrival_max` to arrive.
+    fn poll(&mut self, buffer: &mut [u8], arrival_max: Duration) -> Polled {
+        let read = match self.read(buffer) {
+            Ok(read) => read,
+            Err(error) => {
+                log::debug!("a connection ended before its request was refused: {error}");
+                return Polled::Ended { was_refused: false };
+            }
+        };
+        let elapsed = self.since.elapsed();
+        let (is_answerable, is_complete) = match &self.stage {
+            Stage::Answered if read == ReadResult::Closed || elapsed > DRAIN_TIMEOUT => {
+                return Polled::Ended { was_refused: false };
+            }
+            Stage::Answered => return Polled::Open { was_refused: false },
+            Stage::Arriving(request) => (request.is_answerable(), request.is_complete()),
+        };
+        if read == ReadResult::Closed && !is_answerable {
+            return Polled::Ended { was_refused: false };
+        }
+        if !is_answerable && elapsed < arrival_max {
+            return Polled::Open { was_refused: false };
+        }
+        // A caller that has sent nothing gets a response too: its request may be on the way.
+        self.refuse();
+        let was_refused = self.has_sent_bytes;
+        if (is_complete && read == ReadResult::Drained) || read == ReadResult::Closed {
+            return Polled::Ended { was_refused };
+        }
+        if let Err(error) = self.stream.shutdown(Shutdown::Write) {
+            log::debug!("a caller left while its request was refused: {error}");
+            return Polled::Ended { was_refused };
+        }
+        self.stage = Stage::Answered;
+        self.since = Instant::now();
+        Polled::Open { was_refused }
+    }
+
+    /// Reads the bytes that have arrived.
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<ReadResult> {
+        for _ in 0..READS_PER_POLL_MAX {
             match self.stream.read(buffer) {
-                Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
-                Ok(length) if self.request.push(&buffer[..length]) => return Ok(true),
-                Ok(length) if length < buffer.len() => return Ok(false),
-                Ok(_) => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Ok(0) => return Ok(ReadResult::Closed),
+                Ok(length) => {
+                    self.has_sent_bytes = true;
+                    if let Stage::Arriving(request) = &mut self.stage {
+                        request.push(&buffer[..length]);
+                    }
+                    if length < buffer.len() {
+                        return Ok(ReadResult::Drained);
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    return Ok(ReadResult::Drained);
+                }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
             }
         }
+        Ok(ReadResult::More)
     }
 
     fn refuse(&mut self) {
