Count what an answer says only with the request's own identifier

A faulty endpoint wrote an earlier refusal once more on a kept connection. Callers got 503 for requests that the endpoint had run or was running, and requests that may not be repeated ran at a second endpoint. A late `Retry-After` or word of leaving took an endpoint out of use.

Cause: `check_response` evaluated 421, leaving, pushback and "not run" before it compared the attempt's identifier, so it believed a refusal of any request.

The identifier is compared first now. Any other answer ends the send as one of which nothing is known: 502 for what may not be repeated, another endpoint for what may. The connection is closed, so the late answer costs one request.

An answer without an identifier counts as foreign, too: endpoints echo the identifier, and answers to health checks, which are asked on the same kept connections, have none. An earlier send of the same request can't supply a late refusal with the right identifier: a connection is dropped after a refusal, and after a run repeats use new connections.

--- a/crates/daisynotch_router/src/direct/send.rs
+++ b/crates/daisynotch_router/src/direct/send.rs
@@ -205,6 +205,10 @@
         let marks = platform.decode_endpoint_response(status, headers, &self.attempt_id);
         let broken =
             |reason: &str| Err(SendFailure::Unknown(RunOutcome::Broken, reason.to_owned()));
+        // A late copy of an earlier answer says nothing about this request.
+        if !marks.matches_attempt {
+            return broken("the response is not known to belong to this request");
+        }
         // Another endpoint received the request, because the address was reassigned to it.
         if status == StatusCode::MISDIRECTED_REQUEST {
             let reason = format!("status {status}");
@@ -222,9 +226,6 @@
                 .map_or(RunOutcome::Refused, |_| RunOutcome::PushedBack);
             return Err(SendFailure::NotRun(ended, format!("status {status}")));
         }
-        if !marks.matches_attempt {
-            return broken("the response belongs to another request");
-        }
         if !marks.is_signed {
             return broken("the response is not signed");
         }
