Let an endpoint that keeps reporting override a claim to be newer

Callers of a service got 503 although its replica ran and kept writing its entry. Reports are ordered by the start and the count that they name, and an older one is ignored, since writes may take effect late. One entry of another writer under the replica's key, with a start or a count above the replica's, therefore made every later report of the replica outdated, for as long as it ran; the record of a departed endpoint did so for 30 s.

A report below the known one is now recorded. Once ascending reports have arrived for 5 s, the next one holds.

--- a/crates/daisynotch_core/src/direct/endpoints.rs
+++ b/crates/daisynotch_core/src/direct/endpoints.rs
@@ -1,7 +1,8 @@
 //! The registered endpoints, as last read from the store.
 //!
 //! Endpoints start, drain, crash and restart under the same name, and some of their reports
-//! arrive late or twice. An older report never overrides a newer one. An entry that lapsed
+//! arrive late or twice. An older report does not override a newer one, unless the endpoint keeps
+//! reporting: another writer may have claimed a later start under its name. An entry that lapsed
 //! during a store outage is kept for as long as the store gives its owner to write it again.
 
 use std::collections::HashMap;
@@ -28,6 +29,11 @@
 /// report it as ready, so this is many times what an endpoint takes to finish.
 const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 
+/// How long ascending reports must arrive until they override a report that claims to be newer.
+///
+/// A write may take effect seconds late, but only a running endpoint keeps writing.
+const OVERRIDE_AFTER: Duration = Duration::from_secs(5);
+
 /// Whether new requests may go to an endpoint.
 #[daisynotch_macros::value]
 #[derive(Copy)]
@@ -98,11 +104,21 @@
     lapsed_at: Option<Timestamp>,
 }
 
+/// Reports of an endpoint that are older than its known one.
+#[derive(Debug)]
+struct OutdatedReports {
+    first_at: Timestamp,
+    latest_at: Timestamp,
+    latest: (u64, u64),
+}
+
 /// The known endpoints, and the departed and leaving ones that must not be used again.
 #[derive(Debug, Default)]
 pub struct EndpointList {
     known: HashMap<Arc<str>, KnownEndpoint>,
     departed: HashMap<Arc<str>, ((u64, u64), Timestamp)>,
+    /// Reports that were ignored since the last one that was not.
+    outdated: HashMap<Arc<str>, OutdatedReports>,
     /// Starts of endpoints that announced in an answer that they leave, with the time at which
     /// this router first learned of it.
     leaving: HashMap<EndpointId, Timestamp>,
@@ -116,8 +132,16 @@
         self.lapse_window_ends_at = now + LAPSE_WINDOW;
     }
 
-    /// Returns whether a report is older than the known one, as reports in a restored store may be.
-    pub fn is_outdated(&self, entry: &EndpointEntry) -> bool {
+    /// Returns whether a report is ignored because it is older than the known one, as reports in a
+    /// restored store may be.
+    pub fn is_outdated(&self, entry: &EndpointEntry, now: Timestamp) -> bool {
+        let overrides = |outdated: &OutdatedReports| {
+            entry.report_order() > outdated.latest && now.since(outdated.first_at) >= OVERRIDE_AFTER
+        };
+        self.is_older(entry) && !self.outdated.get(&entry.name).is_some_and(overrides)
+    }
+
+    fn is_older(&self, entry: &EndpointEntry) -> bool {
         let departed = self.departed.get(&entry.name);
         let known = self.known.get(&entry.name);
         departed.is_some_and(|(last, _)| entry.report_order() <= *last)
@@ -156,12 +180,14 @@
         }
     }
 
-    /// Processes a report, unless it is older than the latest one.
-    pub fn write(&mut self, entry: EndpointEntry) -> Vec<EndpointChange> {
+    /// Processes a report, unless [`Self::is_outdated`] holds for it.
+    pub fn write(&mut self, entry: EndpointEntry, now: Timestamp) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
-        if self.is_outdated(&entry) {
+        if self.is_outdated(&entry, now) {
+            self.record_outdated(&entry, now);
             return changes;
         }
+        self.outdated.remove(&entry.name);
         if let Some(known) = self.known.get(&entry.name)
             && known.entry.id() != entry.id()
         {
@@ -181,6 +207,20 @@
         changes
     }
 
+    fn record_outdated(&mut self, entry: &EndpointEntry, now: Timestamp) {
+        let order = entry.report_order();
+        let name = Arc::clone(&entry.name);
+        let outdated = self.outdated.entry(name).or_insert(OutdatedReports {
+            first_at: now,
+            latest_at: now,
+            latest: order,
+        });
+        if order > outdated.latest {
+            outdated.latest = order;
+            outdated.latest_at = now;
+        }
+    }
+
     /// Processes the removal of an entry, or an entry that can't be decoded.
     pub fn remove(&mut self, name: &str, now: Timestamp) -> Vec<EndpointChange> {
         let Some(known) = self.known.get_mut(name) else {
@@ -230,7 +270,7 @@
             changes.extend(self.remove(&name, now));
         }
         for entry in entries {
-            changes.extend(self.write(entry));
+            changes.extend(self.write(entry, now));
         }
         changes
     }
@@ -240,6 +280,8 @@
     pub fn expire(&mut self, now: Timestamp) -> Vec<EndpointChange> {
         self.departed
             .retain(|_, (_, at)| now.since(*at) < DEPARTED_RETENTION);
+        self.outdated
+            .retain(|_, outdated| now.since(outdated.latest_at) < DEPARTED_RETENTION);
         self.leaving
             .retain(|_, at| now.since(*at) < LEAVING_RETENTION);
         let is_expired = |known: &KnownEndpoint| {
--- a/crates/daisynotch_core/src/direct/endpoints/tests.rs
+++ b/crates/daisynotch_core/src/direct/endpoints/tests.rs
@@ -19,21 +19,23 @@
 }
 
 const SECOND: Duration = Duration::from_secs(1);
+/// Time of reports where it makes no difference.
+const NOW: Timestamp = Timestamp(10_000_000);
 
 #[test]
 fn a_late_report_does_not_undo_a_newer_one() {
     let mut list = EndpointList::default();
     let first = entry("a", 10, 5);
     assert_eq!(
-        list.write(first.clone()),
+        list.write(first.clone(), NOW),
         [EndpointChange::Usable(first.clone())]
     );
     let draining_report = draining(entry("a", 10, 7));
     assert_eq!(
-        list.write(draining_report),
+        list.write(draining_report, NOW),
         [EndpointChange::Closed(first.id())]
     );
-    assert_eq!(list.write(entry("a", 10, 6)), []);
+    assert_eq!(list.write(entry("a", 10, 6), NOW), []);
 }
 
 #[test]
@@ -42,9 +44,9 @@
     let before = entry("a", 10, 90);
     let after = entry("a", 20, 1);
     assert_ne!(before.id(), after.id());
-    list.write(before.clone());
+    list.write(before.clone(), NOW);
     assert_eq!(
-        list.write(after.clone()),
+        list.write(after.clone(), NOW),
         [
             EndpointChange::Closed(before.id()),
             EndpointChange::Usable(after)
@@ -56,14 +58,17 @@
 fn a_late_report_does_not_bring_back_a_departed_endpoint() {
     let mut list = EndpointList::default();
     let now = Timestamp::default() + 10 * SECOND;
-    list.write(entry("a", 10, 5));
+    list.write(entry("a", 10, 5), NOW);
     assert_eq!(
         list.remove("a", now),
         [EndpointChange::Closed(entry("a", 10, 5).id())]
     );
-    assert_eq!(list.write(entry("a", 10, 5)), []);
+    assert_eq!(list.write(entry("a", 10, 5), NOW), []);
     let alive = entry("a", 10, 6);
-    assert_eq!(list.write(alive.clone()), [EndpointChange::Usable(alive)]);
+    assert_eq!(
+        list.write(alive.clone(), NOW),
+        [EndpointChange::Usable(alive)]
+    );
 }
 
 #[test]
@@ -71,13 +76,16 @@
     let mut list = EndpointList::default();
     let back_at = Timestamp::default() + 10 * SECOND;
     let (kept, lost) = (entry("kept", 10, 5), entry("lost", 10, 5));
-    list.write(kept.clone());
-    list.write(lost.clone());
+    list.write(kept.clone(), NOW);
+    list.write(lost.clone(), NOW);
     list.on_store_recovery(back_at);
     assert_eq!(list.replace(Vec::new(), back_at), []);
     assert_eq!(list.expire(back_at + SECOND), []);
     let again = entry("kept", 10, 6);
-    assert_eq!(list.write(again.clone()), [EndpointChange::Usable(again)]);
+    assert_eq!(
+        list.write(again.clone(), NOW),
+        [EndpointChange::Usable(again)]
+    );
     let changes = list.expire(back_at + 3 * SECOND);
     assert_eq!(changes, [EndpointChange::Closed(lost.id())]);
 }
@@ -86,8 +94,8 @@
 fn without_an_outage_a_removal_takes_effect_at_once() {
     let mut list = EndpointList::default();
     let now = Timestamp::default() + 10 * SECOND;
-    list.write(entry("a", 10, 5));
-    list.write(entry("b", 10, 5));
+    list.write(entry("a", 10, 5), NOW);
+    list.write(entry("b", 10, 5), NOW);
     let changes = list.replace(vec![entry("b", 10, 6)], now);
     assert_eq!(changes[0], EndpointChange::Closed(entry("a", 10, 5).id()));
     assert_eq!(changes.len(), 2);
@@ -98,7 +106,7 @@
 fn an_endpoint_that_left_after_an_outage_is_closed_before_it_stops_serving() {
     let mut list = EndpointList::default();
     let back_at = Timestamp::default() + 10 * SECOND;
-    list.write(entry("a", 10, 5));
+    list.write(entry("a", 10, 5), NOW);
     list.on_store_recovery(back_at);
     let left_at = back_at + 2 * SECOND;
     assert_eq!(list.remove("a", left_at), []);
@@ -113,17 +121,17 @@
     let mut list = EndpointList::default();
     let now = Timestamp(1_000_000);
     let first = entry("a", 10, 5);
-    list.write(first.clone());
+    list.write(first.clone(), NOW);
     let closed = [EndpointChange::Closed(first.id())];
     assert_eq!(list.on_leaving(first.id(), now), closed);
     assert_eq!(list.on_leaving(first.id(), now + SECOND), []);
-    assert_eq!(list.write(entry("a", 10, 6)), closed);
+    assert_eq!(list.write(entry("a", 10, 6), NOW), closed);
     assert_eq!(list.leaving_within(SECOND, now).count(), 1);
     assert_eq!(list.leaving_within(SECOND, now + SECOND).count(), 0);
     list.expire(now + SECOND * 60);
-    assert_eq!(list.write(entry("a", 10, 60)), closed);
+    assert_eq!(list.write(entry("a", 10, 60), NOW), closed);
     let next = entry("a", 20, 1);
-    let changes = list.write(next.clone());
+    let changes = list.write(next.clone(), NOW);
     assert!(
         changes.contains(&EndpointChange::Usable(next)),
         "{changes:?}"
@@ -137,7 +145,7 @@
     let first = entry("a", 10, 5);
     list.on_leaving(first.id(), Timestamp(1_000_000));
     assert_eq!(
-        list.write(first.clone()),
+        list.write(first.clone(), NOW),
         [EndpointChange::Closed(first.id())]
     );
 }
@@ -148,21 +156,70 @@
 fn a_peer_report_that_an_endpoint_left_closes_that_start_only() {
     let now = Timestamp(1_000_000);
     let mut running = EndpointList::default();
-    running.write(entry("a", 10, 5));
+    running.write(entry("a", 10, 5), NOW);
     running.remove("a", now);
     let departed: Vec<DepartedEndpoint> = running.departed().collect();
     let mut starting = EndpointList::default();
     let restored = entry("a", 10, 4);
-    starting.write(restored.clone());
+    starting.write(restored.clone(), NOW);
     let changes = starting.on_departed(&departed[0], now);
     assert_eq!(changes, [EndpointChange::Closed(restored.id())]);
-    assert_eq!(starting.write(restored.clone()), []);
-    assert!(starting.is_outdated(&restored));
+    assert_eq!(starting.write(restored.clone(), NOW), []);
+    assert!(starting.is_outdated(&restored, NOW));
     // A newer report shows that the endpoint still runs.
     let newer = entry("a", 10, 6);
     assert_eq!(
-        starting.write(newer.clone()),
+        starting.write(newer.clone(), NOW),
         [EndpointChange::Usable(newer)]
     );
     assert_eq!(starting.on_departed(&departed[0], now), []);
 }
+
+/// An entry of another writer that claims a later start kept the endpoint out of use for ever.
+#[test]
+fn reports_that_keep_arriving_override_one_that_claims_to_be_newer() {
+    let mut list = EndpointList::default();
+    list.write(entry("a", 10, 5), NOW);
+    let claimed = draining(entry("a", u64::MAX, u64::MAX));
+    list.write(claimed.clone(), NOW);
+    let second = |count| NOW + SECOND * count;
+    for count in 0_u32..5 {
+        let report = entry("a", 10, 6 + u64::from(count));
+        assert!(list.is_outdated(&report, second(count)));
+        assert_eq!(list.write(report, second(count)), []);
+    }
+    let report = entry("a", 10, 11);
+    assert!(!list.is_outdated(&report, second(5)));
+    assert_eq!(
+        list.write(report.clone(), second(5)),
+        [
+            EndpointChange::Closed(claimed.id()),
+            EndpointChange::Usable(report)
+        ]
+    );
+}
+
+/// The same, if the other writer's entry is gone again.
+#[test]
+fn reports_that_keep_arriving_override_a_departed_one() {
+    let mut list = EndpointList::default();
+    list.write(entry("a", u64::MAX, u64::MAX), NOW);
+    list.remove("a", NOW);
+    assert_eq!(list.write(entry("a", 10, 6), NOW), []);
+    let report = entry("a", 10, 7);
+    let changes = list.write(report.clone(), NOW + SECOND * 5);
+    assert_eq!(changes, [EndpointChange::Usable(report)]);
+}
+
+/// One late report that is read again and again, or some that end when the endpoint reports again,
+/// must not undo a newer one.
+#[test]
+fn late_reports_do_not_override_however_often_they_are_read() {
+    let mut list = EndpointList::default();
+    list.write(draining(entry("a", 10, 7)), NOW);
+    for count in 0..20 {
+        assert_eq!(list.write(entry("a", 10, 6), NOW + SECOND * count), []);
+    }
+    list.write(draining(entry("a", 10, 9)), NOW + SECOND * 20);
+    assert_eq!(list.write(entry("a", 10, 8), NOW + SECOND * 21), []);
+}
--- a/crates/daisynotch_router/src/direct/store_follower.rs
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -287,7 +287,7 @@
         StoreEvent::Written(item) => {
             view.endpoints.insert(item.key.clone(), item.clone());
             match decode_endpoint(router, name, item) {
-                Some(entry) => router.endpoints.borrow_mut().write(entry),
+                Some(entry) => router.endpoints.borrow_mut().write(entry, now),
                 None => router.endpoints.borrow_mut().remove(name, now),
             }
         }
@@ -331,6 +331,7 @@
     let entries: Vec<EndpointEntry> = named_items
         .filter_map(|(name, item)| decode_endpoint(router, name, item))
         .collect();
+    let now = router.now();
     {
         let mut view = router.store_view.borrow_mut();
         let before = std::mem::replace(&mut view.endpoints, items);
@@ -339,7 +340,7 @@
         // Other routers get the state that is in force, not the outdated entries of a restored
         // backup.
         let list = router.endpoints.borrow();
-        for entry in entries.iter().filter(|entry| list.is_outdated(entry)) {
+        for entry in entries.iter().filter(|entry| list.is_outdated(entry, now)) {
             let key = format!("{prefix}{}", entry.name);
             match before.get(&key) {
                 Some(item) => view.endpoints.insert(key, item.clone()),
@@ -347,7 +348,6 @@
             };
         }
     }
-    let now = router.now();
     let changes = router.endpoints.borrow_mut().replace(entries, now);
     router.on_endpoint_changes(changes, source);
 }
