Move an endpoint whose entry names another service

An entry that named another service under a live endpoint's key took the endpoint out of use at both services, also after the endpoint's next report, which only removed it once more. Requests of the earlier service waited for an endpoint that was none of theirs any more, in place of an immediate refusal. The entry was replaced before the endpoint was removed, so that it was removed from the list of the wrong service, and the new service never got it.

Before: `endpoint_changes_its_service_at_once` failed with "assertion failed: !dispatcher.has_untried_endpoint(&plain_spec(at(0)))".

The endpoint is now removed under its earlier entry and added under the new one.

--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -347,13 +347,11 @@
     fn add_endpoint(&mut self, entry: EndpointEntry, table: &RouteTable) {
         let id = entry.id();
         if let Some(load) = self.endpoints.get_mut(&id) {
-            let moved = load.entry.service != entry.service;
-            load.entry = entry;
-            if !moved {
+            if load.entry.service == entry.service {
+                load.entry = entry;
                 return;
             }
             self.remove_endpoint(id);
-            return;
         }
         let engine = table
             .service(&entry.service)
@@ -461,6 +459,8 @@
 #[cfg(test)]
 mod crash_tests;
 #[cfg(test)]
+mod endpoint_tests;
+#[cfg(test)]
 mod overload_tests;
 #[cfg(test)]
 mod tests;
