Keep large odd entries out of digests, views and endless watches

One entry of another writer of some 60 KB up to the store's limit of 1 MB stopped the following of the list in three places:

- Digests carry the last changes with their values.
A digest beyond a datagram was not sent at all, for the 1.2 s in which the change is repeated, and on with each write.
The others took the router for absent after 0.7 s and heard of no change.
- A watch whose changes exceed 4 MB got no response that the router reads, and the router asked for the same changes for ever.
- The view that routers give each other held the entries that no router uses.
Beyond 8 MB, no router could read it.

An entry that can't be read names no endpoint, so it is kept and passed on as removed. A digest takes changes up to 8 KB, the newest first; a router that misses one sees the gap and fetches the view, as before. After a response beyond the limit everything is listed again, page by page. A listing that is answered with 410 now pauses like any other failed call.

--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -55,6 +55,8 @@
 const SENT_CRASH_REPORTS_MAX: usize = 16;
 /// Maximum number of changes in a digest.
 const CHANGES_PER_DIGEST_MAX: usize = 6;
+/// Maximum size of these changes together; routers that miss some fetch the whole state.
+const CHANGES_MAX_BYTES: usize = 8_192;
 /// Request rate, per second, from which a router has callers although the directory does not
 /// list it: above the rate of the platform's own test requests, which reach every host.
 const CALLERS_MIN_PER_S: f64 = 10.0;
@@ -232,7 +234,13 @@
     let mut view = router.store_view.borrow_mut();
     view.recent
         .retain(|change| now.since(change.at) < CHANGE_RESEND_DURATION);
+    let mut bytes_left = CHANGES_MAX_BYTES;
     let newest = view.recent.iter().rev().take(CHANGES_PER_DIGEST_MAX);
+    let newest = newest.take_while(|change| {
+        let left = bytes_left.checked_sub(event_bytes(&change.event));
+        bytes_left = left.unwrap_or(0);
+        left.is_some()
+    });
     let mut newest: Vec<(StorePosition, StoreEvent)> = newest
         .map(|change| (change.after, change.event.clone()))
         .collect();
@@ -240,6 +248,13 @@
     newest
 }
 
+fn event_bytes(event: &StoreEvent) -> usize {
+    match event {
+        StoreEvent::Written(item) => item.key.len() + item.value.len(),
+        StoreEvent::Removed { key, .. } => key.len(),
+    }
+}
+
 /// Encodes the evidence on crashes; empty if there is none.
 ///
 /// It follows a message, where routers of an earlier version ignore it.
--- a/crates/daisynotch_router/src/direct/store_client.rs
+++ b/crates/daisynotch_router/src/direct/store_client.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use daisynotch_platform::ports::StoreCall;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Request, StatusCode};
 
@@ -27,6 +27,9 @@
     /// The response is from before the store was restored from a backup.
     #[error("the response is from before the store was restored from a backup")]
     Outdated,
+    /// The response exceeds the limit.
+    #[error("the response has more than {RESPONSE_MAX_BYTES} bytes")]
+    TooLarge,
     /// The store responded with a status other than 200.
     #[error("the store responded with status {0}")]
     Status(StatusCode),
@@ -69,6 +72,7 @@
             Ok(_) => "ok".to_owned(),
             Err(StoreError::NoAnswer(_)) => "no_answer".to_owned(),
             Err(StoreError::Outdated) => "outdated".to_owned(),
+            Err(StoreError::TooLarge) => "too_large".to_owned(),
             Err(StoreError::Status(status)) => status.as_u16().to_string(),
         };
         let calls = &self.router.metrics.store_calls;
@@ -106,9 +110,13 @@
         let era = era.unwrap_or(self.router.store_era.get());
         self.router.on_store_era(era, "store");
         let body = Limited::new(response.into_body(), RESPONSE_MAX_BYTES).collect();
-        let body = body
-            .await
-            .map_err(|error| StoreError::NoAnswer(error.to_string()))?;
+        let body = body.await.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                StoreError::TooLarge
+            } else {
+                StoreError::NoAnswer(error.to_string())
+            }
+        })?;
         *self.connection.borrow_mut() = Some(connection);
         if era < self.router.store_era.get() {
             return Err(StoreError::Outdated);
--- a/crates/daisynotch_router/src/direct/store_follower.rs
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -1,7 +1,7 @@
 //! Follows the configuration and the endpoints in the store, and registers this router.
 //!
 //! After a failed watch, the next one resumes at the same position. If the store no longer has
-//! the history from there, everything is listed again. `docs/design/platform.md` counts the
+//! the history from there, or the changes exceed a response, everything is listed again. `docs/design/platform.md` counts the
 //! calls.
 
 use std::collections::HashMap;
@@ -74,8 +74,12 @@
 }
 
 impl FollowError {
-    fn is_history_gone(&self) -> bool {
-        matches!(self, Self::Store(StoreError::Status(StatusCode::GONE)))
+    /// Returns whether a watch from the same position would fail again.
+    fn requires_listing(&self) -> bool {
+        matches!(
+            self,
+            Self::Store(StoreError::Status(StatusCode::GONE) | StoreError::TooLarge)
+        )
     }
 }
 
@@ -128,8 +132,9 @@
             // The state is listed again at once. The response shows that the store is
             // reachable.
             Err(FollowError::Restored(_)) => position = None,
-            Err(error) if error.is_history_gone() => {
-                let fields = json!({"after": position.map(|position| position.to_string())});
+            Err(error) if position.is_some() && error.requires_listing() => {
+                let after = position.map(|position| position.to_string());
+                let fields = json!({"after": after, "error": error.to_string()});
                 router
                     .log
                     .write(Importance::Essential, "store_history_gone", fields);
@@ -277,25 +282,34 @@
     if at <= view.endpoints_at {
         return;
     }
+    let entry = match event {
+        StoreEvent::Written(item) => decode_endpoint(router, name, item).map(|entry| (item, entry)),
+        StoreEvent::Removed { .. } => None,
+    };
+    // An unreadable entry may be large, so other routers get it as removed.
+    let event = match entry {
+        Some(_) => event.clone(),
+        None => StoreEvent::Removed {
+            key: event.key().to_owned(),
+            revision: event.revision(),
+        },
+    };
     let after = std::mem::replace(&mut view.endpoints_at, at);
-    view.recent.push_back(RecentChange {
-        at: now,
-        after,
-        event: event.clone(),
-    });
-    let changes = match event {
-        StoreEvent::Written(item) => {
+    let changes = match entry {
+        Some((item, entry)) => {
             view.endpoints.insert(item.key.clone(), item.clone());
-            match decode_endpoint(router, name, item) {
-                Some(entry) => router.endpoints.borrow_mut().write(entry, now),
-                None => router.endpoints.borrow_mut().remove(name, now),
-            }
+            router.endpoints.borrow_mut().write(entry, now)
         }
-        StoreEvent::Removed { key, .. } => {
-            view.endpoints.remove(key);
+        None => {
+            view.endpoints.remove(event.key());
             router.endpoints.borrow_mut().remove(name, now)
         }
     };
+    view.recent.push_back(RecentChange {
+        at: now,
+        after,
+        event,
+    });
     drop(view);
     router.on_endpoint_changes(changes, source);
 }
@@ -316,7 +330,7 @@
 /// Replaces all endpoints with a listing from the store or from another router.
 pub(crate) fn replace_endpoints(
     router: &Rc<Router>,
-    items: HashMap<String, StoreItem>,
+    mut items: HashMap<String, StoreItem>,
     at: StorePosition,
     source: &str,
 ) {
@@ -325,12 +339,14 @@
     }
     router.on_store_era(at.era, source);
     let prefix = router.platform.prefixes().endpoints;
-    let named_items = items
-        .values()
-        .filter_map(|item| Some((item.key.strip_prefix(prefix)?, item)));
-    let entries: Vec<EndpointEntry> = named_items
-        .filter_map(|(name, item)| decode_endpoint(router, name, item))
-        .collect();
+    let mut entries: Vec<EndpointEntry> = Vec::new();
+    items.retain(|key, item| {
+        let name = key.strip_prefix(prefix);
+        let entry = name.and_then(|name| decode_endpoint(router, name, item));
+        let is_readable = entry.is_some();
+        entries.extend(entry);
+        is_readable
+    });
     let now = router.now();
     {
         let mut view = router.store_view.borrow_mut();
