Log each unreadable item once, in a short line

With 400 unreadable entries among those of the replicas, each listing logged all of them again, and the description of a problem could quote a value of 1 MB. Such lines displace those about requests, since the buffer of the log is bounded.

The entries of routers and of blocked parts use the same.

--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -28,6 +28,7 @@
 mod store_follower;
 mod stream_relay;
 mod unread;
+mod unreadable;
 mod witness;
 
 pub use admin::BlockedParts;
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -24,6 +24,7 @@
 use super::metrics::Metrics;
 use super::settings::DirectSettings;
 use super::unread::UnreadConnections;
+use super::unreadable::UnreadableItems;
 use crate::clock::Clock;
 
 /// Maximum number of addresses in one log line.
@@ -88,6 +89,8 @@
     pub(crate) confirmation: RefCell<Confirmation>,
     /// Connections whose requests are refused unread.
     pub(crate) unread: UnreadConnections,
+    /// Unreadable items of the store that were logged.
+    pub(super) unreadable: UnreadableItems,
     /// Number of times that the store was restored from a backup, as far as this router knows.
     pub(crate) store_era: Cell<u64>,
     /// Wakes the registration task when `store_era` rises.
@@ -135,6 +138,7 @@
             pressure: RefCell::default(),
             confirmation: RefCell::default(),
             unread: UnreadConnections::default(),
+            unreadable: UnreadableItems::default(),
             store_era: Cell::default(),
             store_restored: Notify::new(),
             configuration: Cell::default(),
--- a/crates/daisynotch_router/src/direct/store_blocks.rs
+++ b/crates/daisynotch_router/src/direct/store_blocks.rs
@@ -128,10 +128,7 @@
         match serde_json::from_slice::<PartBlock>(&item.value) {
             Ok(block) => blocks.push(PartBlock { age_ms: 0, ..block }),
             Err(error) => {
-                let fields = json!({"key": item.key, "error": error.to_string()});
-                router
-                    .log
-                    .write(Importance::Essential, "block_unreadable", fields);
+                router.log_unreadable("block_unreadable", &item.key, &error.to_string());
             }
         }
     }
--- a/crates/daisynotch_router/src/direct/store_follower.rs
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -284,7 +284,10 @@
     }
     let entry = match event {
         StoreEvent::Written(item) => decode_endpoint(router, name, item).map(|entry| (item, entry)),
-        StoreEvent::Removed { .. } => None,
+        StoreEvent::Removed { key, .. } => {
+            router.unreadable.remove(key);
+            None
+        }
     };
     // An unreadable entry may be large, so other routers get it as removed.
     let event = match entry {
@@ -316,12 +319,12 @@
 
 fn decode_endpoint(router: &Router, name: &str, item: &StoreItem) -> Option<EndpointEntry> {
     match router.platform.decode_endpoint(name, &item.value) {
-        Ok(entry) => Some(entry),
+        Ok(entry) => {
+            router.unreadable.remove(&item.key);
+            Some(entry)
+        }
         Err(error) => {
-            let fields = json!({"key": item.key, "error": error.to_string()});
-            router
-                .log
-                .write(Importance::Essential, "endpoint_unreadable", fields);
+            router.log_unreadable("endpoint_unreadable", &item.key, &error.to_string());
             None
         }
     }
@@ -450,10 +453,8 @@
             Some(address) if address != own => hosts.hint(address, now),
             Some(_) => {}
             None => {
-                let fields = json!({"key": item.key, "error": "the value is not a socket address"});
-                router
-                    .log
-                    .write(Importance::Essential, "router_entry_unreadable", fields);
+                let problem = "the value is not a socket address";
+                router.log_unreadable("router_entry_unreadable", &item.key, problem);
             }
         }
     }
