Charge a repeated request to its team's share once

Callers saw 502 with the reason `beyond_share` for requests that had been admitted: when the first endpoint failed a request or went silent, its repeat was ranked and charged as a new request. A team near its share was beyond it by its own repeats, and a request that the team had been charged for was refused after it had run.

A request that has been sent to an endpoint before is not charged again and is not beyond the share. It still queues like one within the share, and it still draws on the retry budget.

--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -200,7 +200,7 @@
                 Some(verdict) => verdicts.push((waiting.id, verdict)),
                 None => {
                     if let Some(tokens) = of_team {
-                        *tokens += waiting.spec.weighted_tokens();
+                        *tokens += waiting.spec.uncharged_tokens();
                     }
                     let service = Arc::clone(&waiting.spec.service);
                     let of_service = unplaced.entry(service).or_default();
@@ -439,7 +439,7 @@
         };
         self.runs.insert(id, run);
         if let Some(team) = spec.team {
-            self.shares.on_begun(team, spec.weighted_tokens(), now);
+            self.shares.on_begun(team, spec.uncharged_tokens(), now);
         }
         self.refresh_due(choice.endpoint);
         grant
@@ -461,6 +461,8 @@
 #[cfg(test)]
 mod endpoint_tests;
 #[cfg(test)]
+mod move_tests;
+#[cfg(test)]
 mod overload_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/daisynotch_core/src/direct/dispatcher/decision.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/decision.rs
@@ -47,14 +47,15 @@
 impl Dispatcher {
     /// Ranks a request, counting `tokens_before` of its team's queued requests ahead of it.
     pub(super) fn rank(&mut self, spec: &RequestSpec, tokens_before: u64, now: Timestamp) -> Rank {
-        let tokens = tokens_before + spec.weighted_tokens();
+        let tokens = tokens_before + spec.uncharged_tokens();
         let (used_fraction, lead) = spec.team.map_or((0.0, 0.0), |team| {
             let used_fraction = self.shares.used_fraction(team, tokens, now);
             (used_fraction, self.shares.lead(team, tokens, now))
         });
         Rank {
             is_late: self.is_late(spec, now),
-            is_beyond_share: used_fraction > 1.0,
+            // A repeat was admitted within the share or from idle capacity.
+            is_beyond_share: used_fraction > 1.0 && !spec.is_repeat(),
             used_fraction,
             lead,
             priority: spec.priority,
--- a/crates/daisynotch_core/src/direct/request.rs
+++ b/crates/daisynotch_core/src/direct/request.rs
@@ -53,6 +53,21 @@
     pub fn weighted_tokens(&self) -> u64 {
         u64::from(self.prompt_tokens) + 2 * u64::from(self.answer_tokens)
     }
+
+    /// Returns whether the request was sent to an endpoint before, so that its team's share has
+    /// been charged for it.
+    pub fn is_repeat(&self) -> bool {
+        !self.tried.is_empty()
+    }
+
+    /// Returns the tokens still to be charged to the team's share: a repeat is not charged again.
+    pub(crate) fn uncharged_tokens(&self) -> u64 {
+        if self.is_repeat() {
+            0
+        } else {
+            self.weighted_tokens()
+        }
+    }
 }
 
 /// The decision to send a request to an endpoint.
