Decode the store's items one by one

One item without a revision, or with a key or value of another type, made a whole page or answer of the store unreadable. The router asked for it again and again and followed neither the configuration nor the list. A value that is not base64 became an empty one without a word.

Items are now decoded one by one, and `store_item_unreadable` names those that can't be. The position of a watch still comes from `at`. A change whose key and revision alone can be read counts as a removal, since its key names nothing to use; one without them is passed over. A list goes on after the last key of a page, that of an unreadable item included, and ends at a page without a later key, so that it neither skips nor loops.

--- a/crates/daisynotch_platform/src/ports.rs
+++ b/crates/daisynotch_platform/src/ports.rs
@@ -46,11 +46,25 @@
     pub revision: u64,
 }
 
+/// An item of a response that an adapter can't decode.
+#[daisynotch_macros::value]
+pub struct UnreadableItem {
+    /// The key, if it can be decoded.
+    pub key: Option<String>,
+    /// Why decoding failed.
+    pub problem: String,
+}
+
 /// One page of a key listing.
 #[daisynotch_macros::value]
 pub struct RangePage {
     /// The items in key order.
     pub items: Vec<StoreItem>,
+    /// The items that can't be decoded.
+    pub unreadable: Vec<UnreadableItem>,
+    /// The last key of the page, that of an unreadable item included; the next page begins after
+    /// it.
+    pub last_key: Option<String>,
     /// Whether more pages follow.
     pub has_more: bool,
     /// The store revision at which the page was read.
@@ -92,8 +106,11 @@
 /// The decoded response to a watch call.
 #[daisynotch_macros::value]
 pub struct WatchPage {
-    /// The changes, in the order in which the store made them.
+    /// The changes, in the order in which the store made them. A change to a value that can't be
+    /// decoded is a removal.
     pub events: Vec<StoreEvent>,
+    /// The changes that can't be decoded.
+    pub unreadable: Vec<UnreadableItem>,
     /// The revision after which the next watch continues.
     pub at_revision: u64,
 }
--- a/crates/daisynotch_router/src/direct/store_follower.rs
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -10,7 +10,7 @@
 
 use daisynotch_core::Timestamp;
 use daisynotch_core::direct::{EndpointEntry, StorePosition};
-use daisynotch_platform::ports::{DecodeError, Lease, StoreEvent, StoreItem};
+use daisynotch_platform::ports::{DecodeError, Lease, StoreEvent, StoreItem, UnreadableItem};
 use hyper::StatusCode;
 use rand::RngExt;
 use serde_json::json;
@@ -52,6 +52,9 @@
 /// Interval at which the lease is renewed and the other routers' entries are listed.
 const RENEW_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Event that reports an endpoint's entry that can't be decoded.
+const ENDPOINT_UNREADABLE: &str = "endpoint_unreadable";
+
 impl Router {
     /// Returns whether this router reads the store for the others.
     pub(crate) fn reads_store(&self) -> bool {
@@ -161,8 +164,8 @@
 ) -> Result<(Vec<StoreItem>, StorePosition), FollowError> {
     let mut items: Vec<StoreItem> = Vec::new();
     let mut first_at: Option<StorePosition> = None;
+    let mut after: Option<String> = None;
     loop {
-        let after = items.last().map(|item| item.key.clone());
         let call = router
             .platform
             .range(prefix, after.as_deref(), may_be_stale);
@@ -176,7 +179,10 @@
         if at.era != response.era {
             return Err(FollowError::Restored(response.era));
         }
-        let is_last = !page.has_more || page.items.is_empty();
+        log_unreadable_items(router, &page.unreadable);
+        // A page without a later key would be followed by itself.
+        let is_last = !page.has_more || page.last_key <= after;
+        after = page.last_key;
         items.extend(page.items);
         if is_last {
             return Ok((items, at));
@@ -243,6 +249,7 @@
     for event in &page.events {
         on_event(router, after.era, event);
     }
+    log_unreadable_items(router, &page.unreadable);
     let waited = page.events.is_empty().then_some(wait);
     let now = router.now();
     router
@@ -255,6 +262,13 @@
     })
 }
 
+fn log_unreadable_items(router: &Router, items: &[UnreadableItem]) {
+    for item in items {
+        let key = item.key.as_deref().unwrap_or_default();
+        router.log_unreadable("store_item_unreadable", key, &item.problem);
+    }
+}
+
 fn on_event(router: &Rc<Router>, era: u64, event: &StoreEvent) {
     let prefixes = router.platform.prefixes();
     if event.key().starts_with(prefixes.configuration) {
@@ -285,7 +299,7 @@
     let entry = match event {
         StoreEvent::Written(item) => decode_endpoint(router, name, item).map(|entry| (item, entry)),
         StoreEvent::Removed { key, .. } => {
-            router.unreadable.remove(key);
+            router.unreadable.remove(ENDPOINT_UNREADABLE, key);
             None
         }
     };
@@ -320,11 +334,11 @@
 fn decode_endpoint(router: &Router, name: &str, item: &StoreItem) -> Option<EndpointEntry> {
     match router.platform.decode_endpoint(name, &item.value) {
         Ok(entry) => {
-            router.unreadable.remove(&item.key);
+            router.unreadable.remove(ENDPOINT_UNREADABLE, &item.key);
             Some(entry)
         }
         Err(error) => {
-            router.log_unreadable("endpoint_unreadable", &item.key, &error.to_string());
+            router.log_unreadable(ENDPOINT_UNREADABLE, &item.key, &error.to_string());
             None
         }
     }
