Saturate sums of numbers from callers and from the store

A prompt whose parts claim more than 2^32 tokens together, sent twice, made the sum of the cached ones overflow: a panic of the router's task in a debug build, a wrong count in a release build. A block of the store with the highest number of renewals did the same at its next one.

The test drives the dispatcher and the list of endpoints with numbers at the ends of their ranges, from callers, endpoints' entries, the configuration, digests and evidence on crashes.

--- a/crates/daisynotch_core/src/direct/crash_evidence.rs
+++ b/crates/daisynotch_core/src/direct/crash_evidence.rs
@@ -415,7 +415,7 @@
             return false;
         };
         if report.is_trial && report.at >= block.trial_due_at() {
-            block.renewals += 1;
+            block.renewals = block.renewals.saturating_add(1);
             block.since = report.at;
             block.pause = block_pause(block.renewals);
         }
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -461,6 +461,8 @@
 #[cfg(test)]
 mod endpoint_tests;
 #[cfg(test)]
+mod extreme_tests;
+#[cfg(test)]
 mod move_tests;
 #[cfg(test)]
 mod overload_tests;
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -16,7 +16,7 @@
     Timestamp(100_000_000 + ms * 1_000)
 }
 
-fn table(tokens_per_s: u64) -> RouteTable {
+pub(super) fn table(tokens_per_s: u64) -> RouteTable {
     let limits = CallerLimits {
         shared_tokens_per_s: Some(tokens_per_s),
         ..CallerLimits::default()
@@ -40,7 +40,7 @@
     table
 }
 
-fn entry(service: &str, index: usize) -> EndpointEntry {
+pub(super) fn entry(service: &str, index: usize) -> EndpointEntry {
     EndpointEntry {
         name: Arc::from(format!("{service}-{index}")),
         started_unix_ms: 1,
@@ -486,7 +486,7 @@
         });
 }
 
-fn digest() -> Digest {
+pub(super) fn digest() -> Digest {
     Digest {
         host: HostIntroduction {
             router: "other".parse().unwrap(),
--- a/crates/daisynotch_core/src/direct/part_cache.rs
+++ b/crates/daisynotch_core/src/direct/part_cache.rs
@@ -49,7 +49,7 @@
         let cached = parts
             .iter()
             .take_while(|part| self.parts.contains_key(&part.id));
-        cached.map(|part| part.tokens).sum()
+        cached.fold(0, |tokens, part| tokens.saturating_add(part.tokens))
     }
 
     /// Records that a request with these prompt parts was sent to the engine.
