Read the rest of a request after an early response before closing

What callers saw: a connection reset while they still sent a request that was refused at its head (404, 401, 503) or within its body (413, 408), or a request that could not be parsed. A caller that writes before it reads takes that for no answer, and the reset may overtake the response.

Cause: the HTTP library closes the connection after a response to a request that it has not read in full, and closing with unread bytes resets it.

After an orderly end, or a parse error, the sending side is shut down and what arrives is read and dropped until the caller closes, for up to 2 s, in a buffer of 4 KB. The connection counts as open meanwhile. A response that was cut still ends with the error at once, so it does not look complete.

--- a/crates/daisynotch_router/src/direct/ingress.rs
+++ b/crates/daisynotch_router/src/direct/ingress.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,12 +14,14 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rand::RngExt;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use super::listener::Listener;
 use super::response::ResponseBody;
 use super::state::Router;
+use super::unread::DRAIN_TIMEOUT;
 use super::{admin, directory, forward, peers};
 use crate::caller_stream::{CallerStream, ClosesEndResponses};
 use crate::stall::StallGuard;
@@ -31,6 +34,8 @@
 /// How long a leaving router waits for the first request on a connection that was just
 /// accepted: many round trips to callers.
 pub(super) const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(250);
+/// Maximum number of bytes per read of what is not needed.
+const DRAIN_BUFFER_BYTES: usize = 4 * 1024;
 /// Pause after a connection could not be accepted, for example when descriptors run out.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -162,28 +167,67 @@
     };
     let stream = CallerStream::new(stream, closes_end_responses);
     let stream = TokioIo::new(StallGuard::new(stream, WRITE_STALL_TIMEOUT));
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.head_max_bytes.max(READ_BUFFER_MIN_BYTES))
         .serve_connection(stream, service);
-    let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
+        ended = &mut connection => Some(ended),
         () = wait_until_closing(&mut leave_stage) => {
             let is_new = !has_received_request.get();
             let grace = if is_new { NEW_CONNECTION_GRACE } else { Duration::ZERO };
-            match tokio::time::timeout(grace, connection.as_mut()).await {
-                Ok(ended) => ended,
-                Err(_) => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
+            tokio::time::timeout(grace, &mut connection).await.ok()
+        }
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    match ended {
+        Ok(()) => drain(connection.into_parts().io.into_inner()).await,
+        Err(error) if error.is_parse() => {
+            log::debug!("a caller's request could not be parsed: {error}");
+            // The library has written a response.
+            answer_and_drain(connection.into_parts().io.into_inner(), b"").await;
+        }
+        Err(error) => log::debug!("a connection ended with an error: {error}"),
+    }
+}
+
+/// Writes what remains of a response, shuts down the sending side and reads the rest.
+async fn answer_and_drain(mut stream: impl AsyncRead + AsyncWrite + Unpin, response: &[u8]) {
+    let written = async {
+        stream.write_all(response).await?;
+        stream.shutdown().await
+    };
+    match written.await {
+        Ok(()) => drain(stream).await,
+        Err(error) => log::debug!("a caller left before its connection was closed: {error}"),
+    }
+}
+
+/// Reads what the caller still sends on a connection whose sending side was shut down, since
+/// closing a connection with unread bytes resets it, and the reset may overtake the response.
+async fn drain(mut stream: impl AsyncRead + Unpin) {
+    let mut buffer = vec![0; DRAIN_BUFFER_BYTES];
+    let drained = tokio::time::timeout(DRAIN_TIMEOUT, async {
+        loop {
+            match stream.read(&mut buffer).await {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(error) => {
+                    log::debug!("a caller reset a connection that was answered: {error}");
+                    return;
                 }
             }
         }
-    };
-    if let Err(error) = ended {
-        log::debug!("a connection ended with an error: {error}");
+    });
+    if drained.await.is_err() {
+        log::debug!("a caller kept its side of a connection open after it was closed");
     }
 }
 
--- a/crates/daisynotch_router/src/direct/unread.rs
+++ b/crates/daisynotch_router/src/direct/unread.rs
@@ -32,7 +32,7 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long the rest of an answered request is read, so that no reset overtakes the response: a
 /// lost packet is sent again within it, even twice.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+pub(super) const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of connections.
 const CONNECTIONS_MAX: usize = 512;
 /// Maximum number of connections without a response; a new one beyond them has the oldest
