Keep idle connections as long as any configuration of their life allows

What callers saw: after a change from an idle limit of 1 s to 4 s, a request on a connection that had been idle for 2.5 s met a closed connection. A request whose head began before the limit and ended after it was dropped.

Cause: the HTTP library gets its timeout for heads when a connection opens. It runs while the connection is idle, does not follow the configuration, and does not stop when a head begins to arrive.

The router now has the timer. A connection stays open for the longest idle limit that was in force while it was open, and 1 s. The margin is for callers that hear of a configuration before the router does; a wider gap still lets requests cross the close. A head has as long again from its first byte, then it is answered with 408. Before an idle connection is closed, the runtime gets 25 ms to read what has arrived; the same holds for kept connections of a leaving router, which had none. The price is 1 s of an idle connection for each, and after a lowered limit the old one for connections opened under it.

--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -15,6 +15,7 @@
 mod exchange;
 mod health;
 mod hosts;
+mod idle_limits;
 mod pace;
 mod part_cache;
 mod placement;
@@ -41,6 +42,7 @@
 pub use event_framer::EventFramer;
 pub use exchange::{Exchange, OwnRole, Recipients};
 pub use hosts::{Host, HostTable};
+pub use idle_limits::IdleLimits;
 pub use part_cache::{Part, Parts};
 pub use pressure::Pressure;
 pub use request::{
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -3,6 +3,7 @@
 //! All tasks run on one thread and share one state without locks. `docs/design/platform.md`
 //! describes the programs, `docs/design/direct-dispatch.md` the decisions.
 
+mod activity;
 mod admin;
 mod connections;
 mod crash_check;
--- a/crates/daisynotch_router/src/direct/ingress.rs
+++ b/crates/daisynotch_router/src/direct/ingress.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use super::activity::{Activity, TrackedBody, TrackedStream};
 use super::listener::Listener;
 use super::response::ResponseBody;
 use super::state::Router;
@@ -34,6 +35,14 @@
 /// How long a leaving router waits for the first request on a connection that was just
 /// accepted: many round trips to callers.
 pub(super) const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(250);
+/// Time by which a kept connection outlives the longest idle limit of its life: for callers that
+/// learn of a configuration before this router does, and for requests on their way.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// How long bytes that have arrived may take to be read: several turns of the runtime.
+const LAST_READ_GRACE: Duration = Duration::from_millis(25);
+/// Response to a request whose head does not arrive in time.
+const HEAD_TIMEOUT_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 /// Maximum number of bytes per read of what is not needed.
 const DRAIN_BUFFER_BYTES: usize = 4 * 1024;
 /// Pause after a connection could not be accepted, for example when descriptors run out.
@@ -149,34 +158,51 @@
         .routes()
         .map(|routes| routes.limits)
         .unwrap_or_default();
+    let connected_at = router.now();
+    let activity = Activity::start();
     let has_received_request = Rc::new(Cell::new(false));
     let closes_end_responses = ClosesEndResponses::default();
     let service = {
         let connection = Connection {
             kind,
             leave_stage: leave_stage.clone(),
-            connected_at: router.now(),
+            connected_at,
         };
+        let router = Rc::clone(&router);
+        let activity = Rc::clone(&activity);
         let has_received_request = Rc::clone(&has_received_request);
         let closes_end_responses = closes_end_responses.clone();
         service_fn(move |request: Request<Incoming>| {
             has_received_request.set(true);
             closes_end_responses.note_version(request.version());
-            handle_request(Rc::clone(&router), request, connection.clone())
+            let open_request = activity.on_request();
+            let handling = handle_request(Rc::clone(&router), request, connection.clone());
+            async move {
+                let response = handling.await;
+                response.map(|response| response.map(|body| TrackedBody::new(body, open_request)))
+            }
         })
     };
     let stream = CallerStream::new(stream, closes_end_responses);
-    let stream = TokioIo::new(StallGuard::new(stream, WRITE_STALL_TIMEOUT));
+    let stream = StallGuard::new(stream, WRITE_STALL_TIMEOUT);
+    let stream = TrackedStream::new(stream, Rc::clone(&activity));
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
+        .header_read_timeout(None)
         .max_buf_size(limits.head_max_bytes.max(READ_BUFFER_MIN_BYTES))
-        .serve_connection(stream, service);
+        .serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
         ended = &mut connection => Some(ended),
+        () = wait_until_idle_limit(&router, connected_at, &activity) => {
+            if activity.has_begun_head() {
+                let stream = connection.into_parts().io.into_inner();
+                return answer_and_drain(stream, HEAD_TIMEOUT_RESPONSE).await;
+            }
+            None
+        }
         () = wait_until_closing(&mut leave_stage) => {
             let is_new = !has_received_request.get();
-            let grace = if is_new { NEW_CONNECTION_GRACE } else { Duration::ZERO };
+            let grace = if is_new { NEW_CONNECTION_GRACE } else { LAST_READ_GRACE };
             tokio::time::timeout(grace, &mut connection).await.ok()
         }
     };
@@ -210,6 +236,25 @@
     }
 }
 
+/// Waits until a connection has waited for a request for longer than its caller may expect it to
+/// stay open, whichever configuration the caller knows.
+async fn wait_until_idle_limit(router: &Router, connected_at: Timestamp, activity: &Activity) {
+    loop {
+        let longest = router.idle_limits.borrow().longest_since(connected_at);
+        let limit = longest + IDLE_MARGIN;
+        let idle_for = activity.idle_for();
+        if idle_for < limit {
+            tokio::time::sleep(limit - idle_for).await;
+            continue;
+        }
+        // Bytes that the runtime has not heard of are read meanwhile.
+        tokio::time::sleep(LAST_READ_GRACE).await;
+        if activity.idle_for() >= limit {
+            return;
+        }
+    }
+}
+
 /// Reads what the caller still sends on a connection whose sending side was shut down, since
 /// closing a connection with unread bytes resets it, and the reset may overtake the response.
 async fn drain(mut stream: impl AsyncRead + Unpin) {
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use daisynotch_core::direct::{
     ConfigurationStamp, Confirmation, Digest, Dispatcher, EndpointChange, EndpointList, Grant,
-    HostIntroduction, HostPhase, HostTable, OpenRun, Pressure, QueueId, RequestSpec, RouteTable,
-    RunId, RunOutcome, StorePosition, Verdict,
+    HostIntroduction, HostPhase, HostTable, IdleLimits, OpenRun, Pressure, QueueId, RequestSpec,
+    RouteTable, RunId, RunOutcome, StorePosition, Verdict,
 };
 use daisynotch_core::{EndpointId, Timestamp};
 use daisynotch_platform::ports::{SharedPlatform, StoreEvent, StoreItem};
@@ -65,6 +65,8 @@
     pub(crate) connections: ConnectionPool,
     pub(crate) introduction: RefCell<HostIntroduction>,
     pub(crate) routes: RefCell<Option<Rc<RouteTable>>>,
+    /// Idle limits of callers' connections.
+    pub(crate) idle_limits: RefCell<IdleLimits>,
     pub(crate) endpoints: RefCell<EndpointList>,
     /// Names of the endpoints in use, for logs.
     pub(super) endpoint_names: RefCell<HashMap<EndpointId, Arc<str>>>,
@@ -125,6 +127,7 @@
             connections: ConnectionPool::default(),
             introduction: RefCell::new(introduction),
             routes: RefCell::new(None),
+            idle_limits: RefCell::default(),
             endpoints: RefCell::default(),
             endpoint_names: RefCell::default(),
             unframed_services: RefCell::default(),
@@ -271,6 +274,10 @@
             .write(Importance::Essential, "configuration", fields);
         let version = i64::try_from(table.version).unwrap_or(i64::MAX);
         self.metrics.configuration_version.set(version);
+        let idle_limit = table.limits.idle_timeout;
+        self.idle_limits
+            .borrow_mut()
+            .on_limit(idle_limit, self.now());
         self.dispatcher.borrow_mut().on_routes(&table);
         *self.routes.borrow_mut() = Some(Rc::new(table));
         self.store_view.borrow_mut().configuration = Some(text.clone());
