Ask a silent sender for as long as the request may last

Callers of an unframed response got all of it and then a break, or 502, if its sender was sound and answered the question about its end after 1.3 s: the question was asked once and given up after a second. A lost question had the same effect, even while new connections worked.

When to ask, ask again and give up is now a state machine in the core (response_end/inquiry.rs) without I/O. Silence is no evidence: the sender is asked every 400 ms on a new connection, earlier questions stay open, and the inquiry ends when the request times out. For safe requests and resumable streams that another endpoint may run it ends after 2 s and 1.4 s. Answers, refusals and the break of an earlier connection decide at once. A name on a new connection counts for a second, as before, since the next start says it, too. What is unknown at the end stays cut.

The generated histories now drive the state machine. Another 1,000 add senders that are silent for up to two seconds and configurations that drop the service: no complete response is taken for cut whose sender answers within the bound, and asking for longer takes no cut response for complete that a single question does not. In `could_answer` the first thousand is as strict as before. Found seeded faults: AskBriefly, AskOnce, TrustLateName, and a lookup in the configuration in force, which the histories bring about themselves since the lookup is the router's.

--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -53,7 +53,8 @@
 pub use node::{Input, Node, NodeSettings, Output};
 pub use placement::rendezvous;
 pub use response_end::{
-    AskedOn, BodyContent, CutReason, Delimiter, EndVerdict, EndpointStatus, SenderEvidence,
+    AskedOn, BodyContent, CutReason, Delimiter, EarlierConnection, EndVerdict, EndpointStatus,
+    Inquiry, InquiryEnd, InquiryStep, QuestionEnd, SenderEvidence,
 };
 pub use scheduler::{Scheduler, SchedulerAction, SchedulerSettings, TicketKey};
 pub use time::Timestamp;
--- a/crates/daisynotch_core/src/response_end.rs
+++ b/crates/daisynotch_core/src/response_end.rs
@@ -6,8 +6,11 @@
 //! known to be complete is incomplete: a caller can repeat a request that failed, but can't tell
 //! that a response was cut. See `docs/design/response-ends.md`.
 
+mod inquiry;
+
 use std::sync::Arc;
 
+pub use self::inquiry::{EarlierConnection, Inquiry, InquiryEnd, InquiryStep, QuestionEnd};
 use crate::seeded_fault::{SeededFault, is_seeded};
 
 /// What marks the end of a body.
--- a/crates/daisynotch_core/src/seeded_fault.rs
+++ b/crates/daisynotch_core/src/seeded_fault.rs
@@ -42,6 +42,12 @@
     IgnoreStart,
     /// A body whose sender does not answer is taken for complete.
     TrustSilence,
+    /// The sender of a body is asked for a second only.
+    AskBriefly,
+    /// The sender of a body is asked on one new connection only.
+    AskOnce,
+    /// The name of a sender on a new connection counts however late it is said.
+    TrustLateName,
 }
 
 #[cfg(feature = "seeded_faults")]
--- a/crates/daisynotch_core/tests/response_ends.rs
+++ b/crates/daisynotch_core/tests/response_ends.rs
@@ -3,13 +3,14 @@
 //!
 //! Endpoints crash, exit as planned, restart at once or later, give their address to others, go
 //! silent and reset connections, in any order and at any time of a response, while messages are
-//! held up and routers pause. The check also has to find faults that are seeded into the core.
+//! held up, routers pause and configurations drop services. The check also has to find faults that are seeded into the core.
 
 use std::sync::Arc;
 
 use daisynotch_core::seeded_fault::{SeededFault, seed};
 use daisynotch_core::{
-    AskedOn, BodyContent, CutReason, Delimiter, EndVerdict, EndpointStatus, SenderEvidence,
+    AskedOn, BodyContent, CutReason, Delimiter, EarlierConnection, EndVerdict, EndpointStatus,
+    Inquiry, InquiryEnd, InquiryStep, QuestionEnd, SenderEvidence, Timestamp,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -19,7 +20,18 @@
 const OTHER_NAME: &str = "i-2";
 const SENDER_STARTED_UNIX_MS: u64 = 1_000;
 const SENT_AT_US: u64 = 1_000_000;
+/// Time within which a sender's answer to the first question must always count.
 const ANSWER_TIMEOUT_US: u64 = 1_000_000;
+/// Time in which a name on a new connection counts.
+const NAME_TRUST_US: u64 = 1_000_000;
+/// Time that the router needs to notice that a silence has ended: to the next question, with its
+/// timeout, and to the answer.
+const RECOVERY_US: u64 = 820_000;
+const CONNECT_TIMEOUT_US: u64 = 350_000;
+/// How long the kernel resends a question on an open connection.
+const RESEND_US: u64 = 1_500_000;
+const QUIET_MAX_US: u64 = 2_000_000;
+const GIVE_UP_US: u64 = 10_000_000;
 const SETTLE_US: u64 = 2_000;
 const IDLE_MIN_US: u64 = 900_000;
 const NEVER: u64 = u64::MAX;
@@ -70,6 +82,19 @@
     /// The router reads what arrives in this time after it.
     pause_us: (u64, u64),
     witness: Witness,
+    /// The sender accepts connections in this time and answers questions after it.
+    quiet_us: (u64, u64),
+    give_up_at_us: u64,
+    /// When a new configuration drops the service.
+    dropped_at_us: u64,
+}
+
+/// The configuration in which the router looks for the way to ask a sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Lookup {
+    Arrival,
+    /// A fault of the router: the service may have been dropped since.
+    InForce,
 }
 
 #[derive(Debug, PartialEq, Eq)]
@@ -132,7 +157,25 @@
             silence_us: window(&mut rng, 0.1, 1_500_000),
             pause_us: window(&mut rng, 0.2, 3_000_000),
             witness: [Witness::AtHead, Witness::AtRequest, Witness::Idle][rng.random_range(0..3)],
+            quiet_us: (NEVER, NEVER),
+            give_up_at_us: SENT_AT_US + GIVE_UP_US,
+            dropped_at_us: NEVER,
+        }
+    }
+
+    /// Adds a sender that is silent around the end of its response and a new configuration.
+    fn disturbed(number: u64, exit: Option<Exit>) -> Self {
+        let mut history = Self::new(HISTORIES + number, exit);
+        let mut rng = StdRng::seed_from_u64(!number);
+        if rng.random_bool(0.6) {
+            let from_us = rng.random_range(history.head_at_us..=history.done_at_us + 50_000);
+            history.quiet_us = (from_us, from_us + rng.random_range(100_000..=QUIET_MAX_US));
         }
+        if rng.random_bool(0.4) {
+            history.dropped_at_us = rng.random_range(SENT_AT_US..history.done_at_us + 500_000);
+        }
+        history.give_up_at_us = SENT_AT_US + rng.random_range(3_000_000..GIVE_UP_US);
+        history
     }
 
     fn listener(&self, at_us: u64) -> Option<Listener> {
@@ -199,39 +242,129 @@
         (open_us + SETTLE_US < end_read_us).then_some((listener, open_us))
     }
 
-    /// Asks on a connection that `listener` accepted; `None` if no answer arrives in time.
-    fn ask(
+    /// Returns when the router reads the end of a question, and how it ends; `None` if never.
+    fn question(
         &self,
-        listener: Option<Listener>,
+        earlier: Option<Listener>,
         sent_at_us: u64,
         asked_on: AskedOn,
-    ) -> Option<SenderEvidence> {
+    ) -> Option<(u64, QuestionEnd)> {
         let asked_at_us = self.arrives_us(sent_at_us);
-        let listener = listener.filter(|listener| {
-            *listener != Listener::Silent && self.listener(asked_at_us) == Some(*listener)
-        })?;
-        let is_in_time = self.answers_in_time(asked_at_us, sent_at_us);
-        let status = self.status(listener);
-        is_in_time
-            .then(|| SenderEvidence::from_status(NAME, SENDER_STARTED_UNIX_MS, &status, asked_on))
+        let held_us = asked_at_us - sent_at_us;
+        let now_listens = self.listener(asked_at_us);
+        let listener = match asked_on {
+            AskedOn::EarlierConnection if held_us > RESEND_US => {
+                return Some((self.unpaused(sent_at_us + RESEND_US), QuestionEnd::Broken));
+            }
+            AskedOn::EarlierConnection if now_listens != earlier => {
+                return Some((self.read_us(asked_at_us), QuestionEnd::Broken));
+            }
+            AskedOn::NewConnection if held_us > CONNECT_TIMEOUT_US => {
+                let timed_out_us = self.unpaused(sent_at_us + CONNECT_TIMEOUT_US);
+                return Some((timed_out_us, QuestionEnd::NotReached));
+            }
+            _ => now_listens,
+        };
+        let Some(listener) = listener else {
+            return Some((self.read_us(asked_at_us), QuestionEnd::Refused));
+        };
+        let (from_us, to_us) = self.quiet_us;
+        let is_quiet = listener == Listener::Sender && (from_us..to_us).contains(&asked_at_us);
+        let answered_us = if is_quiet { to_us } else { asked_at_us };
+        match listener {
+            Listener::Silent => None,
+            Listener::Sender if self.exits_at_us <= answered_us => {
+                Some((self.read_us(self.exits_at_us), QuestionEnd::Broken))
+            }
+            Listener::Sender | Listener::NextStart | Listener::Other => {
+                let status = self.status(listener);
+                let evidence =
+                    SenderEvidence::from_status(NAME, SENDER_STARTED_UNIX_MS, &status, asked_on);
+                Some((self.read_us(answered_us), QuestionEnd::Answered(evidence)))
+            }
+        }
     }
 
-    fn evidence(&self, end_read_us: u64) -> SenderEvidence {
-        if let Some((listener, used_at_us)) = self.earlier_connection(end_read_us) {
-            let answer = self.ask(Some(listener), end_read_us, AskedOn::EarlierConnection);
-            if let Some(evidence) = answer {
-                return evidence;
+    /// Returns when the router acts on a timer.
+    fn unpaused(&self, at_us: u64) -> u64 {
+        let (from_us, to_us) = self.pause_us;
+        if (from_us..to_us).contains(&at_us) {
+            to_us
+        } else {
+            at_us
+        }
+    }
+
+    /// Asks the sender as the router does.
+    fn evidence(&self, end_read_us: u64, lookup: Lookup) -> SenderEvidence {
+        let witness = self.earlier_connection(end_read_us);
+        let earlier = match witness {
+            None => EarlierConnection::Missing,
+            Some((_, used_at_us)) if end_read_us - used_at_us < IDLE_MIN_US => {
+                EarlierConnection::UsedLately
             }
-            if end_read_us - used_at_us < IDLE_MIN_US {
-                return SenderEvidence::NoAnswer;
+            Some(_) => EarlierConnection::Idle,
+        };
+        let give_up_at = Timestamp(self.give_up_at_us);
+        let mut now_us = end_read_us;
+        let mut inquiry = Inquiry::new(Timestamp(now_us), give_up_at, self.is_engine, earlier);
+        let mut questions: Vec<(u64, AskedOn, QuestionEnd)> = Vec::new();
+        loop {
+            match inquiry.step(Timestamp(now_us)) {
+                InquiryStep::Ask(asked_on) => {
+                    let accepted_by = witness.map(|(listener, _)| listener);
+                    let is_unknown = lookup == Lookup::InForce && self.dropped_at_us <= now_us;
+                    let ended = if is_unknown {
+                        Some((now_us, QuestionEnd::Refused))
+                    } else {
+                        self.question(accepted_by, now_us, asked_on)
+                    };
+                    questions.extend(ended.map(|(end_us, end)| (end_us, asked_on, end)));
+                }
+                InquiryStep::Wait { until } => {
+                    let timer_us = self.unpaused(until.0);
+                    let next = questions
+                        .iter()
+                        .enumerate()
+                        .min_by_key(|(_, ended)| ended.0);
+                    match next.map(|(index, ended)| (index, *ended)) {
+                        // After a pause, the router may see its timers first.
+                        Some((index, (end_us, asked_on, end))) if end_us < timer_us => {
+                            questions.remove(index);
+                            now_us = now_us.max(end_us);
+                            inquiry.on_end(asked_on, end, Timestamp(now_us));
+                        }
+                        _ => now_us = now_us.max(timer_us),
+                    }
+                }
+                InquiryStep::Decided(InquiryEnd::Evidence(evidence)) => return evidence,
+                InquiryStep::Decided(InquiryEnd::Failed | InquiryEnd::TimedOut) => {
+                    return SenderEvidence::NoAnswer;
+                }
             }
         }
-        let listener = self.listener(self.arrives_us(end_read_us));
-        let answer = self.ask(listener, end_read_us, AskedOn::NewConnection);
-        answer.unwrap_or(SenderEvidence::NoAnswer)
     }
 
-    fn play(&self) -> Outcome {
+    /// Returns whether the sender lives and answers again before the router stops asking.
+    fn answers_within_bound(&self, end_read_us: u64) -> bool {
+        let ends_us = [self.silence_us.1, self.quiet_us.1, self.pause_us.1];
+        let ends_us = ends_us.into_iter().filter(|at_us| *at_us != NEVER);
+        let sound_at_us = ends_us.fold(end_read_us, u64::max) + RECOVERY_US;
+        let has_sender = matches!(
+            self.earlier_connection(end_read_us),
+            Some((Listener::Sender, _))
+        );
+        let (from_us, to_us) = self.silence_us;
+        let holds_questions = from_us != NEVER && to_us > end_read_us;
+        let asked_until_us = if self.is_engine || has_sender && !holds_questions {
+            self.give_up_at_us
+        } else {
+            self.give_up_at_us.min(end_read_us + NAME_TRUST_US)
+        };
+        sound_at_us < self.exits_at_us.min(asked_until_us)
+    }
+
+    fn play(&self, lookup: Lookup) -> Outcome {
         let closed_at_us = self.done_at_us.min(self.exits_at_us);
         if self.reset_at_us < closed_at_us {
             // A reset is a transport error, which is not judged.
@@ -247,15 +380,17 @@
         let end_read_us = self.read_us(closed_at_us);
         let verdict = EndVerdict::judge(Delimiter::Connection, content, None);
         let (verdict, evidence) = if verdict == EndVerdict::AskSender {
-            let evidence = self.evidence(end_read_us);
+            let evidence = self.evidence(end_read_us, lookup);
             let verdict = EndVerdict::judge(Delimiter::Connection, content, Some(evidence));
             (verdict, evidence)
         } else {
             (verdict, SenderEvidence::NoAnswer)
         };
         let asked_at_us = self.arrives_us(end_read_us);
-        let could_answer = self.listener(asked_at_us) == Some(Listener::Sender)
-            && self.answers_in_time(asked_at_us, end_read_us);
+        let answers_first = self.listener(asked_at_us) == Some(Listener::Sender)
+            && self.answers_in_time(asked_at_us, end_read_us)
+            && self.quiet_us.0 == NEVER;
+        let could_answer = answers_first || self.answers_within_bound(end_read_us);
         match (verdict.into_result(), is_whole) {
             (Ok(()), true) | (Err(_), false) => Outcome::Right,
             (Ok(()), false) => Outcome::CutTakenForWhole(evidence),
@@ -268,11 +403,19 @@
 fn outcomes(exit: Option<Exit>) -> impl Iterator<Item = (u64, History, Outcome)> {
     (0..HISTORIES).map(move |number| {
         let history = History::new(number, exit);
-        let outcome = history.play();
+        let outcome = history.play(Lookup::Arrival);
         (number, history, outcome)
     })
 }
 
+/// Histories in which senders fall silent and configurations change.
+fn disturbed_outcomes(exit: Option<Exit>, lookup: Lookup) -> impl Iterator<Item = (u64, Outcome)> {
+    (0..HISTORIES).map(move |number| {
+        let outcome = History::disturbed(number, exit).play(lookup);
+        (number, outcome)
+    })
+}
+
 /// A plain service says its name only, which its next start keeps.
 fn is_known_by_name_only(outcome: &Outcome) -> bool {
     *outcome == Outcome::CutTakenForWhole(SenderEvidence::SameName)
@@ -339,6 +482,69 @@
     }
 }
 
+/// Neither a silence of two seconds nor a configuration that drops its service cuts a response
+/// whose sender answers before the request times out.
+#[test]
+fn no_whole_response_is_taken_for_cut_by_a_silent_sender_or_a_new_configuration() {
+    for exit in [None, Some(Exit::Planned)] {
+        for (number, outcome) in disturbed_outcomes(exit, Lookup::Arrival) {
+            assert_ne!(outcome, Outcome::WholeTakenForCut, "{number}, {exit:?}");
+        }
+    }
+}
+
+/// Returns the histories whose cut responses are taken for whole, with the evidence.
+fn cuts_taken(exit: Option<Exit>) -> Vec<(u64, Outcome)> {
+    let outcomes = disturbed_outcomes(exit, Lookup::Arrival);
+    outcomes
+        .filter(|(_, outcome)| matches!(outcome, Outcome::CutTakenForWhole(_)))
+        .collect()
+}
+
+/// Asking again and for longer must not add to the cut responses that the first question takes for
+/// whole, which are those of services that are known by name only.
+#[test]
+fn no_cut_response_is_taken_for_whole_by_asking_for_longer() {
+    for exit in [None, Some(Exit::Crash)] {
+        seed(Some(SeededFault::AskOnce));
+        let taken_at_once = cuts_taken(exit);
+        seed(None);
+        let taken = cuts_taken(exit);
+        assert_eq!(taken, taken_at_once, "{exit:?}");
+        for (number, outcome) in &taken {
+            assert!(is_known_by_name_only(outcome), "{number}, {exit:?}");
+        }
+    }
+}
+
+#[test]
+fn no_cut_response_of_a_silent_sender_is_taken_for_whole_where_only_the_name_is_known() {
+    let taken = [None, Some(Exit::Crash)].map(cuts_taken);
+    assert!(taken.iter().all(Vec::is_empty), "{taken:?}");
+}
+
+/// Faults that take whole responses for cut, and the trust in a name that is said late.
+#[test]
+fn seeded_faults_of_inquiries_are_found() {
+    let is_found = |lookup, is_error: fn(&Outcome) -> bool| {
+        let crashes = disturbed_outcomes(Some(Exit::Crash), lookup);
+        let mut outcomes = disturbed_outcomes(None, lookup).chain(crashes);
+        outcomes.any(|(_, outcome)| is_error(&outcome))
+    };
+    let is_whole_cut: fn(&Outcome) -> bool = |outcome| *outcome == Outcome::WholeTakenForCut;
+    assert!(is_found(Lookup::InForce, is_whole_cut));
+    for (fault, is_error) in [
+        (SeededFault::AskBriefly, is_whole_cut),
+        (SeededFault::AskOnce, is_whole_cut),
+        (SeededFault::TrustLateName, is_known_by_name_only),
+    ] {
+        seed(Some(fault));
+        let is_fault_found = is_found(Lookup::Arrival, is_error);
+        seed(None);
+        assert!(is_fault_found, "{fault:?}");
+    }
+}
+
 /// Partial events are cut whatever the sender says, and framed bodies need no sender.
 #[test]
 fn content_and_framing_go_before_the_sender() {
