Continue a stream only with the event that follows

A stream had begun and broke off, and the next endpoint answered with an error. Callers found the error's text or head in the middle of their stream, or the stream ended as if it were complete.

Cause: a response was taken for the continuation if its status was any success, and whatever it held up to a blank line was passed on as events. An end without an event counted as that of the whole stream, because the events of the whole call were counted. Nothing checked the events themselves, so bytes within the first response, such as the head of an error, were passed on too.

The core decides now what may follow event N: an event of known fields with the number N + 1, or any higher one where the endpoint skipped numbers itself. The resumed response needs the status and, if both name one, the media type of the first. Everything else ends that endpoint's part; the stream goes on at a third endpoint while a retry is left, or breaks.

A resumed response without an event breaks the stream as well, also if the break came after the last event: nothing tells which event is the last, and a caller can repeat a stream that broke but can't see that one lacks its end. Streams whose events have no numbers are passed on as before and are not resumed, because nothing tells where they go on. Text without a line break that an endpoint writes into the data of an event can't be told from data.

--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -12,6 +12,7 @@
 mod endpoints;
 mod engine;
 mod event_framer;
+mod event_order;
 mod exchange;
 mod health;
 mod hosts;
@@ -40,6 +41,7 @@
 pub use dispatcher::Dispatcher;
 pub use endpoints::{DepartedEndpoint, EndpointChange, EndpointEntry, EndpointList, EndpointState};
 pub use event_framer::EventFramer;
+pub use event_order::EventError;
 pub use exchange::{Exchange, OwnRole, Recipients};
 pub use hosts::{Host, HostTable};
 pub use idle_limits::IdleLimits;
--- a/crates/daisynotch_core/src/direct/event_framer.rs
+++ b/crates/daisynotch_core/src/direct/event_framer.rs
@@ -6,33 +6,59 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// The longest line that is searched for an event identifier.
-const ID_LINE_MAX_BYTES: usize = 128;
+use super::event_order::{EventError, EventOrder};
 
 /// Buffers an incomplete event until the rest of it arrives.
 #[derive(Debug, Default)]
 pub struct EventFramer {
     partial: BytesMut,
-    last_id: Option<String>,
+    order: EventOrder,
+    error: Option<EventError>,
     events: u64,
 }
 
 impl EventFramer {
-    /// Appends bytes and returns all events that are now complete.
+    /// Continues after an event that the caller received in an earlier response.
+    pub fn after(last_id: Option<&str>) -> Self {
+        Self {
+            order: EventOrder::after(last_id),
+            ..Self::default()
+        }
+    }
+
+    /// Appends bytes and returns all events that are now complete, up to the first one that does
+    /// not follow the events before it.
     pub fn push(&mut self, bytes: &Bytes) -> Bytes {
+        if self.error.is_some() {
+            return Bytes::new();
+        }
         let search_start = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(bytes);
         let Some(end) = last_event_end(&self.partial, search_start) else {
             return Bytes::new();
         };
-        let complete = self.partial.split_to(end).freeze();
-        self.scan_events(&complete);
+        let mut complete = self.partial.split_to(end).freeze();
+        let accepted = self.accept_events(&complete);
+        complete.truncate(accepted);
         complete
     }
 
-    /// Discards an incomplete event that another endpoint will send again.
-    pub fn drop_partial(&mut self) {
+    /// Returns why the bytes after the last returned event are not part of the stream.
+    pub fn error(&self) -> Option<EventError> {
+        self.error
+    }
+
+    /// Discards an incomplete event, and expects the event after the last complete one from
+    /// another endpoint.
+    pub fn resume(&mut self) {
         self.partial.clear();
+        self.error = None;
+        self.order.resume();
+    }
+
+    /// Returns whether the endpoint that resumes the stream has sent no event.
+    pub fn is_resuming(&self) -> bool {
+        self.order.is_resuming()
     }
 
     /// Returns the length of the incomplete event, in bytes.
@@ -47,7 +73,7 @@
 
     /// Returns the latest identifier in the complete events.
     pub fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
+        self.order.last_id()
     }
 
     /// Returns the number of complete events.
@@ -55,23 +81,26 @@
         self.events
     }
 
-    fn scan_events(&mut self, complete: &[u8]) {
+    /// Returns the length of the events that follow the ones before them.
+    fn accept_events(&mut self, complete: &[u8]) -> usize {
+        let (mut accepted, mut position) = (0, 0);
         let mut has_content = false;
-        for line in complete.split(|byte| *byte == b'\n') {
-            let line = line.strip_suffix(b"\r").unwrap_or(line);
-            if line.is_empty() {
-                self.events += u64::from(has_content);
-                has_content = false;
+        for line in complete.split_inclusive(|byte| *byte == b'\n') {
+            position += line.len();
+            if !matches!(line, b"\n" | b"\r\n") {
+                has_content = true;
                 continue;
             }
-            has_content = true;
-            if line.len() <= ID_LINE_MAX_BYTES
-                && let Some(id) = line.strip_prefix(b"id:")
-                && let Ok(id) = std::str::from_utf8(id)
-            {
-                self.last_id = Some(id.strip_prefix(' ').unwrap_or(id).to_owned());
+            if std::mem::take(&mut has_content) {
+                if let Err(error) = self.order.accept(&complete[accepted..position]) {
+                    self.error = Some(error);
+                    return accepted;
+                }
+                self.events += 1;
             }
+            accepted = position;
         }
+        accepted
     }
 }
 
--- a/crates/daisynotch_core/src/direct/event_framer/tests.rs
+++ b/crates/daisynotch_core/src/direct/event_framer/tests.rs
@@ -9,7 +9,7 @@
     assert_eq!(&complete[..], b"id: 1\ndata: a\n\n");
     assert_eq!(framer.last_id(), Some("1"));
     assert!(!framer.is_at_boundary());
-    framer.drop_partial();
+    framer.resume();
     let complete = framer.push(&Bytes::from_static(b"id: 2\ndata: b\n\n"));
     assert_eq!(&complete[..], b"id: 2\ndata: b\n\n");
     assert_eq!((framer.last_id(), framer.events()), (Some("2"), 2));
@@ -42,3 +42,22 @@
     assert_eq!((framer.events(), framer.partial_len()), (1, 4));
     assert!(!framer.is_at_boundary());
 }
+
+/// What follows the first bytes that are no event is not passed on, however it is cut.
+#[test]
+fn bytes_that_are_no_event_end_the_stream() {
+    let stream = b"id: 1\ndata: a\n\nHTTP/1.1 500 Error\r\n\r\nid: 2\ndata: b\n\n";
+    for cut in 0..stream.len() {
+        let mut framer = EventFramer::default();
+        let mut forwarded = Vec::new();
+        for piece in [&stream[..cut], &stream[cut..]] {
+            forwarded.extend_from_slice(&framer.push(&Bytes::copy_from_slice(piece)));
+        }
+        assert_eq!(forwarded, b"id: 1\ndata: a\n\n", "cut at {cut}");
+        assert_eq!(framer.error(), Some(EventError::Malformed));
+        framer.resume();
+        let event = Bytes::from_static(b"id: 2\ndata: b\n\n");
+        assert_eq!(framer.push(&event), event);
+        assert_eq!((framer.last_id(), framer.error()), (Some("2"), None));
+    }
+}
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -7,6 +7,8 @@
 use daisynotch_core::BodyContent;
 use daisynotch_core::direct::{EventFramer, RouteKind, RunOutcome};
 use http_body_util::BodyExt;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::http::response::Parts as ResponseHead;
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -53,7 +55,8 @@
 }
 
 async fn relay(mut call: Call, mut started: StartedResponse, chunks: ChunkSender) {
-    let mut framer = EventFramer::default();
+    let mut framer = EventFramer::after(call.marks.resume_after.as_deref());
+    let first_head = started.head.clone();
     loop {
         let outcome = relay_from_endpoint(&mut call, &mut started, &mut framer, &chunks).await;
         let may_continue = match outcome {
@@ -94,30 +97,73 @@
             truncate(&call, &chunks, "broke_off").await;
             return;
         }
-        framer.drop_partial();
+        framer.resume();
         let resume_after = framer.last_id().map(str::to_owned);
         let next = tokio::select! {
-            next = call.start_response(resume_after.as_deref()) => next,
+            next = resume(&mut call, &first_head, resume_after.as_deref()) => next,
             () = chunks.closed() => {
                 call.log_end("caller_left", StatusCode::OK);
                 return;
             }
         };
         started = match next {
-            Ok(next) if next.head.status.is_success() => next,
-            Ok(next) => {
-                next.guard.end(RunOutcome::ErrorAnswer);
-                truncate(&call, &chunks, "not_continued").await;
-                return;
-            }
-            Err(response) => {
-                truncate(&call, &chunks, response.reason).await;
+            Ok(next) => next,
+            Err(outcome) => {
+                truncate(&call, &chunks, outcome).await;
                 return;
             }
         };
     }
 }
 
+/// Sends the request to other endpoints until one resumes the stream. The error is the outcome of
+/// the request.
+async fn resume(
+    call: &mut Call,
+    first_head: &ResponseHead,
+    resume_after: Option<&str>,
+) -> Result<StartedResponse, &'static str> {
+    loop {
+        let next = call.start_response(resume_after).await;
+        let next = next.map_err(|response| response.reason)?;
+        if is_head_of_same_stream(first_head, &next.head) {
+            return Ok(next);
+        }
+        next.guard.end(RunOutcome::ErrorAnswer);
+        let reason = format!("status {}: does not resume the stream", next.head.status);
+        call.history.failures.push(reason);
+        if !call.take_retry() {
+            return Err("not_continued");
+        }
+    }
+}
+
+/// Returns whether the body of a later response may be part of the stream that an earlier one
+/// began.
+fn is_head_of_same_stream(first: &ResponseHead, next: &ResponseHead) -> bool {
+    let content_types = (
+        first.headers.get(CONTENT_TYPE),
+        next.headers.get(CONTENT_TYPE),
+    );
+    let is_same_type = match content_types {
+        (Some(first), Some(next)) => media_type(first) == media_type(next),
+        // Responses whose end is that of their connection may come without a type.
+        (None, _) | (_, None) => true,
+    };
+    next.status == first.status && is_same_type
+}
+
+/// Returns the media type of a `Content-Type` value, without its parameters.
+fn media_type(value: &HeaderValue) -> String {
+    let value = String::from_utf8_lossy(value.as_bytes()).to_ascii_lowercase();
+    value
+        .split(';')
+        .next()
+        .unwrap_or_default()
+        .trim()
+        .to_owned()
+}
+
 async fn truncate(call: &Call, chunks: &ChunkSender, outcome: &str) {
     call.log_end(outcome, StatusCode::OK);
     // Sending fails if the caller has left, which needs no handling.
@@ -162,6 +208,11 @@
                 call.report_broken(started);
                 return StreamEnd::Broken(format!("the stream failed: {error}"));
             }
+            // Whether anything is left of the stream is not known without an event.
+            None if framer.is_resuming() => {
+                call.report_broken(started);
+                return StreamEnd::Broken("the resumed response has no event".to_owned());
+            }
             None => {
                 let content = body_content(call, framer);
                 let judged = tokio::select! {
@@ -191,15 +242,18 @@
         if framer.partial_len() > EVENT_MAX_BYTES {
             return StreamEnd::Broken(format!("an event exceeds {EVENT_MAX_BYTES} bytes"));
         }
-        if complete_events.is_empty() {
-            continue;
+        if !complete_events.is_empty() {
+            let sent = tokio::select! {
+                sent = chunks.send(Ok(complete_events)) => sent,
+                () = tokio::time::sleep_until(call.give_up_at) => return StreamEnd::TimedOut,
+            };
+            if sent.is_err() {
+                return StreamEnd::CallerLeft;
+            }
         }
-        let sent = tokio::select! {
-            sent = chunks.send(Ok(complete_events)) => sent,
-            () = tokio::time::sleep_until(call.give_up_at) => return StreamEnd::TimedOut,
-        };
-        if sent.is_err() {
-            return StreamEnd::CallerLeft;
+        if let Some(error) = framer.error() {
+            call.report_broken(started);
+            return StreamEnd::Broken(format!("the stream is invalid: {error}"));
         }
     }
 }
