Pass on 408, 429 and 503 only for requests that have not run

An endpoint that ran a request and answered it with one of these statuses made callers believe that the request had not run: they send such a request again, and it runs twice.

Cause: a signed response was passed on whatever its status, also one that callers take for a promise, and only endpoints that mark a response as not run give that promise.

Evidence: on the code before, `refusal_of_a_request_that_ran_is_not_passed_on` fails with "/once/1 HTTP/1.1 503 Fu: 503, 1 runs" "/stream/1 HTTP/1.1 429 To: 429, 1 runs" "/once/1 HTTP/1.1 408 La: 408, 1 runs" and eight more of twelve. Without the endpoint's mark, such a response ends the send as one of which nothing is known: 502, or another endpoint for what may be repeated. 421 stays a refusal without the mark, as the protocol says.

--- a/crates/daisynotch_router/src/direct/send.rs
+++ b/crates/daisynotch_router/src/direct/send.rs
@@ -25,6 +25,12 @@
 /// Timeout of an attempt at a request that may be repeated and is not a stream, as a multiple
 /// of the route's latency objective.
 const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 2.5;
+/// Statuses that callers take for a promise that the request has not run.
+const REFUSAL_STATUSES: [StatusCode; 3] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
 
 /// Why a send produced no response that can be forwarded.
 pub(super) enum SendFailure {
@@ -226,6 +232,11 @@
                 .map_or(RunOutcome::Refused, |_| RunOutcome::PushedBack);
             return Err(SendFailure::NotRun(ended, format!("status {status}")));
         }
+        if REFUSAL_STATUSES.contains(&status) {
+            return broken(
+                "the response is a refusal and does not say that the request has not run",
+            );
+        }
         if !marks.is_signed {
             return broken("the response is not signed");
         }
