End handshakes before a listener closes

What callers saw: a reset of a connection that completed between the last look at the accept queue and the close of the listener, while a router paused accepting or left.

Cause: closing a listening socket resets what is in its queue, and the kernel goes on to complete handshakes until the close.

A packet filter on the listening socket now drops segments that open a connection. Handshakes that have begun get 5 ms to complete, then the queue is emptied and the socket closed. A caller that is ignored has no connection and has sent nothing; its kernel tries again after a second. What remains: a handshake of over 5 ms, that is a lost or slow segment, is still reset, and where the kernel refuses the filter everything is as before (a warning says so).

--- a/crates/daisynotch_router/src/direct/ingress.rs
+++ b/crates/daisynotch_router/src/direct/ingress.rs
@@ -83,13 +83,13 @@
         };
         if let Some(pause) = pause {
             router.metrics.listener_pauses.inc();
-            refuse_pending(&router, &listener);
+            refuse_pending(&router, &listener).await;
             listener = listener.close_for(pause).await;
         }
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = wait_until_closing(&mut leave_stage), if kind == ListenerKind::Callers => {
-                refuse_pending(&router, &listener);
+                refuse_pending(&router, &listener).await;
                 return;
             }
         };
@@ -120,11 +120,9 @@
 }
 
 /// Refuses the connections that the kernel has already accepted, which closing the listener
-/// would reset.
-///
-/// More connections may arrive meanwhile. This function therefore returns only when none is
-/// pending, and `accept` closes the listener right after.
-fn refuse_pending(router: &Router, listener: &Listener) {
+/// would reset, and has it accept no more.
+async fn refuse_pending(router: &Router, listener: &Listener) {
+    listener.end_handshakes().await;
     loop {
         let waiting = listener.accept_pending();
         if waiting.is_empty() {
--- a/crates/daisynotch_router/src/direct/listener.rs
+++ b/crates/daisynotch_router/src/direct/listener.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpStream as StdTcpStream};
 use std::time::Duration;
 
-use socket2::SockRef;
+use socket2::{SockFilter, SockRef};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::connections::{TCP_USER_TIMEOUT, set_socket_options};
@@ -13,6 +13,20 @@
 /// Maximum number of connections that are taken from the kernel's accept queue at once; the
 /// queue usually holds half as many.
 const PENDING_MAX: usize = 256;
+/// How long a handshake that has begun may take to complete: many round trips in a zone.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(5);
+/// Filter that drops segments that open a connection, in the kernel's classic BPF. Such a filter
+/// sees a segment from its TCP header on; byte 13 holds the flags.
+const DROP_SYNS: [SockFilter; 5] = [
+    // Load the flags.
+    SockFilter::new(0x30, 0, 0, 13),
+    // Keep SYN and ACK.
+    SockFilter::new(0x54, 0, 0, 0x12),
+    // If only SYN is set, go to the next line, otherwise skip it.
+    SockFilter::new(0x15, 0, 1, 0x02),
+    SockFilter::new(0x06, 0, 0, 0),
+    SockFilter::new(0x06, 0, 0, u32::MAX),
+];
 /// Pause before another attempt to listen on the address again.
 const REOPEN_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -59,6 +73,18 @@
         Ok(stream)
     }
 
+    /// Has the kernel ignore new connections and waits for those whose handshakes have begun.
+    ///
+    /// Closing the socket resets connections that complete after the accept queue was emptied, and
+    /// their callers may have sent a request by then. A caller that is ignored has no connection
+    /// yet: it tries again after a second.
+    pub(crate) async fn end_handshakes(&self) {
+        if let Err(error) = SockRef::from(&self.socket).attach_filter(&DROP_SYNS) {
+            log::warn!("closing a listener may reset new connections: {error}");
+        }
+        tokio::time::sleep(HANDSHAKE_TIME).await;
+    }
+
     /// Returns the connections in the kernel's accept queue.
     ///
     /// This calls the kernel directly, since the runtime may not know about the latest
--- a/crates/daisynotch_router/src/direct/listener/tests.rs
+++ b/crates/daisynotch_router/src/direct/listener/tests.rs
@@ -46,3 +46,73 @@
     assert!(listener.accept_pending().is_empty());
     drop((first, waiting, callers));
 }
+
+/// Guards against connections that complete between the last look at the accept queue and the
+/// close of the listener, which resets them.
+#[tokio::test]
+async fn connections_that_race_with_closings_are_answered() {
+    use std::io::{Read, Write};
+    use std::sync::Arc;
+    use std::sync::atomic::{AtomicBool, Ordering};
+
+    let mut listener = listener().await;
+    let address = listener.address;
+    let is_over = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..4)
+        .map(|_| {
+            let is_over = Arc::clone(&is_over);
+            std::thread::spawn(move || {
+                let (mut answered, mut lost) = (0, 0);
+                while !is_over.load(Ordering::Relaxed) {
+                    let timeout = Duration::from_millis(20);
+                    let Ok(mut stream) = StdTcpStream::connect_timeout(&address, timeout) else {
+                        continue;
+                    };
+                    let mut byte = [0];
+                    let is_answered =
+                        stream.write_all(b"a").is_ok() && matches!(stream.read(&mut byte), Ok(1));
+                    if is_answered {
+                        answered += 1;
+                    } else {
+                        lost += 1;
+                    }
+                }
+                (answered, lost)
+            })
+        })
+        .collect();
+    for _ in 0..300 {
+        for _ in 0..5 {
+            answer_pending(&listener);
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        listener.end_handshakes().await;
+        while answer_pending(&listener) > 0 {}
+        listener = listener.close_for(Duration::from_millis(1)).await;
+    }
+    is_over.store(true, Ordering::Relaxed);
+    listener.end_handshakes().await;
+    while answer_pending(&listener) > 0 {}
+    drop(listener);
+    let (answered, lost) = callers
+        .into_iter()
+        .map(|caller| caller.join().unwrap())
+        .fold((0, 0), |sum, (answered, lost)| {
+            (sum.0 + answered, sum.1 + lost)
+        });
+    assert!(lost == 0, "{lost} lost, {answered} answered");
+    assert!(answered > 100, "{answered} answered");
+}
+
+/// Answers the connections in the accept queue; returns their number.
+fn answer_pending(listener: &Listener) -> usize {
+    use std::io::{Read, Write};
+
+    let pending = listener.accept_pending();
+    for mut stream in &pending {
+        stream.set_nonblocking(false).unwrap();
+        let _ = stream.read(&mut [0]);
+        stream.write_all(b"b").unwrap();
+    }
+    pending.len()
+}
