Leave a silent endpoint only once another one has taken the request

Callers got 502, or a stream that was cut, while the endpoint that had their request was only silent for a second or so and would have answered. A run was ended when its endpoint counted as silent, before it was known whether another endpoint takes the request. If none did (no other endpoint, no room, refused), the caller got the error; a spent retry budget was an error at once.

A request now asks the dispatcher for a place elsewhere while its run goes on. The place is granted only where the request can be sent at once and a retry is in the budget; otherwise the request looks again later. Requests that may not be repeated stay where they are, as before.

--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod decision;
+mod moves;
 
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/crates/daisynotch_core/src/direct/dispatcher/decision.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/decision.rs
@@ -1,11 +1,12 @@
 //! The decision on one queued request: send it, refuse it or leave it queued.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use super::{Dispatcher, Unplaced};
 use crate::direct::crash_evidence::Assessment;
-use crate::direct::placement::{Candidate, cross_zone_cost_ms, evaluate_endpoint, tie_break_ms};
+use crate::direct::placement::{
+    Candidate, ServiceLatency, cross_zone_cost_ms, evaluate_endpoint, tie_break_ms,
+};
 use crate::direct::request::{RefuseReason, RequestSpec, Verdict};
 use crate::direct::waiting::{Rank, Waiting};
 use crate::time::Timestamp;
@@ -38,7 +39,7 @@
 const RETRY_AFTER_RANGE_MS: (f64, f64) = (150.0, 2_000.0);
 
 /// The decision on a request of a plain service.
-enum PlainDecision {
+pub(super) enum PlainDecision {
     Send,
     Wait,
     Refuse { retry_after_ms: f64 },
@@ -73,7 +74,7 @@
         waited.as_secs_f64() * 1e3 + base_ms > self.planned_ms(spec)
     }
 
-    fn has_engines(&self, service: &str) -> bool {
+    pub(super) fn has_engines(&self, service: &str) -> bool {
         self.engine_limits.get(service).is_some_and(Option::is_some)
     }
 
@@ -205,7 +206,7 @@
     /// When more requests arrive than the endpoints can answer, a request that can't meet its
     /// objective is refused, because queueing it would make all later requests late too. If no
     /// request can meet its objective, free slots are still used but no queue builds up.
-    fn decide_plain(
+    pub(super) fn decide_plain(
         &self,
         spec: &RequestSpec,
         choice: Option<&Candidate>,
@@ -252,9 +253,29 @@
     /// candidate. Suspect endpoints are only probed: one is chosen if there is still none and its
     /// last probe is older than [`PROBE_INTERVAL`].
     fn choose_endpoint(&mut self, spec: &RequestSpec, now: Timestamp) -> Option<Candidate> {
-        let ids = self.endpoints_by_service.get(&spec.service)?;
-        self.latencies.entry(Arc::clone(&spec.service)).or_default();
-        let latency = &self.latencies[&spec.service];
+        let (best, fallback) = self.find_candidates(spec, now);
+        if best.is_none()
+            && let Some(probe) = &fallback
+            && let Some(load) = self.endpoints.get_mut(&probe.endpoint)
+        {
+            load.probed_at = now;
+        }
+        best.or(fallback)
+    }
+
+    /// Finds the endpoint with the lowest cost, among those that are not suspect and among those
+    /// that are due to be probed.
+    pub(super) fn find_candidates(
+        &self,
+        spec: &RequestSpec,
+        now: Timestamp,
+    ) -> (Option<Candidate>, Option<Candidate>) {
+        let Some(ids) = self.endpoints_by_service.get(&spec.service) else {
+            return (None, None);
+        };
+        let initial_latency = ServiceLatency::default();
+        let latency = self.latencies.get(&spec.service);
+        let latency = latency.unwrap_or(&initial_latency);
         let session = spec.parts.iter().rev().nth(1).or(spec.parts.first());
         let session = session.map_or(0, |part| part.id);
         let mut best: Option<Candidate> = None;
@@ -292,13 +313,6 @@
                 *current = Some(candidate);
             }
         }
-        let best = best.or(reserved);
-        if best.is_none()
-            && let Some(probe) = &fallback
-            && let Some(load) = self.endpoints.get_mut(&probe.endpoint)
-        {
-            load.probed_at = now;
-        }
-        best.or(fallback)
+        (best.or(reserved), fallback)
     }
 }
--- a/crates/daisynotch_core/src/direct/dispatcher/extreme_tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/extreme_tests.rs
@@ -120,7 +120,7 @@
                     slots: values.number(),
                     memory_tokens: values.wide(),
                 };
-                let mut service = ServiceView::clone(&table.service("models").unwrap());
+                let mut service = ServiceView::clone(table.service("models").unwrap());
                 service.engine = (values.below(4) > 0).then_some(engine);
                 service.connections_max = values.number();
                 table.add_service(service);
--- a/crates/daisynotch_core/src/direct/retry_budget.rs
+++ b/crates/daisynotch_core/src/direct/retry_budget.rs
@@ -67,17 +67,22 @@
 
     /// Takes one retry from the budget; returns `false` if the budget is spent.
     pub fn try_take(&mut self, service: &Arc<str>, routers: usize, now: Timestamp) -> bool {
+        let is_allowed = self.has_retry(service, routers, now);
+        if is_allowed && let Some(window) = self.services.get_mut(service) {
+            window.retries.push_back(now);
+        }
+        is_allowed
+    }
+
+    /// Returns whether a retry is left in the budget.
+    pub fn has_retry(&mut self, service: &Arc<str>, routers: usize, now: Timestamp) -> bool {
         let settings = self.settings;
         let window = self.services.entry(Arc::clone(service)).or_default();
         window.trim(now, settings.window);
         let own_allowance = settings.allowance / routers.max(1) as f64;
         let budget =
             USABLE_FRACTION * (settings.ratio * window.requests.len() as f64 + own_allowance);
-        let is_allowed = ((window.retries.len() + 1) as f64) <= budget;
-        if is_allowed {
-            window.retries.push_back(now);
-        }
-        is_allowed
+        ((window.retries.len() + 1) as f64) <= budget
     }
 }
 
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -17,6 +17,7 @@
 mod inquiry;
 mod listener;
 mod metrics;
+mod moves;
 mod peers;
 mod request_end;
 mod response;
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -25,7 +25,7 @@
 
 use super::event_log::Importance;
 use super::response::{LocalResponse, ResponseBody, strip_connection_headers};
-use super::send::{SendFailure, StartedResponse};
+use super::send::{Attempt, Place, SendFailure, StartedResponse};
 use super::state::Router;
 use super::{full_relay, stream_relay};
 
@@ -104,6 +104,17 @@
     pub(super) refusal_basis: Option<(u32, Option<Duration>)>,
 }
 
+impl RequestHistory {
+    /// Records that the request is at an endpoint.
+    pub(super) fn on_send(&mut self, grant: &Grant) {
+        self.last_endpoint = Some(Arc::clone(&grant.endpoint_name));
+        self.expected = grant.expected;
+        self.cached_tokens = grant.cached_tokens;
+        self.tokens_ahead = grant.tokens_ahead;
+        self.is_at_endpoint = true;
+    }
+}
+
 /// Handles a caller's request.
 ///
 /// `is_admitted` is set unless the connection is older than the router's current overload.
@@ -311,18 +322,26 @@
     pub(super) async fn start_response(
         &mut self,
         resume_after: Option<&str>,
+    ) -> Result<StartedResponse, LocalResponse> {
+        self.continue_response(None, resume_after).await
+    }
+
+    /// Like [`Self::start_response`], but another endpoint may already have the request.
+    pub(super) async fn continue_response(
+        &mut self,
+        mut moved: Option<Attempt>,
+        resume_after: Option<&str>,
     ) -> Result<StartedResponse, LocalResponse> {
         loop {
-            let grant = self.wait_for_grant().await?;
-            self.spec.tried.push(grant.endpoint);
-            self.history.last_endpoint = Some(Arc::clone(&grant.endpoint_name));
-            self.history.expected = grant.expected;
-            self.history.cached_tokens = grant.cached_tokens;
-            self.history.tokens_ahead = grant.tokens_ahead;
+            let attempt = match moved.take() {
+                Some(attempt) => attempt,
+                None => {
+                    let place = self.wait_for_place().await?;
+                    self.start_attempt(place, resume_after)
+                }
+            };
+            let (grant, sent) = self.finish_attempt(attempt, resume_after).await;
             let endpoint_name = Arc::clone(&grant.endpoint_name);
-            self.history.is_at_endpoint = true;
-            let sent = self.send(grant.clone(), resume_after).await;
-            self.history.is_at_endpoint = false;
             match sent {
                 Ok(started) => {
                     self.history.runs += 1;
@@ -354,12 +373,6 @@
                         ));
                     }
                 }
-                Err(SendFailure::Silent) => {
-                    self.history
-                        .failures
-                        .push(format!("{endpoint_name}: the endpoint went silent"));
-                    self.history.runs += 1;
-                }
                 Err(SendFailure::TimedOut) => {
                     self.history
                         .failures
@@ -402,7 +415,7 @@
         LocalResponse::with_retry_after(StatusCode::SERVICE_UNAVAILABLE, reason, after)
     }
 
-    async fn wait_for_grant(&mut self) -> Result<Grant, LocalResponse> {
+    async fn wait_for_place(&mut self) -> Result<Place, LocalResponse> {
         let began_at = Instant::now();
         let mut queued = self.router.submit(self.spec.clone());
         let verdict = tokio::time::timeout_at(self.give_up_at, &mut queued.verdict).await;
@@ -412,7 +425,10 @@
         self.history.digests_age = self.router.hosts.borrow().oldest_load_age(now);
         self.router.metrics.wait.observe(waited.as_secs_f64());
         match verdict {
-            Ok(Ok(Verdict::Send(grant))) => Ok(grant),
+            Ok(Ok(Verdict::Send(grant))) => Ok(Place {
+                guard: self.router.guard_run(grant.run),
+                grant,
+            }),
             Ok(Ok(Verdict::Refuse {
                 reason,
                 retry_after,
--- a/crates/daisynotch_router/src/direct/send.rs
+++ b/crates/daisynotch_router/src/direct/send.rs
@@ -1,11 +1,13 @@
 //! Sends a request to one endpoint and checks the head of the response.
 
-use std::time::Duration;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use daisynotch_core::Delimiter;
-use daisynotch_core::direct::{Grant, RouteKind, RunOutcome};
+use daisynotch_core::direct::{Grant, RunOutcome};
 use daisynotch_platform::ports::EndpointRequestHeaders;
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
@@ -16,15 +18,10 @@
 use super::connections::{Connection, SendError};
 use super::forward::Call;
 use super::response::strip_connection_headers;
-use super::state::RunGuard;
+use super::state::{Router, RunGuard};
 use super::witness::Witness;
 use crate::delimiter::body_delimiter;
 
-/// Interval at which a waiting resumable stream checks whether its endpoint went silent.
-pub(super) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Timeout of an attempt at a request that may be repeated and is not a stream, as a multiple
-/// of the route's latency objective.
-const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 2.5;
 /// Statuses that callers take for a promise that the request has not run.
 const REFUSAL_STATUSES: [StatusCode; 3] = [
     StatusCode::REQUEST_TIMEOUT,
@@ -40,8 +37,32 @@
     Unknown(RunOutcome, String),
     /// The request's deadline passed.
     TimedOut,
-    /// The endpoint went silent, and another one may be tried.
-    Silent,
+}
+
+/// A place that a request was granted at an endpoint; dropping it gives it back.
+pub(super) struct Place {
+    pub(super) grant: Grant,
+    pub(super) guard: RunGuard,
+}
+
+pub(super) type ExchangeResult = Result<(Response<Incoming>, Connection), SendFailure>;
+
+/// A request at an endpoint that has not begun to respond.
+pub(super) struct Attempt {
+    pub(super) grant: Grant,
+    pub(super) guard: RunGuard,
+    pub(super) sent_at: Instant,
+    pub(super) arrival: Arrival,
+}
+
+/// The response that an attempt waits for.
+pub(super) struct Arrival {
+    exchange: LocalBoxFuture<'static, ExchangeResult>,
+    /// A response that has arrived and was checked.
+    pub(super) checked: Option<(Response<Incoming>, Connection)>,
+    /// A second connection to the endpoint, if its service sends responses that end with their
+    /// connection.
+    witness: Option<Witness>,
 }
 
 /// A response of which the head has arrived.
@@ -55,45 +76,78 @@
     pub(super) witness: Option<Witness>,
 }
 
+impl Arrival {
+    /// Waits until the exchange has ended, whose result is kept.
+    pub(super) async fn until_ready(&mut self) {
+        let sent = Witness::observe(&mut self.witness, &mut self.exchange).await;
+        self.exchange = std::future::ready(sent).boxed_local();
+    }
+}
+
 impl Call {
-    /// Sends the request to the endpoint that a grant names.
-    pub(super) async fn send(
+    /// Starts to send the request to the endpoint at which it has a place.
+    pub(super) fn start_attempt(&mut self, place: Place, resume_after: Option<&str>) -> Attempt {
+        let Place { grant, guard } = place;
+        // What failed one run, a late answer or a silent path, may wait on other idle connections.
+        let may_reuse = self.history.runs == 0 && !self.history.is_at_endpoint;
+        self.spec.tried.push(grant.endpoint);
+        self.history.on_send(&grant);
+        let witness = self.witness_for_request(&grant);
+        let endpoint_request = self.endpoint_request(&grant, resume_after);
+        let router = Rc::clone(&self.router);
+        let exchange = exchange(router, grant.clone(), endpoint_request, may_reuse);
+        Attempt {
+            grant,
+            guard,
+            sent_at: Instant::now(),
+            arrival: Arrival {
+                exchange: exchange.boxed_local(),
+                checked: None,
+                witness,
+            },
+        }
+    }
+
+    /// Waits for the head of the response and checks it.
+    pub(super) async fn until_response(
+        &self,
+        grant: &Grant,
+        arrival: &mut Arrival,
+    ) -> ExchangeResult {
+        if let Some(checked) = arrival.checked.take() {
+            return Ok(checked);
+        }
+        let exchange = Witness::observe(&mut arrival.witness, &mut arrival.exchange);
+        let sent = tokio::time::timeout_at(self.give_up_at, exchange).await;
+        let (response, connection) = sent.map_err(|_| SendFailure::TimedOut)??;
+        self.check_response(grant, &response)?;
+        Ok((response, connection))
+    }
+
+    /// Returns a response of which the head has arrived, or ends the run that produced none.
+    pub(super) fn settle_attempt(
         &mut self,
-        grant: Grant,
-        resume_after: Option<&str>,
+        attempt: Attempt,
+        sent: ExchangeResult,
     ) -> Result<StartedResponse, SendFailure> {
-        let guard = self.router.guard_run(grant.run);
-        let sent_at = Instant::now();
-        let mut witness = self.witness_for_request(&grant);
-        let attempt_timeout = self.attempt_timeout(&guard, &grant);
-        let exchange = Witness::observe(&mut witness, self.exchange(&grant, resume_after));
-        let sent = tokio::select! {
-            sent = tokio::time::timeout_at(self.give_up_at, exchange) => sent,
-            () = attempt_timeout => {
-                guard.end(RunOutcome::Broken);
-                return if self.spend_retry_budget() {
-                    Err(SendFailure::Silent)
-                } else {
-                    let reason = "the endpoint went silent and the retry budget is spent".to_owned();
-                    Err(SendFailure::Unknown(RunOutcome::Broken, reason))
-                };
-            }
-        };
+        let Attempt {
+            grant,
+            guard,
+            sent_at,
+            arrival: Arrival { mut witness, .. },
+        } = attempt;
         let (response, connection) = match sent {
-            Ok(Ok(started)) => started,
-            Ok(Err(failure)) => {
-                let (SendFailure::NotRun(ended, _) | SendFailure::Unknown(ended, _)) = failure
-                else {
-                    return Err(failure);
-                };
-                self.open_run = guard.open_run();
-                guard.end(ended);
+            Ok(started) => started,
+            Err(failure) => {
+                match failure {
+                    SendFailure::NotRun(ended, _) | SendFailure::Unknown(ended, _) => {
+                        self.open_run = guard.open_run();
+                        guard.end(ended);
+                    }
+                    SendFailure::TimedOut => guard.end(RunOutcome::Cancelled),
+                }
                 return Err(failure);
             }
-            Err(_) => {
-                guard.end(RunOutcome::Cancelled);
-                return Err(SendFailure::TimedOut);
-            }
         };
         guard.on_bytes();
         let (head, incoming) = response.into_parts();
@@ -112,70 +166,10 @@
         })
     }
 
-    /// Completes when the request should be sent to another endpoint instead; never completes
-    /// if it may not run again.
-    async fn attempt_timeout(&self, guard: &RunGuard, grant: &Grant) {
-        let may_run_again =
-            self.route.kind.may_repeat() && self.history.runs + 1 < self.route.attempts_max;
-        match self.route.kind {
-            RouteKind::Safe if may_run_again => {
-                let attempt_timeout = self.route.objective.mul_f64(ATTEMPT_TIMEOUT_OBJECTIVES);
-                tokio::time::sleep(attempt_timeout.max(grant.expected * 3)).await;
-            }
-            RouteKind::ResumableStream if may_run_again => loop {
-                tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
-                if guard.is_lost() {
-                    return;
-                }
-            },
-            _ => std::future::pending().await,
-        }
-    }
-
-    /// Sends the request on one connection and checks the head of the response.
-    async fn exchange(
-        &self,
-        grant: &Grant,
-        resume_after: Option<&str>,
-    ) -> Result<(Response<Incoming>, Connection), SendFailure> {
-        let unreachable = |error: SendError| match error {
-            SendError::Refused(reason) | SendError::NotSent(reason) => {
-                SendFailure::NotRun(RunOutcome::Unreachable, reason)
-            }
-            SendError::NoAnswer(reason) => SendFailure::Unknown(RunOutcome::Broken, reason),
-        };
-        // What failed one run, a late answer or a silent path, may wait on other idle connections.
-        let may_reuse = self.history.runs == 0;
-        let connections = &self.router.connections;
-        let idle = may_reuse.then(|| connections.take(grant.endpoint, self.router.now()));
-        let mut connection = match idle.flatten() {
-            Some(connection) => connection,
-            None => self.open(grant).await.map_err(unreachable)?,
-        };
-        let response = match connection
-            .send(self.endpoint_request(grant, resume_after))
-            .await
-        {
-            Ok(response) => response,
-            // The endpoint closed an idle connection before anything was written.
-            Err(SendError::NotSent(_)) => {
-                connection = self.open(grant).await.map_err(unreachable)?;
-                let endpoint_request = self.endpoint_request(grant, resume_after);
-                connection
-                    .send(endpoint_request)
-                    .await
-                    .map_err(unreachable)?
-            }
-            Err(error) => return Err(unreachable(error)),
-        };
-        self.check_response(grant, &response)?;
-        Ok((response, connection))
-    }
-
     /// Returns whether the endpoint accepts a connection, which is put into the pool for the
     /// next request.
     pub(super) async fn can_connect(&self, grant: &Grant) -> bool {
-        match self.open(grant).await {
+        match open(&self.router, grant).await {
             Ok(connection) => {
                 let now = self.router.now();
                 self.router.connections.put(grant.endpoint, connection, now);
@@ -195,11 +189,6 @@
         }
     }
 
-    async fn open(&self, grant: &Grant) -> Result<Connection, SendError> {
-        self.router.metrics.connections_opened.inc();
-        Connection::open(grant.address).await
-    }
-
     /// Checks that a response belongs to this request and carries the endpoint's signature.
     fn check_response(
         &self,
@@ -272,3 +261,41 @@
         endpoint_request
     }
 }
+
+/// Sends a request on one connection and waits for the head of the response.
+async fn exchange(
+    router: Rc<Router>,
+    grant: Grant,
+    endpoint_request: Request<Full<Bytes>>,
+    may_reuse: bool,
+) -> ExchangeResult {
+    let unreachable = |error: SendError| match error {
+        SendError::Refused(reason) | SendError::NotSent(reason) => {
+            SendFailure::NotRun(RunOutcome::Unreachable, reason)
+        }
+        SendError::NoAnswer(reason) => SendFailure::Unknown(RunOutcome::Broken, reason),
+    };
+    let idle = may_reuse.then(|| router.connections.take(grant.endpoint, router.now()));
+    let mut connection = match idle.flatten() {
+        Some(connection) => connection,
+        None => open(&router, &grant).await.map_err(unreachable)?,
+    };
+    let response = match connection.send(endpoint_request.clone()).await {
+        Ok(response) => response,
+        // The endpoint closed an idle connection before anything was written.
+        Err(SendError::NotSent(_)) => {
+            connection = open(&router, &grant).await.map_err(unreachable)?;
+            connection
+                .send(endpoint_request)
+                .await
+                .map_err(unreachable)?
+        }
+        Err(error) => return Err(unreachable(error)),
+    };
+    Ok((response, connection))
+}
+
+async fn open(router: &Router, grant: &Grant) -> Result<Connection, SendError> {
+    router.metrics.connections_opened.inc();
+    Connection::open(grant.address).await
+}
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -1,11 +1,9 @@
 //! Relays a stream of events as it arrives, and continues it on another endpoint where
 //! allowed.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use daisynotch_core::BodyContent;
-use daisynotch_core::direct::{EventFramer, RouteKind, RunOutcome};
+use daisynotch_core::direct::{EventFramer, RunOutcome};
 use http_body_util::BodyExt;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::http::response::Parts as ResponseHead;
@@ -14,22 +12,15 @@
 use tokio::time::Instant;
 
 use super::forward::{Call, to_caller_response};
+use super::moves::{MoveOutcome, WaitsFor};
 use super::response::{ResponseBody, TruncatedResponse};
-use super::send::{SILENCE_CHECK_INTERVAL, StartedResponse};
+use super::send::{Attempt, StartedResponse};
 use super::witness::Witness;
 
 /// Maximum number of chunks queued for a caller that reads slowly.
 const QUEUED_CHUNKS_MAX: usize = 16;
 /// Maximum size of an event, which is buffered until it is complete.
 const EVENT_MAX_BYTES: usize = 256 * 1024;
-/// Silence of an endpoint after which a resumable stream continues on another one, if the
-/// endpoint can't be reached or owes responses to other requests: below the two seconds after
-/// which callers leave, with time for another endpoint to start.
-const STREAM_SILENCE_MAX: Duration = Duration::from_millis(1_400);
-
-/// Interval between attempts to connect to an endpoint that has been silent for that long.
-const CONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-
 type ChunkSender = mpsc::Sender<Result<Bytes, TruncatedResponse>>;
 
 /// How relaying the stream of one endpoint ended.
@@ -38,8 +29,8 @@
     Complete,
     /// The connection broke or the stream was invalid.
     Broken(String),
-    /// The endpoint went silent, and a retry on another one has been taken from the budget.
-    Silent,
+    /// The endpoint went silent, and another one has taken the request.
+    Moved(Box<Attempt>),
     /// The caller closed its connection.
     CallerLeft,
     /// The request's deadline passed.
@@ -59,6 +50,7 @@
     let first_head = started.head.clone();
     loop {
         let outcome = relay_from_endpoint(&mut call, &mut started, &mut framer, &chunks).await;
+        let mut moved = None;
         let may_continue = match outcome {
             StreamEnd::Complete => {
                 started.guard.end(RunOutcome::Done);
@@ -85,9 +77,10 @@
                 let open_run = started.guard.open_run();
                 call.may_go_elsewhere(&started.grant, open_run).await && call.take_retry()
             }
-            StreamEnd::Silent => {
+            StreamEnd::Moved(attempt) => {
                 let reason = "the endpoint went silent".to_owned();
                 call.history.failures.push(reason);
+                moved = Some(*attempt);
                 true
             }
         };
@@ -100,7 +93,7 @@
         framer.resume();
         let resume_after = framer.last_id().map(str::to_owned);
         let next = tokio::select! {
-            next = resume(&mut call, &first_head, resume_after.as_deref()) => next,
+            next = resume(&mut call, moved, &first_head, resume_after.as_deref()) => next,
             () = chunks.closed() => {
                 call.log_end("caller_left", StatusCode::OK);
                 return;
@@ -116,15 +109,16 @@
     }
 }
 
-/// Sends the request to other endpoints until one resumes the stream. The error is the outcome of
-/// the request.
+/// Sends the request to other endpoints until one resumes the stream; the endpoint of `moved` has
+/// it already. The error is the outcome of the request.
 async fn resume(
     call: &mut Call,
+    mut moved: Option<Attempt>,
     first_head: &ResponseHead,
     resume_after: Option<&str>,
 ) -> Result<StartedResponse, &'static str> {
     loop {
-        let next = call.start_response(resume_after).await;
+        let next = call.continue_response(moved.take(), resume_after).await;
         let next = next.map_err(|response| response.reason)?;
         if is_head_of_same_stream(first_head, &next.head) {
             return Ok(next);
@@ -176,30 +170,32 @@
     framer: &mut EventFramer,
     chunks: &ChunkSender,
 ) -> StreamEnd {
-    let is_resumable = call.route.kind == RouteKind::ResumableStream;
     let mut last_bytes_at = Instant::now();
-    let mut last_checked_at = None;
     loop {
+        let waits_for = WaitsFor::Bytes {
+            last_at: last_bytes_at,
+        };
         let frame = tokio::select! {
-            frame = Witness::observe(&mut started.witness, started.incoming.frame()) => frame,
+            biased;
             () = chunks.closed() => return StreamEnd::CallerLeft,
             () = tokio::time::sleep_until(call.give_up_at) => return StreamEnd::TimedOut,
-            () = tokio::time::sleep(SILENCE_CHECK_INTERVAL), if is_resumable => {
-                // A pause alone is no reason to switch endpoints: slow streams are healthy.
-                let is_silent = last_bytes_at.elapsed() > STREAM_SILENCE_MAX
-                    && started.guard.is_endpoint_quiet(STREAM_SILENCE_MAX);
-                let is_due = last_checked_at
-                    .is_none_or(|at: Instant| at.elapsed() > CONNECT_CHECK_INTERVAL);
-                if !is_silent || !is_due || !call.has_another_endpoint() {
-                    continue;
-                }
-                if (started.guard.is_lost() || !call.can_connect(&started.grant).await)
-                    && call.take_retry()
-                {
-                    return StreamEnd::Silent;
+            frame = Witness::observe(&mut started.witness, started.incoming.frame()) => frame,
+            place = call.until_place_elsewhere(&started.grant, &started.guard, waits_for) => {
+                let last_id = framer.last_id().map(str::to_owned);
+                let silent = async {
+                    tokio::select! {
+                        frame = Witness::observe(&mut started.witness, started.incoming.frame()) => {
+                            Some(frame)
+                        }
+                        () = chunks.closed() => None,
+                    }
+                };
+                match call.move_to(place, last_id.as_deref(), silent).await {
+                    MoveOutcome::WentOn(Some(frame)) => frame,
+                    MoveOutcome::WentOn(None) => return StreamEnd::CallerLeft,
+                    MoveOutcome::Taken(next) => return StreamEnd::Moved(next),
+                    MoveOutcome::NotTaken => continue,
                 }
-                last_checked_at = Some(Instant::now());
-                continue;
             }
         };
         let bytes = match frame {
