Keep connections to endpoints whose host is silent for two seconds

A request that may not be repeated got 502 when the host of its endpoint acknowledged nothing for 1.8 s after the request was sent on an open connection, although the host went on. The kernel closed the connection after 1.5 s (TCP_USER_TIMEOUT); with keepalive probes, after 2 s.

Connections to endpoints now have 3.5 s: what was sent is repeated after 0.2, 0.6, 1.4 and 3 s, so a shorter timeout ends before the first copy that the host can acknowledge. Connections to the store, to other routers and of callers keep 1.5 s. At a host that is gone, requests that stay there fail 2 s later; new requests avoid it after 350 ms of silence, as before.

The test drops the packets of one socket with a socket filter.

--- a/crates/daisynotch_router/src/direct/connections.rs
+++ b/crates/daisynotch_router/src/direct/connections.rs
@@ -35,6 +35,10 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// How long sent data may stay unacknowledged before the kernel closes the connection.
 pub(crate) const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The same on connections to endpoints, which may be silent for two seconds and go on. Sent data
+/// is repeated after 0.2, 0.6, 1.4 and 3 s; an earlier timeout ends the connection before the
+/// last of these.
+const ENDPOINT_USER_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Maximum idle time of a connection that is reused: below the idle timeouts of servers, which
 /// are whole seconds.
 const REUSE_IDLE_MAX: Duration = Duration::from_millis(900);
@@ -80,6 +84,15 @@
 impl Connection {
     /// Opens a connection and sets its socket options.
     pub(crate) async fn open(address: SocketAddr) -> Result<Self, SendError> {
+        Self::open_with(address, TCP_USER_TIMEOUT).await
+    }
+
+    /// Like [`Self::open`], to an endpoint.
+    pub(crate) async fn open_to_endpoint(address: SocketAddr) -> Result<Self, SendError> {
+        Self::open_with(address, ENDPOINT_USER_TIMEOUT).await
+    }
+
+    async fn open_with(address: SocketAddr, user_timeout: Duration) -> Result<Self, SendError> {
         let failed = |error: &dyn std::fmt::Display| SendError::NotSent(error.to_string());
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| failed(&"timed out while connecting"))?;
@@ -88,6 +101,9 @@
             _ => failed(&error),
         })?;
         set_socket_options(&stream).map_err(|error| failed(&error))?;
+        SockRef::from(&stream)
+            .set_tcp_user_timeout(Some(user_timeout))
+            .map_err(|error| failed(&error))?;
         let head_limit = HeadLimit::default();
         let stream = LimitedStream::new(stream, head_limit.clone());
         let handshake = http1::Builder::new()
@@ -220,3 +236,6 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daisynotch_router/src/direct/send.rs
+++ b/crates/daisynotch_router/src/direct/send.rs
@@ -297,5 +297,5 @@
 
 async fn open(router: &Router, grant: &Grant) -> Result<Connection, SendError> {
     router.metrics.connections_opened.inc();
-    Connection::open(grant.address).await
+    Connection::open_to_endpoint(grant.address).await
 }
--- a/crates/daisynotch_router/src/direct/witness.rs
+++ b/crates/daisynotch_router/src/direct/witness.rs
@@ -38,7 +38,7 @@
         let (router, grant) = (Rc::clone(router), grant.clone());
         tokio::task::spawn_local(async move {
             router.metrics.connections_opened.inc();
-            match Connection::open(grant.address).await {
+            match Connection::open_to_endpoint(grant.address).await {
                 Ok(connection) => {
                     tokio::time::sleep(SETTLE_TIME).await;
                     if let Err(unused) = sender.send(connection) {
