Announce the close after refusing a request whose body is unread

What callers saw: a request refused at its head (401, 404) was answered as if the connection were kept, and the connection then closed. The next request on it got no response. It had lain whole in an open connection.

Cause: the HTTP library closes the connection after such a response unless the body has arrived by then, which it learns only after the head of the response was written.

A refusal before the body is read now says connection: close if the request has a body. The price is a new connection after each such refusal.

--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -13,8 +13,8 @@
 };
 use daisynotch_platform::ports::CallerHeaders;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use hyper::header::{HOST, HeaderValue};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::http::request::Parts as RequestHead;
 use hyper::http::response::Parts as ResponseHead;
 use hyper::{Request, Response, StatusCode};
@@ -125,6 +125,7 @@
     request: Request<Incoming>,
     is_admitted: bool,
 ) -> Response<ResponseBody> {
+    let has_body = !request.body().is_end_stream();
     match prepare(router, request, is_admitted).await {
         Ok(call) => forward(call).await,
         Err((response, fields)) => {
@@ -134,7 +135,13 @@
             fields["outcome"] = response.reason.into();
             fields["status"] = response.status.as_u16().into();
             router.log.write(Importance::Essential, "request", fields);
-            response.into_response()
+            let mut response = response.into_response();
+            if has_body {
+                // The HTTP library closes the connection unless the whole body has arrived.
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            response
         }
     }
 }
