Keep lapsed entries in use when the store is listed again after an outage

Callers got 503 for a second or two after an outage of the store in which it had dropped its history: a router that lists everything again closed at once all endpoints whose entries had expired meanwhile, though live ones write theirs again. The outage was only recorded as ended after the listing had been applied, so that the time in which a missing entry may have lapsed had not begun.

Before: `entries_that_expired_in_an_outage_outlast_a_new_listing` failed with status 503 in place of 200.

The first answer to a listing now ends the outage, as the one to a watch does.

--- a/crates/daisynotch_router/src/direct/store_follower.rs
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -200,6 +200,8 @@
     let sent_at = router.now();
     let prefix = prefixes.configuration;
     let (items, at) = list(router, client, prefix, "list", false).await?;
+    // Before entries count as missing: they may have lapsed in the outage.
+    router.on_store_reachability(true, "");
     let era_began_at = record_era_start(router, at);
     for item in &items {
         let is_written_in_era = item.revision > era_began_at.revision;
