List everything after three failed calls for changes

A watch whose changes take longer to arrive than the router waits (1.2 s), because another writer wrote several large values, was asked for again and again from the same position, and neither configurations nor endpoints were followed.

Before: `changes_that_arrive_too_slowly_do_not_stop_the_following` failed with "the awaited condition did not hold within `WAIT_MAX`" (20 s).

After three failures in a row the router lists everything once, in pages, and watches from there. In an outage this replaces a call that would fail by another one.

--- a/crates/daisynotch_router/src/direct/store_follower.rs
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -1,7 +1,8 @@
 //! Follows the configuration and the endpoints in the store, and registers this router.
 //!
 //! After a failed watch, the next one resumes at the same position. If the store no longer has
-//! the history from there, or the changes exceed a response, everything is listed again. `docs/design/platform.md` counts the
+//! the history from there, or the changes exceed a response, everything is listed again. The same
+//! is tried after some failures in a row. `docs/design/platform.md` counts the
 //! calls.
 
 use std::collections::HashMap;
@@ -41,6 +42,9 @@
 /// Longest pause after a failed call: well below the seconds within which changes must be in
 /// force.
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// Number of failed calls in a row after which everything is listed once: the changes of a watch
+/// may be too many to arrive in time, while lists come in pages.
+const WATCH_FAILURES_MAX: u32 = 3;
 /// How long a router that no longer reads the store still counts the store as unreachable
 /// after a failed call.
 const STORE_LOSS_MAX_AGE: Duration = Duration::from_secs(5);
@@ -113,7 +117,8 @@
             tokio::time::sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
-        let outcome = match position {
+        let lists_instead = failures_in_row > 0 && failures_in_row % WATCH_FAILURES_MAX == 0;
+        let outcome = match position.filter(|_| !lists_instead) {
             None => list_all(&router, &client).await,
             // A store that was unreachable is called without waiting: a watch that hangs on a
             // silent store would hide its return for as long as a watch may take.
