Bound the time of a received block

An entry of another writer among the blocked prompt parts in the store, or a block in another router's evidence, was kept for as long as it said, up to seven weeks. Callers whose prompts have the part got 400 for so long.

Before: `a_received_block_lasts_no_longer_than_any_other` failed with "4294967.295s".

--- a/crates/daisynotch_core/src/direct/crash_evidence/news.rs
+++ b/crates/daisynotch_core/src/direct/crash_evidence/news.rs
@@ -9,8 +9,8 @@
 use daisynotch_objects::EndpointId;
 
 use super::{
-    Block, CRASH_RATE_WINDOW, Crash, CrashEvidence, CrashedEndpoints, EvidenceChange, PartIds,
-    Report, contains_all,
+    BLOCK_MAX, Block, CRASH_RATE_WINDOW, Crash, CrashEvidence, CrashedEndpoints, EvidenceChange,
+    PartIds, Report, contains_all,
 };
 use crate::time::Timestamp;
 
@@ -221,7 +221,7 @@
         let received = Block {
             parts,
             since,
-            pause: Duration::from_millis(u64::from(block.pause_ms)),
+            pause: Duration::from_millis(u64::from(block.pause_ms)).min(BLOCK_MAX),
             renewals: block.renewals,
             endpoints: block.endpoints.clone(),
         };
--- a/crates/daisynotch_core/src/direct/crash_evidence/tests.rs
+++ b/crates/daisynotch_core/src/direct/crash_evidence/tests.rs
@@ -320,3 +320,25 @@
     assert!(shared_part_ids(&[part(1)]).is_empty());
     assert!(shared_part_ids(&[]).is_empty());
 }
+
+/// An entry of another writer among the blocks in the store refused its parts for weeks.
+#[test]
+fn a_received_block_lasts_no_longer_than_any_other() {
+    let mut evidence = evidence_with_proofs();
+    let block = PartBlock {
+        parts: std::iter::once(FATAL).collect(),
+        age_ms: 0,
+        pause_ms: u32::MAX,
+        renewals: u32::MAX,
+        endpoints: CrashedEndpoints::default(),
+    };
+    let news = CrashNews {
+        blocks: vec![block],
+        ..CrashNews::default()
+    };
+    evidence.on_news(&news, at(1_000));
+    let Assessment::Blocked { left } = evidence.assess_ids(&[FATAL], at(1_000)) else {
+        panic!("expected a block");
+    };
+    assert!(left <= BLOCK_MAX, "{left:?}");
+}
