Keep counting running requests across a new configuration

A configuration that changed an engine service's limits, or dropped the service, replaced the load of each of its endpoints by an empty one: requests that ran there no longer counted, their ends were taken off requests that came later, and what was known of caches, speed and health was lost. So an engine could be given more than it has room for right after a change, whose callers then wait or are refused. Endpoints of a dropped service became plain ones, whose response times were averaged with those of engines.

New limits now apply to the load that is there, and endpoints of a dropped service keep theirs until they leave.

Before, running_requests_count_after_a_configuration_changes_or_drops_their_service failed with "left: 0, right: 1", and limits_of_a_dropped_service_hold_for_its_running_requests with "left: 0, right: 4".

--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -102,19 +102,20 @@
         }
     }
 
-    /// Applies a new configuration.
+    /// Applies a new configuration. Requests that run under the one before keep counting.
     pub fn on_routes(&mut self, table: &RouteTable) {
         self.shares
             .set_tokens_per_s(table.limits.shared_tokens_per_s);
         let services: Vec<Arc<str>> = self.endpoints_by_service.keys().cloned().collect();
-        self.engine_limits.clear();
         for name in services {
-            let engine = table.service(&name).and_then(|service| service.engine);
+            // Endpoints of a service that was dropped finish their requests under its limits.
+            let Some(service) = table.service(&name) else {
+                continue;
+            };
+            let engine = service.engine;
             for id in &self.endpoints_by_service[&name] {
-                if let Some(load) = self.endpoints.get_mut(id)
-                    && load.engine != engine
-                {
-                    *load = EndpointLoad::new(load.entry.clone(), engine);
+                if let Some(load) = self.endpoints.get_mut(id) {
+                    load.set_engine(engine);
                 }
             }
             self.engine_limits.insert(name, engine);
@@ -457,6 +458,8 @@
     }
 }
 
+#[cfg(test)]
+mod configuration_tests;
 #[cfg(test)]
 mod crash_tests;
 #[cfg(test)]
--- a/crates/daisynotch_core/src/direct/engine.rs
+++ b/crates/daisynotch_core/src/direct/engine.rs
@@ -57,6 +57,11 @@
     }
 }
 
+fn cache_tokens(engine: Option<EngineLimits>) -> u64 {
+    let memory_tokens = engine.map_or(0, |engine| engine.memory_tokens);
+    (memory_tokens as f64 * CACHE_FRACTION) as u64
+}
+
 /// One endpoint with the state that placement decides on.
 #[derive(Debug)]
 pub(crate) struct EndpointLoad {
@@ -80,11 +85,10 @@
 
 impl EndpointLoad {
     pub(crate) fn new(entry: EndpointEntry, engine: Option<EngineLimits>) -> Self {
-        let memory_tokens = engine.map_or(0, |engine| engine.memory_tokens);
         Self {
             entry,
             engine,
-            cache: PartCache::new((memory_tokens as f64 * CACHE_FRACTION) as u64),
+            cache: PartCache::new(cache_tokens(engine)),
             slowdown: Slowdown::default(),
             health: Health::default(),
             own: Load::default(),
@@ -96,6 +100,14 @@
         }
     }
 
+    /// Applies new limits. Requests that run count on, and what is known of the endpoint holds.
+    pub(crate) fn set_engine(&mut self, engine: Option<EngineLimits>) {
+        if self.engine != engine {
+            self.engine = engine;
+            self.cache.set_capacity(cache_tokens(engine));
+        }
+    }
+
     /// Returns the load from all routers.
     pub(crate) fn total(&self) -> Load {
         self.own.plus(self.peers_sum)
--- a/crates/daisynotch_core/src/direct/part_cache.rs
+++ b/crates/daisynotch_core/src/direct/part_cache.rs
@@ -67,6 +67,16 @@
             self.by_last_use.insert(self.next_tick, part.id);
             self.used_tokens += u64::from(part.tokens);
         }
+        self.evict();
+    }
+
+    /// Changes the capacity, and evicts what no longer fits.
+    pub(crate) fn set_capacity(&mut self, capacity_tokens: u64) {
+        self.capacity_tokens = capacity_tokens;
+        self.evict();
+    }
+
+    fn evict(&mut self) {
         while self.used_tokens > self.capacity_tokens
             && let Some((_, part)) = self.by_last_use.pop_first()
             && let Some(cached) = self.parts.remove(&part)
