Check for no crash after a request has timed out

A sender may now be asked until its request times out. The check for a crash that follows when the end stays unconfirmed would hold the caller for up to 350 ms more, and finds no more about an endpoint that was silent for all that time. It is left out once the request has timed out; such a request is not repeated anyway. Found by reading; no test of its own, the tests of unframed_answers.rs, unframed_ends.rs and crashing_parts.rs pass.

--- a/crates/daisynotch_router/src/direct/crash_check.rs
+++ b/crates/daisynotch_router/src/direct/crash_check.rs
@@ -9,6 +9,7 @@
 use futures::FutureExt;
 use futures::future::{LocalBoxFuture, Shared};
 use serde_json::json;
+use tokio::time::Instant;
 
 use super::event_log::Importance;
 use super::forward::Call;
@@ -30,6 +31,10 @@
         let Some(run) = open_run else {
             return true;
         };
+        // A sender that was asked until now is silent, and a check would find no more.
+        if Instant::now() >= self.give_up_at {
+            return false;
+        }
         if !self.has_crashed(grant).await {
             return true;
         }
