Allocate the handling of a request only while there is one

The library keeps room for a request's future on each connection, also while it is idle, and that future had grown to 11 kB, twice over.

--- a/crates/daisynotch_router/src/direct/ingress.rs
+++ b/crates/daisynotch_router/src/direct/ingress.rs
@@ -174,7 +174,12 @@
             has_received_request.set(true);
             closes_end_responses.note_version(request.version());
             let open_request = activity.on_request();
-            let handling = handle_request(Rc::clone(&router), request, connection.clone());
+            // Boxed, since the library keeps room for this future also while a connection is idle.
+            let handling = Box::pin(handle_request(
+                Rc::clone(&router),
+                request,
+                connection.clone(),
+            ));
             async move {
                 let response = handling.await;
                 response.map(|response| response.map(|body| TrackedBody::new(body, open_request)))
--- a/crates/daisynotch_router/src/direct/moves.rs
+++ b/crates/daisynotch_router/src/direct/moves.rs
@@ -216,7 +216,7 @@
                 place = self.until_place_elsewhere(&grant, guard, waits_for) => place,
             };
             let silent = attempt.arrival.until_ready();
-            match self.move_to(place, resume_after, silent).await {
+            match Box::pin(self.move_to(place, resume_after, silent)).await {
                 MoveOutcome::WentOn(()) | MoveOutcome::NotTaken => self.history.on_send(&grant),
                 MoveOutcome::Taken(next) => {
                     let reason = format!("{}: the endpoint went silent", grant.endpoint_name);
--- a/crates/daisynotch_router/src/direct/response_end.rs
+++ b/crates/daisynotch_router/src/direct/response_end.rs
@@ -101,7 +101,7 @@
         }
         let ended_at = Instant::now();
         let inquiry = SenderReport {
-            finding: self.ask_sender(started).await,
+            finding: Box::pin(self.ask_sender(started)).await,
             age: ended_at.elapsed(),
         };
         let verdict = EndVerdict::judge(delimiter, content, Some(inquiry.finding.evidence()));
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -93,7 +93,7 @@
         framer.resume();
         let resume_after = framer.last_id().map(str::to_owned);
         let next = tokio::select! {
-            next = resume(&mut call, moved, &first_head, resume_after.as_deref()) => next,
+            next = Box::pin(resume(&mut call, moved, &first_head, resume_after.as_deref())) => next,
             () = chunks.closed() => {
                 call.log_end("caller_left", StatusCode::OK);
                 return;
@@ -190,7 +190,7 @@
                         () = chunks.closed() => None,
                     }
                 };
-                match call.move_to(place, last_id.as_deref(), silent).await {
+                match Box::pin(call.move_to(place, last_id.as_deref(), silent)).await {
                     MoveOutcome::WentOn(Some(frame)) => frame,
                     MoveOutcome::WentOn(None) => return StreamEnd::CallerLeft,
                     MoveOutcome::Taken(next) => return StreamEnd::Moved(next),
