Pass on events without a number between numbered ones

Such an event changes no position, so it passes; only the first event of an endpoint that resumes a stream needs a number. Before, the new test failed with Err(NoNumber) at "event: ping".

--- a/crates/daisynotch_core/src/direct/event_order.rs
+++ b/crates/daisynotch_core/src/direct/event_order.rs
@@ -12,7 +12,7 @@
     /// The bytes are not the lines of an event.
     #[error("bytes that are no event")]
     Malformed,
-    /// The stream has numbers and the event has none, or the stream can't be resumed without.
+    /// The event that resumes a stream has none, or the one before it had none.
     #[error("an event without a number")]
     NoNumber,
     /// The event, or a later one, came before.
@@ -71,11 +71,16 @@
             if !is_well_formed(event) {
                 return Err(EventError::Malformed);
             }
-            self.check_number(number.ok_or(EventError::NoNumber)?)?;
+            match number {
+                Some(number) => self.check_number(number)?,
+                // Only a number tells where an endpoint resumes.
+                None if self.is_resuming => return Err(EventError::NoNumber),
+                None => {}
+            }
         }
         self.is_resuming = false;
         self.has_events = true;
-        self.last_number = number;
+        self.last_number = number.or(self.last_number);
         self.last_id = id.map(str::to_owned).or(self.last_id.take());
         Ok(())
     }
--- a/crates/daisynotch_core/src/direct/event_order/tests.rs
+++ b/crates/daisynotch_core/src/direct/event_order/tests.rs
@@ -100,3 +100,20 @@
     assert_eq!(from_start, Err(EventError::OutOfOrder(1)));
     accept_numbers(&mut order, &[7]);
 }
+
+/// An event without a number, such as a sign of life, cut the stream.
+#[test]
+fn event_without_a_number_is_passed_on_between_numbered_ones() {
+    let mut order = EventOrder::default();
+    for event in [
+        "id: 1\ndata: a\n\n",
+        "event: ping\ndata: b\n\n",
+        "id: 2\ndata: c\n\n",
+    ] {
+        assert_eq!(order.accept(event.as_bytes()), Ok(()), "{event:?}");
+    }
+    assert_eq!(order.last_id(), Some("2"));
+    order.resume();
+    let resumed = order.accept(b"id: 3\ndata: d\n\n");
+    assert_eq!(resumed, Ok(()));
+}
