Open connections for questions like those for requests

A question to an endpoint opened a connection that the kernel ends after 1.5 s of silence of the host, and left it to the next request, which may not be repeated: its caller got 502 although the host went on. Such connections have 3.5 s now, as those of requests have. Found by review, read only; no test of its own.

--- a/crates/daisynotch_router/src/direct/inquiry.rs
+++ b/crates/daisynotch_router/src/direct/inquiry.rs
@@ -61,7 +61,7 @@
         service: Option<&ServiceView>,
     ) -> Result<SenderEvidence, AskError> {
         self.metrics.connections_opened.inc();
-        let connection = Connection::open(grant.address).await?;
+        let connection = Connection::open_to_endpoint(grant.address).await?;
         self.ask_on(connection, grant, service, AskedOn::NewConnection)
             .await
     }
