Let a leaving router wait for the rest of a request's head on kept connections

A head of which a part had arrived on a kept connection when a leaving router closed was read and dropped without an answer: the caller got an empty, orderly end (found by review, 150 ms between the parts). Such a connection has the same 250 ms now as a new one that has sent nothing yet. The new test brings it about.

--- a/crates/daisynotch_router/src/direct/ingress.rs
+++ b/crates/daisynotch_router/src/direct/ingress.rs
@@ -204,8 +204,8 @@
             None
         }
         () = wait_until_closing(&mut leave_stage) => {
-            let is_new = !has_received_request.get();
-            let grace = if is_new { NEW_CONNECTION_GRACE } else { LAST_READ_GRACE };
+            let expects_request = !has_received_request.get() || activity.has_begun_head();
+            let grace = if expects_request { NEW_CONNECTION_GRACE } else { LAST_READ_GRACE };
             tokio::time::timeout(grace, &mut connection).await.ok()
         }
     };
