Count only an answer as going on, and only a connection as taken

The endpoint that had gone silent broke off while another one worked on the request: the break counted as going on, the other run was cancelled, and the caller got 502 after 512 ms. And an endpoint that had not accepted the connection within 250 ms counted as having taken the request, so that the silent one was left for nothing (502 no_room after 854 ms).

A failed exchange no longer ends the wait for the other endpoint, and the 250 ms begin when the request can be written. A crash of the silent endpoint is still reported.

--- a/crates/daisynotch_router/src/direct/moves.rs
+++ b/crates/daisynotch_router/src/direct/moves.rs
@@ -3,6 +3,7 @@
 //! A sound endpoint may be silent for a second or so and go on, so the request leaves it only
 //! once another endpoint has taken it. See `docs/design/silent-connections.md`.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use daisynotch_core::direct::{Grant, RouteKind, RunOutcome};
@@ -134,13 +135,18 @@
     ) -> MoveOutcome<T> {
         let was_at_endpoint = self.history.is_at_endpoint;
         let mut next = self.start_attempt(place, resume_after);
+        let connected = Rc::clone(&next.arrival.connected);
+        let refusal_time_over = async {
+            connected.notified().await;
+            tokio::time::sleep(REFUSAL_TIME).await;
+        };
         let race = tokio::select! {
             biased;
             output = silent => Race::WentOn(output),
             sent = self.until_response(&next.grant, &mut next.arrival) => {
                 Race::Ended(Box::new(sent))
             }
-            () = tokio::time::sleep(REFUSAL_TIME) => Race::Pending,
+            () = refusal_time_over => Race::Pending,
         };
         let outcome = match race {
             Race::Pending => return MoveOutcome::Taken(Box::new(next)),
@@ -215,14 +221,18 @@
                 }
                 place = self.until_place_elsewhere(&grant, guard, waits_for) => place,
             };
-            let silent = attempt.arrival.until_ready();
+            let silent = attempt.arrival.until_answered();
             match Box::pin(self.move_to(place, resume_after, silent)).await {
                 MoveOutcome::WentOn(()) | MoveOutcome::NotTaken => self.history.on_send(&grant),
                 MoveOutcome::Taken(next) => {
                     let reason = format!("{}: the endpoint went silent", grant.endpoint_name);
                     self.history.failures.push(reason);
                     self.history.runs += 1;
+                    let has_failed = attempt.arrival.has_failed;
+                    let open_run = attempt.guard.open_run().filter(|_| has_failed);
                     attempt.guard.end(RunOutcome::Broken);
+                    // Reports a crash; the other endpoint has the request already.
+                    self.may_go_elsewhere(&grant, open_run).await;
                     attempt = *next;
                 }
             }
--- a/crates/daisynotch_router/src/direct/send.rs
+++ b/crates/daisynotch_router/src/direct/send.rs
@@ -13,6 +13,7 @@
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response::Parts as ResponseHead;
 use hyper::{Request, Response, StatusCode};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::connections::{Connection, SendError};
@@ -63,6 +64,10 @@
     /// A second connection to the endpoint, if its service sends responses that end with their
     /// connection.
     witness: Option<Witness>,
+    /// Notified when the request is about to be written to a connection.
+    pub(super) connected: Rc<Notify>,
+    /// Whether the exchange is known to have failed.
+    pub(super) has_failed: bool,
 }
 
 /// A response of which the head has arrived.
@@ -77,10 +82,14 @@
 }
 
 impl Arrival {
-    /// Waits until the exchange has ended, whose result is kept.
-    pub(super) async fn until_ready(&mut self) {
+    /// Waits until a response has arrived, which is kept; never completes if the exchange fails.
+    pub(super) async fn until_answered(&mut self) {
         let sent = Witness::observe(&mut self.witness, &mut self.exchange).await;
+        self.has_failed = sent.is_err();
         self.exchange = std::future::ready(sent).boxed_local();
+        if self.has_failed {
+            std::future::pending::<()>().await;
+        }
     }
 }
 
@@ -95,7 +104,14 @@
         let witness = self.witness_for_request(&grant);
         let endpoint_request = self.endpoint_request(&grant, resume_after);
         let router = Rc::clone(&self.router);
-        let exchange = exchange(router, grant.clone(), endpoint_request, may_reuse);
+        let connected = Rc::new(Notify::new());
+        let exchange = exchange(
+            router,
+            grant.clone(),
+            endpoint_request,
+            may_reuse,
+            Rc::clone(&connected),
+        );
         Attempt {
             grant,
             guard,
@@ -104,6 +120,8 @@
                 exchange: exchange.boxed_local(),
                 checked: None,
                 witness,
+                connected,
+                has_failed: false,
             },
         }
     }
@@ -268,6 +286,7 @@
     grant: Grant,
     endpoint_request: Request<Full<Bytes>>,
     may_reuse: bool,
+    connected: Rc<Notify>,
 ) -> ExchangeResult {
     let unreachable = |error: SendError| match error {
         SendError::Refused(reason) | SendError::NotSent(reason) => {
@@ -280,6 +299,7 @@
         Some(connection) => connection,
         None => open(&router, &grant).await.map_err(unreachable)?,
     };
+    connected.notify_one();
     let response = match connection.send(endpoint_request.clone()).await {
         Ok(response) => response,
         // The endpoint closed an idle connection before anything was written.
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -182,18 +182,34 @@
             frame = Witness::observe(&mut started.witness, started.incoming.frame()) => frame,
             place = call.until_place_elsewhere(&started.grant, &started.guard, waits_for) => {
                 let last_id = framer.last_id().map(str::to_owned);
+                let mut failure = None;
                 let silent = async {
-                    tokio::select! {
+                    let frame = tokio::select! {
                         frame = Witness::observe(&mut started.witness, started.incoming.frame()) => {
-                            Some(frame)
+                            frame
                         }
-                        () = chunks.closed() => None,
+                        () = chunks.closed() => return None,
+                    };
+                    if let Some(Err(error)) = frame {
+                        failure = Some(error);
+                        std::future::pending().await
+                    } else {
+                        Some(frame)
                     }
                 };
                 match Box::pin(call.move_to(place, last_id.as_deref(), silent)).await {
                     MoveOutcome::WentOn(Some(frame)) => frame,
                     MoveOutcome::WentOn(None) => return StreamEnd::CallerLeft,
-                    MoveOutcome::Taken(next) => return StreamEnd::Moved(next),
+                    MoveOutcome::Taken(next) => {
+                        if failure.is_some() {
+                            call.report_broken(started);
+                            let open_run = started.guard.open_run();
+                            // Reports a crash; the other endpoint has the request already.
+                            call.may_go_elsewhere(&started.grant, open_run).await;
+                        }
+                        return StreamEnd::Moved(next);
+                    }
+                    MoveOutcome::NotTaken if let Some(error) = failure => Some(Err(error)),
                     MoveOutcome::NotTaken => continue,
                 }
             }
