Require four ascending reports to override a claim to be newer

Two writes of an endpoint that had left, both late and five seconds apart, were enough to use it again: the new test failed with Usable for the second one. The test of a departed claim wrote two reports five seconds apart; it writes one each second now, as endpoints do, and demands the same.

--- a/crates/daisynotch_core/src/direct/endpoints.rs
+++ b/crates/daisynotch_core/src/direct/endpoints.rs
@@ -33,6 +33,8 @@
 ///
 /// A write may take effect seconds late, but only a running endpoint keeps writing.
 const OVERRIDE_AFTER: Duration = Duration::from_secs(5);
+/// Number of ascending reports before the one that overrides: several writes may take effect late.
+const OVERRIDE_REPORTS_MIN: u32 = 3;
 
 /// Whether new requests may go to an endpoint.
 #[daisynotch_macros::value]
@@ -110,6 +112,7 @@
     first_at: Timestamp,
     latest_at: Timestamp,
     latest: (u64, u64),
+    ascending: u32,
 }
 
 /// The known endpoints, and the departed and leaving ones that must not be used again.
@@ -136,7 +139,9 @@
     /// restored store may be.
     pub fn is_outdated(&self, entry: &EndpointEntry, now: Timestamp) -> bool {
         let overrides = |outdated: &OutdatedReports| {
-            entry.report_order() > outdated.latest && now.since(outdated.first_at) >= OVERRIDE_AFTER
+            entry.report_order() > outdated.latest
+                && outdated.ascending >= OVERRIDE_REPORTS_MIN
+                && now.since(outdated.first_at) >= OVERRIDE_AFTER
         };
         self.is_older(entry) && !self.outdated.get(&entry.name).is_some_and(overrides)
     }
@@ -214,8 +219,10 @@
             first_at: now,
             latest_at: now,
             latest: order,
+            ascending: 1,
         });
         if order > outdated.latest {
+            outdated.ascending += 1;
             outdated.latest = order;
             outdated.latest_at = now;
         }
--- a/crates/daisynotch_core/src/direct/endpoints/tests.rs
+++ b/crates/daisynotch_core/src/direct/endpoints/tests.rs
@@ -205,8 +205,11 @@
     let mut list = EndpointList::default();
     list.write(entry("a", u64::MAX, u64::MAX), NOW);
     list.remove("a", NOW);
-    assert_eq!(list.write(entry("a", 10, 6), NOW), []);
-    let report = entry("a", 10, 7);
+    for count in 0_u32..4 {
+        let report = entry("a", 10, 6 + u64::from(count));
+        assert_eq!(list.write(report, NOW + SECOND * count), []);
+    }
+    let report = entry("a", 10, 10);
     let changes = list.write(report.clone(), NOW + SECOND * 5);
     assert_eq!(changes, [EndpointChange::Usable(report)]);
 }
@@ -223,3 +226,13 @@
     list.write(draining(entry("a", 10, 9)), NOW + SECOND * 20);
     assert_eq!(list.write(entry("a", 10, 8), NOW + SECOND * 21), []);
 }
+
+/// Two writes of an endpoint that has left took effect seconds late, and it was in use again.
+#[test]
+fn few_late_reports_of_a_departed_endpoint_override_nothing() {
+    let mut list = EndpointList::default();
+    list.write(entry("a", 10, 9), NOW);
+    list.remove("a", NOW);
+    assert_eq!(list.write(entry("a", 10, 7), NOW + SECOND), []);
+    assert_eq!(list.write(entry("a", 10, 8), NOW + SECOND * 7), []);
+}
