Log and count the limits that endpoints state for all routers

Nothing told whether a router had read the limit that an endpoint states on the requests from all hosts together, or how old its knowledge was. The adapter decodes the header, the core orders what responses state, and the router logs each change and counts responses with a limit. No decision depends on it yet.

--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -25,6 +25,7 @@
 mod request;
 mod retry_budget;
 mod routes;
+mod shared_limits;
 mod shares;
 mod store_order;
 mod waiting;
@@ -54,5 +55,6 @@
 pub use routes::{
     CallerLimits, EngineLimits, Route, RouteKind, RouteTable, ServiceView, TeamEntry,
 };
+pub use shared_limits::{LimitChange, RequestRate};
 pub use shares::{ShareSettings, TeamShares};
 pub use store_order::{ConfigurationStamp, StoreOrderError, StorePosition};
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod decision;
+mod limits;
 mod moves;
 
 use std::collections::HashMap;
@@ -19,6 +20,7 @@
 use super::request::{DispatcherSettings, Grant, QueueId, RequestSpec, RunId, RunOutcome, Verdict};
 use super::retry_budget::RetryBudget;
 use super::routes::{EngineLimits, RouteTable};
+use super::shared_limits::SharedLimits;
 use super::shares::TeamShares;
 use super::waiting::{Rank, Waiting};
 use crate::time::Timestamp;
@@ -73,6 +75,7 @@
     /// Placements that no digest has reported yet.
     placed: Vec<PlacedParts>,
     pushbacks: Pushbacks,
+    shared_limits: SharedLimits,
     crash_evidence: CrashEvidence,
     /// The endpoints listed in the latest digest of each other router.
     endpoints_by_peer: HashMap<RouterId, Vec<EndpointId>>,
@@ -95,6 +98,7 @@
             runs: HashMap::new(),
             placed: Vec::new(),
             pushbacks: Pushbacks::default(),
+            shared_limits: SharedLimits::default(),
             crash_evidence: CrashEvidence::default(),
             endpoints_by_peer: HashMap::new(),
             next_id: 0,
@@ -326,6 +330,7 @@
             load.seen_since.get_or_insert(now);
         }
         self.pushbacks.expire(now);
+        self.shared_limits.expire(now);
         self.crash_evidence.expire(now);
     }
 
--- a/crates/daisynotch_platform/src/ports.rs
+++ b/crates/daisynotch_platform/src/ports.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use daisynotch_core::EndpointStatus;
-use daisynotch_core::direct::{EndpointEntry, Parts, RouteTable};
+use daisynotch_core::direct::{EndpointEntry, Parts, RequestRate, RouteTable};
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderValue};
 
@@ -187,6 +187,21 @@
     pub is_leaving: bool,
     /// How long the endpoint asks this router not to send further requests, if it does.
     pub pushback: Option<Duration>,
+    /// The rate at which all routers together may send requests to the endpoint.
+    pub rate_limit: StatedRateLimit,
+}
+
+/// What a response states about the rate at which all routers together may send requests to its
+/// endpoint.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub enum StatedRateLimit {
+    /// The response states no limit.
+    Unlimited,
+    /// The response states a limit.
+    Limited(RequestRate),
+    /// The response states something that is not a rate.
+    Unreadable,
 }
 
 /// Encodes and decodes a platform's headers, bodies and store calls for a router.
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -25,6 +25,7 @@
 mod send;
 mod settings;
 mod state;
+mod stated_limits;
 mod store_blocks;
 mod store_client;
 mod store_follower;
--- a/crates/daisynotch_router/src/direct/metrics.rs
+++ b/crates/daisynotch_router/src/direct/metrics.rs
@@ -54,6 +54,10 @@
     pub(crate) endpoint_crashes: IntCounter,
     /// Sets of prompt parts that are blocked because they crash endpoints.
     pub(crate) blocked_parts: IntGauge,
+    /// Endpoints that state a limit on the rate of requests from all routers.
+    pub(crate) limited_endpoints: IntGauge,
+    /// Responses of endpoints that state such a limit.
+    pub(crate) limited_responses: IntCounter,
 }
 
 impl Metrics {
@@ -124,6 +128,14 @@
                 "daisynotch_blocked_parts",
                 "Sets of prompt parts that are blocked because they crash endpoints.",
             )?,
+            limited_endpoints: IntGauge::new(
+                "daisynotch_limited_endpoints",
+                "Endpoints that state a limit on the rate of requests from all routers.",
+            )?,
+            limited_responses: IntCounter::new(
+                "daisynotch_limited_responses_total",
+                "Responses of endpoints that state such a limit.",
+            )?,
         };
         router_metrics.register()?;
         Ok(router_metrics)
@@ -135,7 +147,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 17] = [
+        let collectors: [Box<dyn Collector>; 19] = [
             Box::new(self.requests.clone()),
             Box::new(self.sends.clone()),
             Box::new(self.response_ends.clone()),
@@ -153,6 +165,8 @@
             Box::new(self.routers_present.clone()),
             Box::new(self.endpoint_crashes.clone()),
             Box::new(self.blocked_parts.clone()),
+            Box::new(self.limited_endpoints.clone()),
+            Box::new(self.limited_responses.clone()),
         ];
         metrics::register(&self.registry, collectors)
     }
--- a/crates/daisynotch_router/src/direct/send.rs
+++ b/crates/daisynotch_router/src/direct/send.rs
@@ -230,6 +230,7 @@
         if marks.is_leaving {
             self.router.on_endpoint_leaving(grant.endpoint, "answer");
         }
+        self.router.on_stated_limit(grant, marks.rate_limit);
         if let Some(pause) = marks.pushback {
             self.router.on_pushback(grant, pause);
         }
