Answer requests that outlast a leaving router before it ends

Such requests waited for their endpoint until their own time limit, and nothing told them when the router had to end.

A leaving router now answers what is left 0.7 s before the end of its time to leave: 504 if an endpoint may have run the request, 503 if none has, also for a body that still arrives. The arrival rate moves to a file of its own.

--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -5,6 +5,7 @@
 
 mod activity;
 mod admin;
+mod arrivals;
 mod connections;
 mod crash_check;
 mod daemon;
@@ -15,6 +16,7 @@
 mod head_limit;
 mod ingress;
 mod inquiry;
+mod last_answers;
 mod listener;
 mod metrics;
 mod moves;
--- a/crates/daisynotch_router/src/direct/daemon.rs
+++ b/crates/daisynotch_router/src/direct/daemon.rs
@@ -42,6 +42,8 @@
 const LAST_RESPONSES_DURATION: Duration = Duration::from_millis(2_200);
 /// Part of `leave_max_s` that is reserved for an orderly exit.
 const LEAVE_MARGIN: Duration = Duration::from_millis(400);
+/// Time for writing the answers to requests that a leaving router can't finish.
+const LAST_ANSWERS_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which a leaving router checks whether its last request has ended.
 const LEAVE_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -284,12 +286,15 @@
             "leaving",
             json!({"open_requests": open}),
         );
+        let leave_max = Duration::from_secs_f64(router.settings.borrow().leave_max_s);
+        let end_at = leave_started_at + leave_max.saturating_sub(LEAVE_MARGIN);
+        router
+            .last_answers
+            .set_due(end_at - LAST_ANSWERS_MARGIN.min(end_at - leave_started_at));
         self.leave_stage
             .send_replace(LeaveStage::ClosingAfterResponse);
         tokio::time::sleep(LAST_RESPONSES_DURATION).await;
         self.leave_stage.send_replace(LeaveStage::Closing);
-        let leave_max = Duration::from_secs_f64(router.settings.borrow().leave_max_s);
-        let end_at = leave_started_at + leave_max.saturating_sub(LEAVE_MARGIN);
         // Callers whose connections were just accepted may not have sent their requests yet.
         tokio::time::sleep(ingress::NEW_CONNECTION_GRACE).await;
         loop {
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -39,6 +39,8 @@
 /// Status of a request with a prompt part that crashes endpoints. Callers do not repeat a request
 /// after it: the same prompt would be refused again.
 const CRASHING_PART_STATUS: StatusCode = StatusCode::BAD_REQUEST;
+/// Outcome of requests for which a leaving router has no time left.
+const ROUTER_ENDING: &str = "router_ending";
 /// Expected length of a response as a fraction of its maximum, for callers that send no length
 /// hint.
 const EXPECTED_LENGTH_FRACTION: f64 = 0.5;
@@ -62,16 +64,24 @@
     pub(super) history: RequestHistory,
     /// The latest run whose connection broke before its response began.
     pub(super) open_run: Option<OpenRun>,
+    /// Whether an endpoint may have run the request; set if it is dropped for lack of time.
+    may_have_run: Rc<Cell<bool>>,
     /// Whether the log line on the end of the request was written.
     is_end_logged: Cell<bool>,
 }
 
 impl Drop for Call {
-    /// Logs the end of a request that is dropped early, which means that the caller's
-    /// connection closed.
+    /// Logs the end of a request that is dropped early: the caller's connection closed, or a
+    /// leaving router has no time left.
     fn drop(&mut self) {
         if !self.is_end_logged.get() {
-            self.log_end("caller_left", None);
+            let may_have_run = self.history.runs > 0 || self.history.is_at_endpoint;
+            if self.router.last_answers.are_due() {
+                self.may_have_run.set(may_have_run);
+                self.log_end(ROUTER_ENDING, last_answer(may_have_run).status);
+            } else {
+                self.log_end("caller_left", None);
+            }
         }
     }
 }
@@ -126,8 +136,20 @@
     is_admitted: bool,
 ) -> Response<ResponseBody> {
     let has_body = !request.body().is_end_stream();
-    match prepare(router, request, is_admitted).await {
-        Ok(call) => forward(call).await,
+    let prepared = tokio::select! {
+        prepared = prepare(router, request, is_admitted) => prepared,
+        () = router.last_answers.until_due() => Err((last_answer(false), json!({}))),
+    };
+    match prepared {
+        Ok(call) => {
+            let may_have_run = Rc::clone(&call.may_have_run);
+            tokio::select! {
+                response = forward(call) => response,
+                () = router.last_answers.until_due() => {
+                    last_answer(may_have_run.get()).into_response()
+                }
+            }
+        }
         Err((response, fields)) => {
             let labels = ["none", response.reason];
             router.metrics.requests.with_label_values(&labels).inc();
@@ -146,6 +168,15 @@
     }
 }
 
+/// Returns the answer to a request for which a leaving router has no time left.
+fn last_answer(may_have_run: bool) -> LocalResponse {
+    if may_have_run {
+        return LocalResponse::new(StatusCode::GATEWAY_TIMEOUT, ROUTER_ENDING);
+    }
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    LocalResponse::with_retry_after(status, ROUTER_ENDING, RETRY_AFTER_DEFAULT)
+}
+
 type Refusal = (LocalResponse, serde_json::Value);
 
 /// Checks a request and reads its body.
@@ -273,6 +304,7 @@
         routes,
         history: RequestHistory::default(),
         open_run: None,
+        may_have_run: Rc::default(),
         is_end_logged: Cell::new(false),
     })
 }
@@ -457,7 +489,7 @@
                 }
                 Err(response)
             }
-            Ok(Err(_)) => Err(self.unavailable("router_ending", RETRY_AFTER_DEFAULT)),
+            Ok(Err(_)) => Err(self.unavailable(ROUTER_ENDING, RETRY_AFTER_DEFAULT)),
             Err(_) => Err(self.unavailable("no_room_in_time", RETRY_AFTER_DEFAULT)),
         }
     }
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -18,9 +18,11 @@
 use serde_json::json;
 use tokio::sync::{Notify, oneshot};
 
+use super::arrivals::ArrivalRate;
 use super::connections::ConnectionPool;
 use super::crash_check::CrashCheck;
 use super::event_log::{EventLog, Importance};
+use super::last_answers::LastAnswers;
 use super::metrics::Metrics;
 use super::settings::DirectSettings;
 use super::unread::UnreadConnections;
@@ -89,6 +91,8 @@
     pub(crate) pressure: RefCell<Pressure>,
     /// How long ago the configuration was known to be the newest.
     pub(crate) confirmation: RefCell<Confirmation>,
+    /// When a leaving router answers what is left.
+    pub(crate) last_answers: LastAnswers,
     /// Connections whose requests are refused unread.
     pub(crate) unread: UnreadConnections,
     /// Unreadable items of the store that were logged.
@@ -140,6 +144,7 @@
             arrivals: ArrivalRate::default(),
             pressure: RefCell::default(),
             confirmation: RefCell::default(),
+            last_answers: LastAnswers::default(),
             unread: UnreadConnections::default(),
             unreadable: UnreadableItems::default(),
             store_era: Cell::default(),
@@ -476,32 +481,6 @@
     }
 }
 
-/// Time constant of the moving average of the arrival rate.
-const ARRIVALS_TIME_CONSTANT_S: f64 = 0.5;
-
-/// Exponential moving average of requests per second.
-#[derive(Debug, Default)]
-pub(crate) struct ArrivalRate {
-    per_s: Cell<f64>,
-    at: Cell<Timestamp>,
-}
-
-impl ArrivalRate {
-    /// Counts a request.
-    pub(crate) fn add(&self, now: Timestamp) {
-        self.per_s
-            .set(self.per_s(now) + 1.0 / ARRIVALS_TIME_CONSTANT_S);
-    }
-
-    /// Returns the current rate.
-    pub(crate) fn per_s(&self, now: Timestamp) -> f64 {
-        let elapsed_s = now.since(self.at.replace(now)).as_secs_f64();
-        let decayed = self.per_s.get() * (-elapsed_s / ARRIVALS_TIME_CONSTANT_S).exp();
-        self.per_s.set(decayed);
-        decayed
-    }
-}
-
 /// A waiting request, which is withdrawn when this is dropped.
 pub(crate) struct QueuedRequest {
     router: Rc<Router>,
