--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -474,6 +474,8 @@
 #[cfg(test)]
 mod extreme_tests;
 #[cfg(test)]
+mod limit_tests;
+#[cfg(test)]
 mod move_tests;
 #[cfg(test)]
 mod overload_tests;
--- /dev/null
+++ b/crates/daisynotch_core/src/direct/dispatcher/limit_tests.rs
@@ -0,0 +1,121 @@
+//! Endpoints that limit the requests of all routers together, at one router.
+
+use super::tests::{at, decide_new, dispatcher, entry, expect_grant, plain_spec, spec};
+use super::*;
+use crate::direct::{LimitNews, RefuseReason, RequestRate, StatedLimit};
+
+const OWN: RouterId = RouterId(1);
+/// Time in which a router that started waits for its parts, and some more.
+const SETTLED_MS: u64 = 3_000;
+
+/// Returns a settled dispatcher after another router told it of limits at these endpoints.
+fn limited(service: &str, endpoints: std::ops::Range<usize>, rate: RequestRate) -> Dispatcher {
+    let mut dispatcher = dispatcher(10_000_000);
+    let limits = endpoints.map(|index| StatedLimit {
+        endpoint: entry(service, index).id(),
+        limit: Some(rate),
+        age_ms: 0,
+    });
+    let news = LimitNews {
+        limits: limits.collect(),
+        demands: Vec::new(),
+    };
+    for ms in (0..SETTLED_MS).step_by(75) {
+        dispatcher.divide_limits(OWN, at(ms));
+    }
+    dispatcher.on_limit_news(OWN, None, &news, at(SETTLED_MS));
+    dispatcher
+}
+
+/// Requests that wait for limited endpoints to no end could go to another router instead.
+#[test]
+fn requests_beyond_the_limits_are_refused_at_once() {
+    let rate = RequestRate(2_000);
+    for service in ["models", "orders"] {
+        let mut dispatcher = limited(service, 0..4, rate);
+        let now = at(SETTLED_MS);
+        let mut refused = 0;
+        for session in 0..40 {
+            let spec = match service {
+                "models" => spec(session % 8, session, 400, now),
+                _ => plain_spec(now),
+            };
+            dispatcher.on_request(&spec, now);
+            dispatcher.submit(spec);
+        }
+        for (_, verdict) in dispatcher.decide_waiting(now) {
+            if let Verdict::Refuse {
+                reason,
+                retry_after,
+                ..
+            } = verdict
+            {
+                assert_eq!(reason, RefuseReason::EndpointLimits, "{service}");
+                assert!(retry_after >= Duration::from_millis(150), "{service}");
+                refused += 1;
+            }
+        }
+        // Few requests are sent at once, and few can be sent within the objective of 500 ms.
+        assert!(refused >= 30, "{service}: {refused}");
+        assert!(dispatcher.running_len() <= 4, "{service}");
+    }
+}
+
+/// Three of four engines accept few requests: prompts of a few tokens must not take them, while
+/// long prompts keep the fourth one busy.
+#[test]
+fn limited_engines_are_left_to_long_prompts() {
+    let mut dispatcher = limited("models", 0..3, RequestRate(4_000));
+    let unlimited = entry("models", 3).id();
+    let mut short_at_unlimited = 0;
+    let mut long_at_limited = 0;
+    for step in 0..40_u64 {
+        let now = at(SETTLED_MS + step * 100);
+        dispatcher.divide_limits(OWN, now);
+        let session = step as u32;
+        let short = decide_new(
+            &mut dispatcher,
+            spec(session % 8, 2 * session, 100, now),
+            now,
+        );
+        let long_spec = spec(session % 8, 2 * session + 1, 9_000, now);
+        let long = decide_new(&mut dispatcher, long_spec, now);
+        for (verdict, is_long) in [(short, false), (long, true)] {
+            let Some(Verdict::Send(grant)) = verdict else {
+                continue;
+            };
+            let is_limited = grant.endpoint != unlimited;
+            short_at_unlimited += u32::from(!is_long && !is_limited);
+            long_at_limited += u32::from(is_long && is_limited);
+            let done_at = now + Duration::from_millis(90);
+            dispatcher.on_bytes(grant.run, done_at);
+            dispatcher.on_ended(grant.run, RunOutcome::Done, done_at);
+        }
+    }
+    assert!(short_at_unlimited >= 30, "{short_at_unlimited}");
+    assert!(long_at_limited >= 30, "{long_at_limited}");
+}
+
+/// The limit of an endpoint that starts again under its name is not that of its earlier start.
+#[test]
+fn a_limit_holds_for_one_start_of_an_endpoint() {
+    let mut dispatcher = limited("orders", 0..2, RequestRate(0));
+    let now = at(SETTLED_MS);
+    for _ in 0..4 {
+        decide_new(&mut dispatcher, plain_spec(now), now);
+    }
+    let table = super::tests::table(10_000_000);
+    for index in 0..2 {
+        let before = entry("orders", index);
+        let change = EndpointChange::Closed(before.id());
+        dispatcher.on_endpoint(change, &table);
+        let restarted = EndpointEntry {
+            started_unix_ms: 2,
+            ..before
+        };
+        dispatcher.on_endpoint(EndpointChange::Usable(restarted), &table);
+    }
+    for _ in 0..4 {
+        expect_grant(decide_new(&mut dispatcher, plain_spec(now), now));
+    }
+}
