--- a/crates/daisynotch_core/src/direct/dispatcher/limit_tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/limit_tests.rs
@@ -1,6 +1,6 @@
 //! Endpoints that limit the requests of all routers together, at one router.
 
-use super::tests::{at, decide_new, dispatcher, entry, expect_grant, plain_spec, spec};
+use super::tests::{at, decide_new, dispatcher, entry, expect_grant, plain_spec, spec, table};
 use super::*;
 use crate::direct::{LimitNews, RefuseReason, RequestRate, StatedLimit};
 
@@ -104,7 +104,7 @@
     for _ in 0..4 {
         decide_new(&mut dispatcher, plain_spec(now), now);
     }
-    let table = super::tests::table(10_000_000);
+    let table = table(10_000_000);
     for index in 0..2 {
         let before = entry("orders", index);
         let change = EndpointChange::Closed(before.id());
