Spread plain requests over limited endpoints by load alone

A limited endpoint of a plain service was passed over for as long as it accepted few more requests, since what is scarce there cost as much as the prefill of a long prompt: ten of twelve requests went to an endpoint with six slots while the limited one idled. Its requests are alike, so nothing is saved by holding them back. The cost now applies to engines only; the test failed before. The time in which a router that has started has no part gets a name.

--- a/crates/daisynotch_core/src/direct/dispatcher/decision.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/decision.rs
@@ -328,7 +328,7 @@
             };
             candidate.cost_ms += tie_break_ms(*id, load, session, now);
             let mut is_spare = false;
-            if has_limit {
+            if has_limit && load.engine.is_some() {
                 let scarcity = self.shared_limits.scarcity(*id, now);
                 candidate.cost_ms += scarcity * LIMIT_COST_MAX_MS;
                 candidate.admission_ms += scarcity * ENGINE_BACKLOG_MAX_MS;
--- a/crates/daisynotch_core/src/direct/dispatcher/limit_tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/limit_tests.rs
@@ -119,3 +119,20 @@
         expect_grant(decide_new(&mut dispatcher, plain_spec(now), now));
     }
 }
+
+/// Requests of a plain service are alike, so what a limited endpoint accepts is not saved for any.
+#[test]
+fn a_limited_plain_endpoint_is_used_before_another_one_queues() {
+    let mut dispatcher = limited("orders", 0..1, RequestRate(20_000));
+    for ms in (0..2_000).step_by(75) {
+        dispatcher.divide_limits(OWN, at(SETTLED_MS + ms));
+    }
+    let now = at(SETTLED_MS + 2_000);
+    let unlimited = entry("orders", 1);
+    let mut at_unlimited = 0;
+    for _ in 0..12 {
+        let grant = expect_grant(decide_new(&mut dispatcher, plain_spec(now), now));
+        at_unlimited += u32::from(grant.endpoint == unlimited.id());
+    }
+    assert_eq!(at_unlimited, unlimited.slots);
+}
--- a/crates/daisynotch_core/src/direct/shared_limits.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits.rs
@@ -22,12 +22,14 @@
 use self::demand::Demand;
 pub use self::demand::DemandLevel;
 pub use self::news::{LimitNews, ServiceDemand, StatedLimit};
-use self::pace::{Pace, RAISE_DELAY};
+use self::pace::Pace;
 use self::parts::{Member, Part, part_of};
 use crate::time::Timestamp;
 
 /// How long a limit is remembered that no response confirms, and the end of one.
 const STATEMENT_RETENTION: Duration = Duration::from_secs(60);
+/// Time after the start in which others may not reckon with a router yet.
+const START_TIME: Duration = Duration::from_secs(2);
 /// Silence after which the part of another router is given to the others.
 const PEER_SILENCE_MAX: Duration = Duration::from_secs(3);
 /// Silence after which another router is forgotten, even if no router is heard at all.
@@ -241,8 +243,7 @@
         let members = self.members(own, service_hash(service), now);
         let due = part_of(own, endpoint, limit, &members);
         let started_at = self.first_round_at.unwrap_or(now);
-        // Others don't reckon yet with a router that has just started.
-        let is_settled = now.since(started_at) >= 4 * RAISE_DELAY;
+        let is_settled = now.since(started_at) >= START_TIME;
         let share = self.shares.entry(endpoint).or_insert_with(|| Share {
             limit,
             due,
--- a/crates/daisynotch_core/src/direct/shared_limits/pace.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/pace.rs
@@ -9,8 +9,9 @@
 use super::parts::Part;
 use crate::time::Timestamp;
 
-/// How long a larger part must have been due before it is used: longer than digests are late.
-pub(super) const RAISE_DELAY: Duration = Duration::from_millis(500);
+/// How long a larger part must have been due before it is used: several times the interval of
+/// digests.
+const RAISE_DELAY: Duration = Duration::from_millis(500);
 /// Requests beyond the part, such as questions that can't wait, for which later ones make up.
 const DEBT_MAX_REQUESTS: f64 = 4.0;
 
