Refuse late requests at once where every engine limits its requests

Requests of a team that leads kept waiting after their objective although every engine limits its requests: a free place is left to teams that lag, and the check for limits was made only while no engine accepted anything. Now a request is refused as soon as its turn would come after its objective. The test failed before: requests waited for 625 ms with an objective of 500 ms.

--- a/crates/daisynotch_core/src/direct/dispatcher/decision.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/decision.rs
@@ -8,6 +8,7 @@
     Candidate, ServiceLatency, cross_zone_cost_ms, evaluate_endpoint, tie_break_ms,
 };
 use crate::direct::request::{RefuseReason, RequestSpec, Verdict};
+use crate::direct::shared_limits::LimitWait;
 use crate::direct::waiting::{ENGINE_BACKLOG_MAX_MS, Rank, Waiting};
 use crate::time::Timestamp;
 
@@ -164,21 +165,24 @@
                 })
             };
         }
-        if choice.is_none()
-            && !must_yield
-            && let Some(wait) = self.limit_wait(spec, now)
+        // Every endpoint limits its requests, so a late request would only take an earlier one's
+        // place.
+        let limit_wait = self.limit_wait(spec, unplaced_before.requests, now);
+        let is_out_of_time = |wait: &LimitWait| {
+            let total = wait.total.map(|total| waited + total);
+            total.is_none_or(|total| total.as_secs_f64() * 1e3 >= self.planned_ms(spec))
+        };
+        let limit_wait = limit_wait.filter(is_out_of_time);
+        let refuse_for_limits = |wait: LimitWait| {
+            let retry_after_ms = wait.first.map(|first| first.as_secs_f64() * 1e3);
+            let retry_after_ms = retry_after_ms.unwrap_or(NO_ENDPOINT_RETRY_MS);
+            refuse(RefuseReason::EndpointLimits, retry_after_ms)
+        };
+        if !has_engines
+            && choice.is_none()
+            && let Some(wait) = limit_wait
         {
-            let first_ms = wait.first.map(|first| first.as_secs_f64() * 1e3);
-            // Requests that rank higher are sent first.
-            let turn_ms = unplaced_before.requests as f64 * 1e3 / wait.per_s;
-            let wait_ms = first_ms.map_or(f64::INFINITY, |first_ms| first_ms + turn_ms);
-            let waited_ms = waited.as_secs_f64() * 1e3;
-            return if waited_ms + wait_ms < self.planned_ms(spec) {
-                None
-            } else {
-                let retry_after_ms = first_ms.unwrap_or(NO_ENDPOINT_RETRY_MS);
-                refuse(RefuseReason::EndpointLimits, retry_after_ms)
-            };
+            return refuse_for_limits(wait);
         }
         if !has_engines {
             return match self.decide_plain(spec, choice.as_ref(), waited) {
@@ -207,6 +211,9 @@
             let retry_after_ms = BEYOND_SHARE_BACKOFF_FRACTION * window_ms * beyond;
             return refuse(RefuseReason::BeyondShare, retry_after_ms);
         }
+        if let Some(wait) = limit_wait {
+            return refuse_for_limits(wait);
+        }
         let time_limit = spec.give_up_at.since(spec.arrived_at);
         let wait_max = spec.objective.max(time_limit.mul_f64(LATE_WAIT_FRACTION));
         if waited < wait_max {
--- a/crates/daisynotch_core/src/direct/dispatcher/limit_tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/limit_tests.rs
@@ -136,3 +136,28 @@
     }
     assert_eq!(at_unlimited, unlimited.slots);
 }
+
+/// A team that leads gets no scarce request, and its callers left after two seconds without a
+/// word.
+#[test]
+fn a_request_that_can_only_be_late_is_refused_when_its_objective_passes() {
+    let mut dispatcher = limited("models", 0..4, RequestRate(2_000));
+    let arrived_at = at(SETTLED_MS);
+    let mut waited_max = Duration::ZERO;
+    for step in 0..160_u64 {
+        let now = at(SETTLED_MS + step * 25);
+        dispatcher.divide_limits(OWN, now);
+        // The first team asks for much more than the others.
+        for team in [0, 0, 0, 0, 0, 0, step as u32 % 8] {
+            let spec = spec(team, step as u32, 2_000, now);
+            dispatcher.on_request(&spec, now);
+            dispatcher.submit(spec);
+        }
+        let objective = Duration::from_millis(500);
+        dispatcher.decide_waiting(now);
+        let waiting = dispatcher.waiting.iter();
+        let waited = waiting.map(|waiting| now.since(waiting.spec.arrived_at));
+        waited_max = waited_max.max(waited.max().unwrap_or_default());
+        assert!(waited_max <= objective, "{:?}", now.since(arrived_at));
+    }
+}
--- a/crates/daisynotch_core/src/direct/dispatcher/limits.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/limits.rs
@@ -69,24 +69,21 @@
         self.shared_limits.limited_len()
     }
 
-    /// Returns how long a request would wait if nothing but limits and pauses keeps it from its
-    /// service's endpoints.
-    pub(super) fn limit_wait(&self, spec: &RequestSpec, now: Timestamp) -> Option<LimitWait> {
-        if self.shared_limits.limited_len() == 0 {
+    /// Returns how long a request with `ahead` others before it would wait if every endpoint that
+    /// it may go to limits its requests; `None` if one does not.
+    pub(super) fn limit_wait(
+        &self,
+        spec: &RequestSpec,
+        ahead: usize,
+        now: Timestamp,
+    ) -> Option<LimitWait> {
+        if !self.shared_limits.has_shares() {
             return None;
         }
-        let mut wait = LimitWait::default();
-        let mut is_limited = false;
-        for id in self.endpoints_by_service.get(&spec.service)? {
-            if spec.tried.contains(id) || self.pushbacks.is_active(*id, now) {
-                continue;
-            }
-            if self.shared_limits.allows(*id, now) {
-                return None;
-            }
-            is_limited = true;
-            self.shared_limits.add_wait(*id, &mut wait, now);
-        }
-        is_limited.then_some(wait)
+        let ids = self.endpoints_by_service.get(&spec.service)?;
+        let is_open =
+            |id: &&EndpointId| !spec.tried.contains(id) && !self.pushbacks.is_active(**id, now);
+        let open = ids.iter().filter(is_open).copied();
+        self.shared_limits.wait(open, ahead, now)
     }
 }
--- a/crates/daisynotch_core/src/direct/shared_limits.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits.rs
@@ -110,13 +110,13 @@
     pace: Pace,
 }
 
-/// How long a request would wait for endpoints whose limits are used up.
-#[derive(Debug, Clone, Copy, Default)]
+/// How long a request would wait for endpoints that all limit their requests.
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct LimitWait {
     /// Time until the first of them accepts a request; `None` if this router has no part.
     pub(crate) first: Option<Duration>,
-    /// Requests per second that this router may send to them.
-    pub(crate) per_s: f64,
+    /// Time until the request's turn comes; `None` if it never does.
+    pub(crate) total: Option<Duration>,
 }
 
 /// The limits that endpoints state, and this router's parts of them.
@@ -217,15 +217,36 @@
         }
     }
 
-    /// Adds how long a request would wait for an endpoint that has a limit.
-    pub(crate) fn add_wait(&self, endpoint: EndpointId, wait: &mut LimitWait, now: Timestamp) {
-        let Some(share) = self.shares.get(&endpoint) else {
-            return;
-        };
-        wait.per_s += share.pace.per_s();
-        if let Some(first) = share.pace.wait(now) {
-            wait.first = Some(wait.first.map_or(first, |other| other.min(first)));
+    /// Returns how long a request would wait for one of these endpoints, after `ahead` others;
+    /// `None` if there is none or one of them has no limit.
+    pub(crate) fn wait(
+        &self,
+        endpoints: impl Iterator<Item = EndpointId>,
+        ahead: usize,
+        now: Timestamp,
+    ) -> Option<LimitWait> {
+        let mut per_s = 0.0;
+        let mut first: Option<Duration> = None;
+        let mut is_any = false;
+        for endpoint in endpoints {
+            self.limit(endpoint)?;
+            is_any = true;
+            let Some(share) = self.shares.get(&endpoint) else {
+                continue;
+            };
+            per_s += share.pace.per_s();
+            if let Some(wait) = share.pace.wait(now) {
+                first = Some(first.map_or(wait, |other| other.min(wait)));
+            }
         }
+        let turn = Duration::try_from_secs_f64(ahead as f64 / per_s).ok();
+        let total = first.zip(turn).map(|(first, turn)| first + turn);
+        is_any.then_some(LimitWait { first, total })
+    }
+
+    /// Returns whether this router has a part of any limit, or waits for one.
+    pub(crate) fn has_shares(&self) -> bool {
+        !self.shares.is_empty()
     }
 
     /// Divides one limit, after an endpoint stated it first or changed it.
