Say once how a limit is restated and how a candidate replaces another

The change of limits had the update of a statement twice, the comparison of two candidates twice, and worked out the wait for limits also for requests that were then sent. Now each stands once, and the wait is looked at only for a request that found no place.

--- a/crates/daisynotch_core/src/direct/dispatcher/decision.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/decision.rs
@@ -8,7 +8,6 @@
     Candidate, ServiceLatency, cross_zone_cost_ms, evaluate_endpoint, tie_break_ms,
 };
 use crate::direct::request::{RefuseReason, RequestSpec, Verdict};
-use crate::direct::shared_limits::LimitWait;
 use crate::direct::waiting::{ENGINE_BACKLOG_MAX_MS, Rank, Waiting};
 use crate::time::Timestamp;
 
@@ -165,26 +164,13 @@
                 })
             };
         }
-        // Every endpoint limits its requests, so a late request would only take an earlier one's
-        // place.
-        let limit_wait = self.limit_wait(spec, unplaced_before.requests, now);
-        let is_out_of_time = |wait: &LimitWait| {
-            let total = wait.total.map(|total| waited + total);
-            total.is_none_or(|total| total.as_secs_f64() * 1e3 >= self.planned_ms(spec))
-        };
-        let limit_wait = limit_wait.filter(is_out_of_time);
-        let refuse_for_limits = |wait: LimitWait| {
-            let retry_after_ms = wait.first.map(|first| first.as_secs_f64() * 1e3);
-            let retry_after_ms = retry_after_ms.unwrap_or(NO_ENDPOINT_RETRY_MS);
-            refuse(RefuseReason::EndpointLimits, retry_after_ms)
-        };
-        if !has_engines
-            && choice.is_none()
-            && let Some(wait) = limit_wait
-        {
-            return refuse_for_limits(wait);
-        }
+        let ahead = unplaced_before.requests;
         if !has_engines {
+            if choice.is_none()
+                && let Some(retry_after_ms) = self.limits_retry_ms(spec, ahead, now)
+            {
+                return refuse(RefuseReason::EndpointLimits, retry_after_ms);
+            }
             return match self.decide_plain(spec, choice.as_ref(), waited) {
                 PlainDecision::Send => {
                     choice.map(|choice| Verdict::Send(self.grant(spec, choice, is_trial, now)))
@@ -211,8 +197,8 @@
             let retry_after_ms = BEYOND_SHARE_BACKOFF_FRACTION * window_ms * beyond;
             return refuse(RefuseReason::BeyondShare, retry_after_ms);
         }
-        if let Some(wait) = limit_wait {
-            return refuse_for_limits(wait);
+        if let Some(retry_after_ms) = self.limits_retry_ms(spec, ahead, now) {
+            return refuse(RefuseReason::EndpointLimits, retry_after_ms);
         }
         let time_limit = spec.give_up_at.since(spec.arrived_at);
         let wait_max = spec.objective.max(time_limit.mul_f64(LATE_WAIT_FRACTION));
@@ -263,6 +249,21 @@
         }
     }
 
+    /// Returns the time after which to retry, in milliseconds, if every endpoint that the request
+    /// may go to limits its requests and its turn, after `ahead` others, comes too late.
+    ///
+    /// Such a request would only take the place of an earlier one.
+    fn limits_retry_ms(&self, spec: &RequestSpec, ahead: usize, now: Timestamp) -> Option<f64> {
+        let wait = self.limit_wait(spec, ahead, now)?;
+        let waited = now.since(spec.arrived_at);
+        let total = wait.total.map(|total| waited + total);
+        if total.is_some_and(|total| total.as_secs_f64() * 1e3 < self.planned_ms(spec)) {
+            return None;
+        }
+        let first_ms = wait.first.map(|first| first.as_secs_f64() * 1e3);
+        Some(first_ms.unwrap_or(NO_ENDPOINT_RETRY_MS))
+    }
+
     /// Returns when the first pushback ends, if every endpoint is paused or already tried.
     fn pushback_ends_at(&self, spec: &RequestSpec, now: Timestamp) -> Option<Timestamp> {
         let ids = self.endpoints_by_service.get(&spec.service)?;
@@ -317,7 +318,7 @@
         let mut best: Option<Candidate> = None;
         let mut reserved: Option<Candidate> = None;
         let mut fallback: Option<Candidate> = None;
-        let mut limited: Option<Candidate> = None;
+        let mut spare: Option<Candidate> = None;
         let trials = self.trials();
         for id in ids {
             let Some(load) = self.endpoints.get(id) else {
@@ -353,25 +354,23 @@
             } else if trials.contains(id) || self.crash_evidence.has_peer_trial(*id, now) {
                 &mut reserved
             } else {
-                if is_spare
-                    && limited
-                        .as_ref()
-                        .is_none_or(|limited| candidate.cost_ms < limited.cost_ms)
-                {
-                    limited = Some(candidate);
+                if is_spare {
+                    keep_cheaper(&mut spare, candidate);
                 }
                 &mut best
             };
-            if current
-                .as_ref()
-                .is_none_or(|current| candidate.cost_ms < current.cost_ms)
-            {
-                *current = Some(candidate);
-            }
+            keep_cheaper(current, candidate);
         }
         if best.is_some_and(|best| best.admission_ms > backlog_max_ms) {
-            best = limited.or(best);
+            best = spare.or(best);
         }
         (best.or(reserved), fallback)
     }
 }
+
+/// Replaces a candidate by another one that costs less.
+fn keep_cheaper(current: &mut Option<Candidate>, other: Candidate) {
+    if current.is_none_or(|current| other.cost_ms < current.cost_ms) {
+        *current = Some(other);
+    }
+}
--- a/crates/daisynotch_core/src/direct/dispatcher/limit_tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/limit_tests.rs
@@ -142,7 +142,6 @@
 #[test]
 fn a_request_that_can_only_be_late_is_refused_when_its_objective_passes() {
     let mut dispatcher = limited("models", 0..4, RequestRate(2_000));
-    let arrived_at = at(SETTLED_MS);
     let mut waited_max = Duration::ZERO;
     for step in 0..160_u64 {
         let now = at(SETTLED_MS + step * 25);
@@ -158,6 +157,6 @@
         let waiting = dispatcher.waiting.iter();
         let waited = waiting.map(|waiting| now.since(waiting.spec.arrived_at));
         waited_max = waited_max.max(waited.max().unwrap_or_default());
-        assert!(waited_max <= objective, "{:?}", now.since(arrived_at));
+        assert!(waited_max <= objective, "{waited_max:?} after {step} steps");
     }
 }
--- a/crates/daisynotch_core/src/direct/shared_limits.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits.rs
@@ -84,6 +84,22 @@
             (None, _) => false,
         }
     }
+
+    /// Replaces the statement and returns the change, if the limit is another one.
+    fn restate(
+        &mut self,
+        endpoint: EndpointId,
+        limit: Option<RequestRate>,
+        confirmed_at: Timestamp,
+    ) -> Option<LimitChange> {
+        let before = std::mem::replace(&mut self.limit, limit);
+        self.confirmed_at = confirmed_at;
+        (limit != before).then_some(LimitChange {
+            endpoint,
+            limit,
+            before,
+        })
+    }
 }
 
 /// The demands that another router last reported, by the hash of the service's name.
@@ -159,17 +175,11 @@
         let Some(known) = self.statements.get_mut(&endpoint) else {
             return Some(self.insert(endpoint, limit?, now));
         };
-        let before = known.limit;
-        if limit != before && !known.is_tightened_by(limit) && sent_at <= known.confirmed_at {
+        let is_looser = limit != known.limit && !known.is_tightened_by(limit);
+        if is_looser && sent_at <= known.confirmed_at {
             return None;
         }
-        known.limit = limit;
-        known.confirmed_at = now;
-        (limit != before).then_some(LimitChange {
-            endpoint,
-            limit,
-            before,
-        })
+        known.restate(endpoint, limit, now)
     }
 
     fn insert(
--- a/crates/daisynotch_core/src/direct/shared_limits/news.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/news.rs
@@ -119,8 +119,7 @@
             let limit = stated.limit?;
             return Some(self.insert(stated.endpoint, limit, confirmed_at));
         };
-        let before = known.limit;
-        let is_newer = if stated.limit == before || known.is_tightened_by(stated.limit) {
+        let is_newer = if stated.limit == known.limit || known.is_tightened_by(stated.limit) {
             confirmed_at > known.confirmed_at
         } else {
             confirmed_at > known.confirmed_at + LOOSER_MARGIN
@@ -128,13 +127,7 @@
         if !is_newer {
             return None;
         }
-        known.limit = stated.limit;
-        known.confirmed_at = confirmed_at;
-        (stated.limit != before).then_some(LimitChange {
-            endpoint: stated.endpoint,
-            limit: stated.limit,
-            before,
-        })
+        known.restate(stated.endpoint, stated.limit, confirmed_at)
     }
 }
 
