Test that a long prompt takes an idle limited engine instead of waiting

With that choice taken out the new test fails (a prompt of 9,000 tokens waits); with the weight of the own reading or the cost of scarce requests taken out, limited_engines_are_left_to_long_prompts fails.

--- a/crates/daisynotch_core/src/direct/dispatcher/limit_tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/limit_tests.rs
@@ -1,6 +1,8 @@
 //! Endpoints that limit the requests of all routers together, at one router.
 
-use super::tests::{at, decide_new, dispatcher, entry, expect_grant, plain_spec, spec, table};
+use super::tests::{
+    at, decide_new, digest, dispatcher, entry, expect_grant, plain_spec, spec, table,
+};
 use super::*;
 use crate::direct::{LimitNews, RefuseReason, RequestRate, StatedLimit};
 
@@ -96,6 +98,41 @@
     assert!(long_at_limited >= 30, "{long_at_limited}");
 }
 
+/// The engine without a limit has cached the prompts but is busy for 300 ms. A limited engine idles,
+/// so a long prompt goes there instead of waiting; a short one leaves it to long ones.
+#[test]
+fn a_long_prompt_takes_an_idle_limited_engine_instead_of_waiting() {
+    for (prompt_tokens, is_sent) in [(9_000, true), (400, false)] {
+        let mut dispatcher = limited("models", 0..3, RequestRate(4_000));
+        let now = at(SETTLED_MS);
+        let spec = spec(1, 1, prompt_tokens, now);
+        let endpoint = entry("models", 3).id();
+        let load = EndpointDigest {
+            endpoint,
+            unread_tokens: 23_000,
+            running: 3,
+            memory_tokens: 23_000,
+            is_suspect: false,
+        };
+        let placed = PlacedParts {
+            endpoint,
+            parts: spec.parts.clone(),
+        };
+        let digest = Digest {
+            endpoints: vec![load],
+            placed: vec![placed],
+            ..digest()
+        };
+        dispatcher.on_digest(&digest, now);
+        let verdict = decide_new(&mut dispatcher, spec, now);
+        assert_eq!(verdict.is_some(), is_sent, "{prompt_tokens}");
+        if let Some(verdict) = verdict {
+            let grant = expect_grant(Some(verdict));
+            assert_ne!(grant.endpoint, endpoint);
+        }
+    }
+}
+
 /// The limit of an endpoint that starts again under its name is not that of its earlier start.
 #[test]
 fn a_limit_holds_for_one_start_of_an_endpoint() {
