Divide limits by what teams are entitled to, not by all that they ask

The part of a router followed all requests that reached it. A team far beyond its share is refused, its callers repeat at once, and that counted as demand: one router held 51 of 62 requests a second with a weight of 1,024 beside 16 to 64, and sent 15; the others waited with up to 30 requests each.

A request now counts by the part of its team's demand that an even share of the tokens which engines really begin would cover, so repeats add nothing.

--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -142,10 +142,14 @@
     /// Counts a caller's request towards its team's demand and the retry budget.
     pub fn on_request(&mut self, spec: &RequestSpec, now: Timestamp) {
         self.retry_budget.on_request(&spec.service, now);
-        self.shared_limits.on_request(&spec.service, now);
+        let mut entitled = 1.0;
         if let Some(team) = spec.team {
             self.shares.on_asked(team, spec.weighted_tokens(), now);
+            if self.has_engines(&spec.service) {
+                entitled = self.shares.entitled_fraction(team, now);
+            }
         }
+        self.shared_limits.on_request(&spec.service, entitled, now);
     }
 
     /// Takes one retry from the budget; returns `false` if the budget is spent.
--- a/crates/daisynotch_core/src/direct/dispatcher/limit_tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/limit_tests.rs
@@ -197,3 +197,54 @@
         assert!(waited_max <= objective, "{waited_max:?} after {step} steps");
     }
 }
+
+/// A team far beyond its share, whose callers repeat refused requests at one router, drew almost
+/// all limits to that router; teams that use other routers got a fifth of what they asked.
+#[test]
+fn a_team_beyond_its_share_draws_no_more_limits_to_its_router() {
+    let rate = RequestRate(10_000);
+    let mut dispatchers = [(); 2].map(|()| limited("models", 0..4, rate));
+    let ids = [OWN, RouterId(2)];
+    // Requests of 2,000 tokens in 25 ms from the only team of each router.
+    let requests = [8, 1];
+    let mut sent = [0, 0];
+    for step in 0..400_u64 {
+        let now = at(SETTLED_MS + step * 25);
+        for (index, dispatcher) in dispatchers.iter_mut().enumerate() {
+            for _ in 0..requests[index] {
+                let spec = spec(index as u32, step as u32, 2_000, now);
+                dispatcher.on_request(&spec, now);
+                dispatcher.submit(spec);
+            }
+            for (_, verdict) in dispatcher.decide_waiting(now) {
+                let Verdict::Send(grant) = verdict else {
+                    continue;
+                };
+                dispatcher.on_bytes(grant.run, now);
+                dispatcher.on_ended(grant.run, RunOutcome::Done, now);
+                sent[index] += u32::from(step >= 200);
+            }
+        }
+        if step % 3 == 0 {
+            let news = dispatchers.each_mut().map(|dispatcher| {
+                let (endpoints, teams, placed) = dispatcher.to_digest(now);
+                let digest = Digest {
+                    endpoints,
+                    teams,
+                    placed,
+                    ..digest()
+                };
+                (digest, dispatcher.limit_news(256, now))
+            });
+            for (index, dispatcher) in dispatchers.iter_mut().enumerate() {
+                let (digest, news) = &news[1 - index];
+                let sender = ids[1 - index];
+                dispatcher.on_digest(digest, now);
+                dispatcher.on_limit_news(ids[index], Some(sender), news, now);
+                dispatcher.divide_limits(ids[index], now);
+            }
+        }
+    }
+    // In five seconds the four engines accept 200 requests, of which each team should get half.
+    assert!(sent[1] >= 70, "{sent:?}");
+}
--- a/crates/daisynotch_core/src/direct/shared_limits.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits.rs
@@ -155,10 +155,11 @@
 }
 
 impl SharedLimits {
-    /// Counts a caller's request for a service.
-    pub(crate) fn on_request(&mut self, service: &Arc<str>, now: Timestamp) {
+    /// Counts a caller's request for a service with the part of it, from 0 to 1, to which its team
+    /// is entitled: a team that asks for much more must not draw limits to the router that it uses.
+    pub(crate) fn on_request(&mut self, service: &Arc<str>, entitled: f64, now: Timestamp) {
         let demand = self.demands.entry(service_hash(service)).or_default();
-        demand.on_request(now);
+        demand.on_request(entitled, now);
     }
 
     /// Records what a response states, to a request that was sent at `sent_at`.
--- a/crates/daisynotch_core/src/direct/shared_limits/demand.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/demand.rs
@@ -10,7 +10,7 @@
 /// Time constant of the moving average of the request rate.
 const TIME_CONSTANT: Duration = Duration::from_secs(3);
 /// Rate below which there is no demand.
-const RATE_MIN_PER_S: f64 = 0.25;
+const RATE_MIN_PER_S: f64 = 0.02;
 /// Levels in which the demand doubles.
 const LEVELS_PER_DOUBLING: f64 = 1.0;
 /// How far the rate must be from the current level, in levels, until the level changes.
@@ -39,9 +39,9 @@
 }
 
 impl Demand {
-    /// Counts a request.
-    pub(super) fn on_request(&mut self, now: Timestamp) {
-        self.per_s = self.per_s_at(now) + 1.0 / TIME_CONSTANT.as_secs_f64();
+    /// Counts a request with a weight from 0 to 1.
+    pub(super) fn on_request(&mut self, weight: f64, now: Timestamp) {
+        self.per_s = self.per_s_at(now) + weight / TIME_CONSTANT.as_secs_f64();
         self.updated_at = now;
     }
 
--- a/crates/daisynotch_core/src/direct/shared_limits/demand/tests.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/demand/tests.rs
@@ -9,7 +9,7 @@
     let mut levels = Vec::new();
     for ms in from_ms..from_ms + seconds * 1_000 {
         if ms % (1_000 / per_s) == 0 {
-            demand.on_request(at(ms));
+            demand.on_request(1.0, at(ms));
         }
         if ms % 75 == 0 {
             levels.push(demand.level(at(ms)));
--- a/crates/daisynotch_core/src/direct/shares.rs
+++ b/crates/daisynotch_core/src/direct/shares.rs
@@ -103,6 +103,9 @@
     /// The share of the teams that ask for more than it; while capacity covers all demand, the
     /// lower bound of that share.
     reference_tokens: u64,
+    /// What a team may get at most if the tokens that engines really begin are shared evenly;
+    /// `None` while they cover all demand.
+    served_share: Option<u64>,
     /// The smallest fraction of the share that any backlogged team has used.
     backlogged_least_used: Option<f64>,
     /// The smallest fraction of its entitlement that any backlogged team has begun; a team is
@@ -124,6 +127,7 @@
             even_share: None,
             refreshed_at: None,
             reference_tokens: 0,
+            served_share: None,
             backlogged_least_used: None,
             backlogged_least_served: None,
             asked_since_refresh: 0,
@@ -225,6 +229,16 @@
         fraction / (LEAD_FACTOR_MAX * least_served.max(LEAD_FLOOR_FRACTION))
     }
 
+    /// Returns the fraction of a team's demand that an even share of what engines really begin
+    /// would cover.
+    pub(crate) fn entitled_fraction(&mut self, team: u32, now: Timestamp) -> f64 {
+        self.refresh_when_due(now);
+        let (Some(share), Some(total)) = (self.served_share, self.totals.get(&team)) else {
+            return 1.0;
+        };
+        (share as f64 / total.asked.max(1) as f64).min(1.0)
+    }
+
     /// Returns whether a team that has used `used_fraction` of its share is so far ahead of a
     /// backlogged team that idle capacity should go to the latter.
     pub fn must_yield_idle_capacity(&self, used_fraction: f64) -> bool {
@@ -238,6 +252,7 @@
         self.asked_since_refresh = 0;
         self.totals.clear();
         self.even_share = None;
+        self.served_share = None;
         self.backlogged_least_used = None;
         self.backlogged_least_served = None;
         if self.settings.tokens_per_s.is_none() {
@@ -257,6 +272,9 @@
         let mut asked: Vec<u64> = self.totals.values().map(|total| total.asked).collect();
         asked.sort_unstable();
         self.even_share = even_share(&asked, capacity);
+        let begun = self.totals.iter();
+        let begun = begun.map(|(team, total)| self.begun_here(*team) + total.begun_elsewhere);
+        self.served_share = even_share(&asked, begun.sum::<u64>() as f64);
         self.reference_tokens = self
             .even_share
             .unwrap_or((capacity / asked.len().max(1) as f64) as u64);
