Review: a plain answer cut by a crash looks complete

Cause: after a body without a length, a health check that names the replica counts as the sender's for a second, also if another start of the replica answers it.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,6 +2,7 @@
 
 mod http;
 mod proxy;
+mod restarted_under_its_name;
 mod revoked_in_an_island;
 mod store;
 mod stream_after_error;
@@ -25,6 +26,9 @@
     let played = async {
         match case.as_str() {
             "stream-after-error" => stream_after_error::run(folder, temporary, has_trouble).await,
+            "restarted-under-its-name" => {
+                restarted_under_its_name::run(folder, temporary, has_trouble).await
+            }
             "revoked-in-an-island" => revoked_in_an_island::run(folder, temporary, has_trouble).await,
             _ => Err(std::io::Error::other("no such case")),
         }
