--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -146,7 +146,9 @@
 }
 
 fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).position(|window| window == pattern)
+    bytes
+        .windows(pattern.len())
+        .position(|window| window == pattern)
 }
 
 /// Returns a response with a length.
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -29,7 +29,9 @@
             "restarted-under-its-name" => {
                 restarted_under_its_name::run(folder, temporary, has_trouble).await
             }
-            "revoked-in-an-island" => revoked_in_an_island::run(folder, temporary, has_trouble).await,
+            "revoked-in-an-island" => {
+                revoked_in_an_island::run(folder, temporary, has_trouble).await
+            }
             _ => Err(std::io::Error::other("no such case")),
         }
     };
--- a/review/standins/src/restarted_under_its_name.rs
+++ b/review/standins/src/restarted_under_its_name.rs
@@ -89,7 +89,9 @@
         connections.shutdown().await;
         replicas.record.line(format!("{id} has crashed"));
         tokio::time::sleep(DOWN_FOR).await;
-        replicas.record.line(format!("{id} starts again and registers itself"));
+        replicas
+            .record
+            .line(format!("{id} starts again and registers itself"));
     }
 }
 
@@ -109,7 +111,10 @@
         reader.stream().write_all(answer.as_bytes()).await?;
         return Ok(true);
     }
-    if head.header("x-expect-replica").is_some_and(|expected| expected != id) {
+    if head
+        .header("x-expect-replica")
+        .is_some_and(|expected| expected != id)
+    {
         let headers = format!("{name}x-attempt-id: {attempt}\r\nx-not-executed: 1\r\n");
         let answer = response("421 Misdirected Request", &headers, "");
         reader.stream().write_all(answer.as_bytes()).await?;
@@ -151,7 +156,11 @@
     });
     for index in 1..=3 {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        tokio::spawn(run_replica(Arc::clone(&replicas), format!("i-{index}"), listener));
+        tokio::spawn(run_replica(
+            Arc::clone(&replicas),
+            format!("i-{index}"),
+            listener,
+        ));
     }
     let peer_port = free_address("127.0.0.21").port();
     let seeds = r#""127.0.0.21:8785", "127.0.0.22:8785", "127.0.0.23:8785""#;
@@ -205,7 +214,8 @@
             tokio::time::sleep(Duration::from_millis(1_500)).await;
         }
     }
-    let summary = format!("{whole} whole answers, {failed} failed, {wrong} cut answers that look complete");
+    let summary =
+        format!("{whole} whole answers, {failed} failed, {wrong} cut answers that look complete");
     record.line(&summary);
     println!("{summary}");
     if whole < ROUTERS || routers.iter_mut().any(Router::has_ended) {
--- a/review/standins/src/revoked_in_an_island.rs
+++ b/review/standins/src/revoked_in_an_island.rs
@@ -87,13 +87,18 @@
     let attempt = head.header("x-attempt-id").unwrap_or("");
     let answer = if head.request().1 == "/healthz" {
         response("200 OK", &format!("x-replica-id: {id}\r\n"), "")
-    } else if head.header("x-expect-replica").is_some_and(|expected| expected != id) {
-        let headers = format!("x-replica-id: {id}\r\nx-attempt-id: {attempt}\r\nx-not-executed: 1\r\n");
+    } else if head
+        .header("x-expect-replica")
+        .is_some_and(|expected| expected != id)
+    {
+        let headers =
+            format!("x-replica-id: {id}\r\nx-attempt-id: {attempt}\r\nx-not-executed: 1\r\n");
         response("421 Misdirected Request", &headers, "")
     } else {
         runs.lock().unwrap().push(attempt.to_owned());
         tokio::time::sleep(Duration::from_millis(15)).await;
-        let headers = format!("x-attempt-id: {attempt}\r\nx-replica-signature: s.{id}.{attempt}\r\n");
+        let headers =
+            format!("x-attempt-id: {attempt}\r\nx-replica-signature: s.{id}.{attempt}\r\n");
         response("200 OK", &headers, "held")
     };
     reader.stream().write_all(answer.as_bytes()).await
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -59,7 +59,9 @@
         let mut state = self.state.lock().unwrap();
         state.revision += 1;
         let revision = state.revision;
-        state.items.insert(key.to_owned(), (value.clone(), revision));
+        state
+            .items
+            .insert(key.to_owned(), (value.clone(), revision));
         state.history.push((revision, key.to_owned(), Some(value)));
         revision
     }
@@ -86,7 +88,10 @@
                     let after = parameter("after").parse().unwrap_or(0);
                     let wait = parameter("waitMs").parse().unwrap_or(0);
                     let wait = Duration::from_millis(wait);
-                    ("200 OK", self.watch(&parameter("prefix"), after, wait).await)
+                    (
+                        "200 OK",
+                        self.watch(&parameter("prefix"), after, wait).await,
+                    )
                 }
                 ("POST", "/v1/kv-lease") => {
                     let asked: Value = serde_json::from_slice(&body).unwrap_or_default();
@@ -136,9 +141,10 @@
         loop {
             {
                 let state = self.state.lock().unwrap();
-                let changes = state.history.iter().filter(|(revision, key, _)| {
-                    *revision > after && key.starts_with(prefix)
-                });
+                let changes = state
+                    .history
+                    .iter()
+                    .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
                 let events: Vec<Value> = changes
                     .map(|(revision, key, value)| match value {
                         Some(value) => json!({"key": key, "value": encode_base64(value),
@@ -178,7 +184,11 @@
         for digit in 0..4 {
             let value = (number >> (18 - 6 * digit)) & 63;
             let is_padding = digit > group.len();
-            text.push(if is_padding { '=' } else { char::from(DIGITS[value as usize]) });
+            text.push(if is_padding {
+                '='
+            } else {
+                char::from(DIGITS[value as usize])
+            });
         }
     }
     text
--- a/review/standins/src/stream_after_error.rs
+++ b/review/standins/src/stream_after_error.rs
@@ -117,7 +117,8 @@
     fn is_troubled(&self) -> bool {
         self.trouble_from.is_some_and(|from| {
             let since = Instant::now().saturating_duration_since(from);
-            Instant::now() >= from && since.as_millis() % TROUBLE_EVERY.as_millis() < TROUBLE_FOR.as_millis()
+            Instant::now() >= from
+                && since.as_millis() % TROUBLE_EVERY.as_millis() < TROUBLE_FOR.as_millis()
         })
     }
 
@@ -141,7 +142,10 @@
             return Ok(true);
         }
         let attempt = head.header("x-attempt-id").unwrap_or("").to_owned();
-        if head.header("x-expect-replica").is_some_and(|id| id != self.id) {
+        if head
+            .header("x-expect-replica")
+            .is_some_and(|id| id != self.id)
+        {
             let headers = format!("{name}x-attempt-id: {attempt}\r\nx-not-executed: 1\r\n");
             let answer = response("421 Misdirected Request", &headers, "");
             reader.stream().write_all(answer.as_bytes()).await?;
@@ -165,13 +169,21 @@
             self.id
         );
         if fails {
-            self.record.line(format!("{} runs {attempt}: its own 500", self.id));
+            self.record
+                .line(format!("{} runs {attempt}: its own 500", self.id));
             let answer = response("500 Internal Server Error", &marks, "failed");
             reader.stream().write_all(answer.as_bytes()).await?;
             return Ok(true);
         }
-        let what = if breaks_off { "with neither length nor chunks, broken off" } else { "in chunks" };
-        let line = format!("{} runs {attempt}: events {first} to {length}, {what}", self.id);
+        let what = if breaks_off {
+            "with neither length nor chunks, broken off"
+        } else {
+            "in chunks"
+        };
+        let line = format!(
+            "{} runs {attempt}: events {first} to {length}, {what}",
+            self.id
+        );
         self.record.line(line);
         let stream = reader.stream();
         let framing = if breaks_off {
@@ -179,16 +191,22 @@
         } else {
             "transfer-encoding: chunked\r\n"
         };
-        let start = format!("HTTP/1.1 200 OK\r\n{marks}content-type: text/event-stream\r\n{framing}\r\n");
+        let start =
+            format!("HTTP/1.1 200 OK\r\n{marks}content-type: text/event-stream\r\n{framing}\r\n");
         stream.write_all(start.as_bytes()).await?;
         tokio::time::sleep(FIRST_EVENT_AFTER).await;
         for number in first..=length {
             let event = format!("id: {number}\ndata: piece {number} of {attempt}\n\n");
             if breaks_off && number == length - 1 {
                 // Within an event, and the engine lives on.
-                stream.write_all(&event.as_bytes()[..event.len() / 2]).await?;
+                stream
+                    .write_all(&event.as_bytes()[..event.len() / 2])
+                    .await?;
                 stream.shutdown().await?;
-                self.record.line(format!("{} breaks off {attempt} within event {number}", self.id));
+                self.record.line(format!(
+                    "{} breaks off {attempt} within event {number}",
+                    self.id
+                ));
                 return Ok(false);
             }
             let piece = match breaks_off {
@@ -278,7 +296,8 @@
         wrong += wrong_of_client;
     }
     let sent = next.load(Ordering::Relaxed) - 1;
-    let summary = format!("{sent} sent, {whole} whole streams, {wrong} cut streams that look complete");
+    let summary =
+        format!("{sent} sent, {whole} whole streams, {wrong} cut streams that look complete");
     record.line(&summary);
     println!("{summary}");
     if router.has_ended() || whole < 100 {
