--- a/review/standins/src/revoked_in_an_island.rs
+++ b/review/standins/src/revoked_in_an_island.rs
@@ -22,6 +22,8 @@
 const CUT_FOR: Duration = Duration::from_secs(12);
 /// From the cut to the change of the configuration.
 const REVOKED_AFTER: Duration = Duration::from_millis(100);
+/// How long one of them is slow: the longest `node_slow` of the site.
+const SLOW_FOR: Duration = Duration::from_millis(5_500);
 /// The slow machine runs for 18 ms in each tenth of a second: `node_slow`, x 5.5.
 const RUNS_FOR: Duration = Duration::from_millis(18);
 const STANDS_FOR: Duration = Duration::from_millis(82);
@@ -178,7 +180,7 @@
     let acknowledged_at = Instant::now();
     record.line("the store acknowledges version 8, which takes key-1 away");
     while cut_at.elapsed() < CUT_FOR {
-        if has_trouble {
+        if has_trouble && cut_at.elapsed() + STANDS_FOR < SLOW_FOR {
             routers[1].signal(Signal::STOP);
             tokio::time::sleep(STANDS_FOR).await;
             routers[1].signal(Signal::CONT);
