Decide for every response how it is relayed

Callers of resumable streams got status 200, a length, and a body that ends inside an event: a stream that was cut looked complete. Whole streams came in one piece at their end.

Cause: forward.rs chose the relay by the first response only. After an error, full_relay.rs retried the request in a loop of its own and read the next response, a stream, as a plain body. Its end inside an event is a regular end for a plain body, and its sender, which lives, confirms it.

Change: forward.rs decides for every response, and full_relay.rs reads one response and says whether to retry. The log line of a request has the relay of its last response.

--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -22,6 +22,7 @@
 mod moves;
 mod news;
 mod peers;
+mod relay_mode;
 mod request_end;
 mod response;
 mod response_end;
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -24,6 +24,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::event_log::Importance;
+use super::full_relay::FullRelayOutcome;
+use super::relay_mode::RelayMode;
 use super::response::{LocalResponse, ResponseBody, strip_connection_headers};
 use super::send::{Attempt, Place, SendFailure, StartedResponse};
 use super::state::Router;
@@ -104,6 +106,8 @@
     pub(super) cached_tokens: u32,
     pub(super) tokens_ahead: u64,
     pub(super) answer_start: Option<Duration>,
+    /// How the latest response is passed on.
+    pub(super) relay_mode: Option<RelayMode>,
     /// The longest pause between two chunks of a stream.
     pub(super) pause_max: Duration,
     /// Number of complete events of a stream that have arrived.
@@ -324,17 +328,25 @@
 
 /// Sends a request to endpoints until one responds or no retry is left.
 async fn forward(mut call: Call) -> Response<ResponseBody> {
-    let started = match call.start_response(None).await {
-        Ok(started) => started,
-        Err(response) => {
-            call.log_end(response.reason, response.status);
-            return response.into_response();
+    loop {
+        let started = match call.start_response(None).await {
+            Ok(started) => started,
+            Err(response) => {
+                call.log_end(response.reason, response.status);
+                return response.into_response();
+            }
+        };
+        // Decided for every response: an error may be followed by a stream.
+        let mode = RelayMode::of(call.route.kind, started.head.status);
+        call.history.relay_mode = Some(mode);
+        match mode {
+            RelayMode::Stream => return stream_relay::start(call, started),
+            RelayMode::Full => match full_relay::relay(&mut call, started).await {
+                FullRelayOutcome::Response(response) => return response,
+                FullRelayOutcome::Retry => {}
+            },
         }
-    };
-    if call.route.kind.is_stream() && started.head.status.is_success() {
-        return stream_relay::start(call, started);
     }
-    full_relay::relay(call, started).await
 }
 
 /// Converts the response of an endpoint to the response to the caller.
@@ -549,6 +561,7 @@
             "waited_ms": ms(history.waited),
             "expected_ms": ms(history.expected),
             "answer_start_ms": history.answer_start.map(ms),
+            "relay": history.relay_mode.map(RelayMode::as_str),
             "pause_max_ms": ms(history.pause_max),
             "events": history.events,
             "parts": parts,
--- a/crates/daisynotch_router/src/direct/full_relay.rs
+++ b/crates/daisynotch_router/src/direct/full_relay.rs
@@ -28,68 +28,68 @@
     TimedOut,
 }
 
-/// Passes on the first response whose body arrives completely, unless no retry is left.
-pub(super) async fn relay(mut call: Call, mut started: StartedResponse) -> Response<ResponseBody> {
-    loop {
-        let status = started.head.status;
-        let is_error = status.is_server_error();
-        let failure = match read_body(&call, &mut started).await {
-            BodyEnd::Whole(body) => {
-                let ended = if is_error {
-                    RunOutcome::ErrorAnswer
-                } else {
-                    started.guard.on_event();
-                    RunOutcome::Done
-                };
-                started.guard.end(ended);
-                if started.connection.is_usable() {
-                    let connections = &call.router.connections;
-                    let now = call.router.now();
-                    connections.put(started.grant.endpoint, started.connection, now);
-                }
-                if !is_error || !call.take_retry() {
-                    let outcome = if status.is_success() {
-                        "done"
-                    } else {
-                        "endpoint_error"
-                    };
-                    call.log_end(outcome, status);
-                    return to_caller_response(started.head, ResponseBody::Full(Some(body)));
-                }
-                call.history.failures.push(format!("status {status}"));
-                None
-            }
-            BodyEnd::TooLong => {
-                started.guard.end(RunOutcome::Broken);
-                let problem = format!("the response body exceeds {FULL_RESPONSE_MAX_BYTES} bytes");
-                call.history.failures.push(problem);
-                Some((StatusCode::BAD_GATEWAY, "answer_too_long"))
-            }
-            BodyEnd::Broken(problem) => {
-                let open_run = started.guard.open_run();
-                started.guard.end(RunOutcome::Broken);
-                call.history.failures.push(problem);
-                let may_retry = call.may_go_elsewhere(&started.grant, open_run).await;
-                let is_retried = may_retry && call.take_retry();
-                (!is_retried).then_some((StatusCode::BAD_GATEWAY, "answer_broke_off"))
+/// What is to be done after the body of a response was read.
+pub(super) enum FullRelayOutcome {
+    /// The caller gets this response.
+    Response(Response<ResponseBody>),
+    /// The request is sent to another endpoint. The retry is already taken from the budget.
+    Retry,
+}
+
+/// Reads the body of a response, and decides whether the caller gets it or the request is
+/// retried.
+pub(super) async fn relay(call: &mut Call, mut started: StartedResponse) -> FullRelayOutcome {
+    let status = started.head.status;
+    let is_error = status.is_server_error();
+    let (status, reason) = match read_body(call, &mut started).await {
+        BodyEnd::Whole(body) => {
+            let ended = if is_error {
+                RunOutcome::ErrorAnswer
+            } else {
+                started.guard.on_event();
+                RunOutcome::Done
+            };
+            started.guard.end(ended);
+            if started.connection.is_usable() {
+                let connections = &call.router.connections;
+                let now = call.router.now();
+                connections.put(started.grant.endpoint, started.connection, now);
             }
-            BodyEnd::TimedOut => {
-                started.guard.end(RunOutcome::Cancelled);
-                Some((StatusCode::GATEWAY_TIMEOUT, "timed_out"))
+            if is_error && call.take_retry() {
+                call.history.failures.push(format!("status {status}"));
+                return FullRelayOutcome::Retry;
             }
-        };
-        if let Some((status, reason)) = failure {
-            call.log_end(reason, status);
-            return LocalResponse::new(status, reason).into_response();
+            let outcome = if status.is_success() {
+                "done"
+            } else {
+                "endpoint_error"
+            };
+            call.log_end(outcome, status);
+            let response = to_caller_response(started.head, ResponseBody::Full(Some(body)));
+            return FullRelayOutcome::Response(response);
+        }
+        BodyEnd::TooLong => {
+            started.guard.end(RunOutcome::Broken);
+            let problem = format!("the response body exceeds {FULL_RESPONSE_MAX_BYTES} bytes");
+            call.history.failures.push(problem);
+            (StatusCode::BAD_GATEWAY, "answer_too_long")
         }
-        started = match call.start_response(None).await {
-            Ok(started) => started,
-            Err(response) => {
-                call.log_end(response.reason, response.status);
-                return response.into_response();
+        BodyEnd::Broken(problem) => {
+            let open_run = started.guard.open_run();
+            started.guard.end(RunOutcome::Broken);
+            call.history.failures.push(problem);
+            if call.may_go_elsewhere(&started.grant, open_run).await && call.take_retry() {
+                return FullRelayOutcome::Retry;
             }
-        };
-    }
+            (StatusCode::BAD_GATEWAY, "answer_broke_off")
+        }
+        BodyEnd::TimedOut => {
+            started.guard.end(RunOutcome::Cancelled);
+            (StatusCode::GATEWAY_TIMEOUT, "timed_out")
+        }
+    };
+    call.log_end(reason, status);
+    FullRelayOutcome::Response(LocalResponse::new(status, reason).into_response())
 }
 
 async fn read_body(call: &Call, started: &mut StartedResponse) -> BodyEnd {
