Bound the time that digests are on their way

Requests with a withdrawn key ran for more than 5 s at hosts that were cut off from the store together.

Cause: a digest says how long ago the configuration was confirmed, and its receiver counted that from the time at which it read the digest. The time on the way and in the socket of a slow router was lost at each hop, so routers that hear only each other made an old confirmation younger in a circle. Heartbeats, proofs of prompt parts and stated limits are passed on in the same way.

Change: each digest ends with its timing and an echo of the receiver's latest digest. The receiver bounds the time on the way by its own clock and adds it to the ages; without a bound it ignores them.

--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -24,13 +24,14 @@
 mod pushback;
 mod request;
 mod retry_budget;
+mod round_trips;
 mod routes;
 mod shared_limits;
 mod shares;
 mod store_order;
 mod waiting;
 
-pub use confirmation::Confirmation;
+pub use confirmation::{Confirmation, ConfirmationSource};
 pub use crash_evidence::{
     Assessment, CrashEvidence, CrashNews, CrashReport, CrashedEndpoint, CrashedEndpoints,
     EvidenceChange, OpenRun, PartBlock, PartIds, PartProof, shared_part_ids,
@@ -52,6 +53,7 @@
     DispatcherSettings, Grant, QueueId, RefuseReason, RequestSpec, RunId, RunOutcome, Verdict,
 };
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use round_trips::{Echo, MessageTiming, RoundTrips};
 pub use routes::{
     CallerLimits, EngineLimits, Route, RouteKind, RouteTable, ServiceView, TeamEntry,
 };
--- a/crates/daisynotch_core/src/direct/confirmation.rs
+++ b/crates/daisynotch_core/src/direct/confirmation.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use daisynotch_objects::RouterId;
+
 use crate::time::Timestamp;
 
 /// Time between two wakeups above which the process counts as paused, so that messages in its
@@ -17,10 +19,21 @@
 /// How long the process takes to drain its socket buffers after a pause.
 const SOCKET_DRAIN_TIME: Duration = Duration::from_millis(500);
 
+/// Where a confirmation came from.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub enum ConfirmationSource {
+    /// This router compared its configuration with the store.
+    Store,
+    /// Another router did, or heard of it from others.
+    Router(RouterId),
+}
+
 /// When the store was last known to hold no newer configuration than this router.
 #[derive(Debug, Default)]
 pub struct Confirmation {
     confirmed_at: Option<Timestamp>,
+    source: Option<ConfirmationSource>,
     last_wakeup_at: Timestamp,
     buffers_stale_until: Timestamp,
     /// Until when a store that was restored from a backup confirms nothing.
@@ -55,17 +68,30 @@
             Some(waited) if is_trusted => (sent_at + waited).min(now),
             _ => sent_at,
         };
-        self.confirmed_at = self.confirmed_at.max(Some(valid_at));
+        self.confirm(valid_at, ConfirmationSource::Store);
     }
 
     /// Records that a router without a newer configuration than this one confirmed its own
-    /// configuration `age` ago.
-    pub fn on_peer_confirmation(&mut self, age: Duration, now: Timestamp) {
+    /// configuration `age` ago. The age includes the time that the message was on its way, as
+    /// otherwise routers that hear only each other confirm each other's configuration for ever.
+    pub fn on_peer_confirmation(&mut self, router: RouterId, age: Duration, now: Timestamp) {
         if now >= self.buffers_stale_until {
-            self.confirmed_at = self.confirmed_at.max(Some(now - age));
+            self.confirm(now - age, ConfirmationSource::Router(router));
+        }
+    }
+
+    fn confirm(&mut self, valid_at: Timestamp, source: ConfirmationSource) {
+        if self.confirmed_at.is_none_or(|at| valid_at > at) {
+            self.confirmed_at = Some(valid_at);
+            self.source = Some(source);
         }
     }
 
+    /// Returns where the latest confirmation came from.
+    pub fn source(&self) -> Option<ConfirmationSource> {
+        self.source
+    }
+
     /// Returns the time since the configuration was last confirmed to be the newest, or `None` if
     /// it never was.
     pub fn age(&self, now: Timestamp) -> Option<Duration> {
--- a/crates/daisynotch_core/src/direct/confirmation/tests.rs
+++ b/crates/daisynotch_core/src/direct/confirmation/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 
+const PEER: RouterId = RouterId(7);
 const MAX: Duration = Duration::from_millis(4_250);
 
 fn at(ms: u64) -> Timestamp {
@@ -36,7 +37,7 @@
     assert!(!confirmation.is_fresh(MAX, at(990) + MAX));
     // The connection to the other routers is restored.
     run_process(&mut confirmation, 1_025, 9_000);
-    confirmation.on_peer_confirmation(ms(80), at(9_000));
+    confirmation.on_peer_confirmation(PEER, ms(80), at(9_000));
     assert_eq!(confirmation.age(at(9_000)), Some(ms(80)));
 }
 
@@ -50,7 +51,7 @@
     confirmation.on_store_read(at(1_900), Some(ms(1_000)), at(3_000));
     assert_eq!(confirmation.age(at(3_000)), Some(ms(100)));
     // An older confirmation does not replace a newer one.
-    confirmation.on_peer_confirmation(ms(2_000), at(3_000));
+    confirmation.on_peer_confirmation(PEER, ms(2_000), at(3_000));
     assert_eq!(confirmation.age(at(3_000)), Some(ms(100)));
 }
 
@@ -60,16 +61,16 @@
     let mut confirmation = process_running(1_000);
     confirmation.on_store_read(at(990), None, at(1_000));
     confirmation.on_wakeup(at(11_000));
-    confirmation.on_peer_confirmation(ms(75), at(11_000));
+    confirmation.on_peer_confirmation(PEER, ms(75), at(11_000));
     confirmation.on_store_read(at(980), Some(ms(1_000)), at(11_001));
     run_process(&mut confirmation, 11_025, 11_400);
-    confirmation.on_peer_confirmation(ms(75), at(11_400));
+    confirmation.on_peer_confirmation(PEER, ms(75), at(11_400));
     assert!(!confirmation.is_fresh(MAX, at(11_400)));
     // Requests sent after the pause count again, and so do messages that arrive after the drain.
     confirmation.on_store_read(at(11_405), None, at(11_410));
     assert!(confirmation.is_fresh(MAX, at(11_410)));
     run_process(&mut confirmation, 11_425, 11_600);
-    confirmation.on_peer_confirmation(ms(75), at(11_600));
+    confirmation.on_peer_confirmation(PEER, ms(75), at(11_600));
     assert_eq!(confirmation.age(at(11_600)), Some(ms(75)));
 }
 
--- a/crates/daisynotch_core/src/direct/crash_evidence/news.rs
+++ b/crates/daisynotch_core/src/direct/crash_evidence/news.rs
@@ -12,7 +12,7 @@
     BLOCK_MAX, Block, CRASH_RATE_WINDOW, Crash, CrashEvidence, CrashedEndpoints, EvidenceChange,
     PartIds, Report, contains_all,
 };
-use crate::time::Timestamp;
+use crate::time::{Timestamp, age_to_ms};
 
 /// How long a proof that contradicts other routers' evidence is sent.
 pub(super) const PROOFS_SENT_FOR: Duration = Duration::from_secs(5);
@@ -20,8 +20,7 @@
 const PROOFS_MAX: usize = 32;
 /// Maximum number of blocks in a message.
 const SENT_BLOCKS_MAX: usize = 32;
-/// Added to the age of a proof that another router sent. It covers the time on the way, so that
-/// passing a proof on never makes it younger.
+/// Added to the age of a proof that another router sent, beside the time on the way.
 const PROOF_AGE_MARGIN: Duration = Duration::from_millis(20);
 /// How long a trial on another router counts after it was last reported.
 const PEER_TRIAL_TTL: Duration = Duration::from_millis(300);
@@ -93,6 +92,19 @@
 }
 
 impl CrashNews {
+    /// Adds the time on the way to the ages of proofs, as a proof must not become younger than a
+    /// crash that came after it. Without an upper bound on that time, proofs are dropped. Crashes
+    /// keep their ages: one that looks too old would be disproven by an earlier proof.
+    pub fn add_transit(&mut self, transit: Option<Duration>) {
+        let Some(transit) = transit else {
+            self.proofs.clear();
+            return;
+        };
+        for proof in &mut self.proofs {
+            proof.age_ms = proof.age_ms.saturating_add(age_to_ms(transit));
+        }
+    }
+
     /// Returns whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
@@ -124,7 +136,7 @@
             .collect();
         contradicted.sort_unstable_by(|left, right| right.cmp(left));
         let proofs = contradicted.into_iter().filter_map(|(_, part)| {
-            let age_ms = to_ms(now.since(self.proofs.get(part)?));
+            let age_ms = age_to_ms(now.since(self.proofs.get(part)?));
             Some(PartProof { part, age_ms })
         });
         let mut crashes: Vec<CrashedEndpoint> = self
--- a/crates/daisynotch_core/src/direct/digest.rs
+++ b/crates/daisynotch_core/src/direct/digest.rs
@@ -66,7 +66,7 @@
     pub incarnation: Incarnation,
     /// The sequence number of the router's latest digest.
     pub seq: u64,
-    /// The time since the router was last heard, in milliseconds.
+    /// The time since the router was last heard, in milliseconds, rounded up.
     pub age_ms: u32,
     /// Whether callers should be sent to the router.
     pub phase: HostPhase,
@@ -131,8 +131,8 @@
     pub seq: u64,
     /// The sender's configuration.
     pub configuration: ConfigurationStamp,
-    /// The time since that configuration was last confirmed to be the newest, in milliseconds;
-    /// `None` if it never was.
+    /// The time since that configuration was last confirmed to be the newest, in milliseconds,
+    /// rounded up; `None` if it never was.
     pub configuration_age_ms: Option<u32>,
     /// The position in the store's history up to which the sender has seen endpoint entries.
     pub endpoints_at: StorePosition,
--- a/crates/daisynotch_core/src/direct/exchange.rs
+++ b/crates/daisynotch_core/src/direct/exchange.rs
@@ -42,6 +42,13 @@
     pub heartbeat: Vec<SocketAddr>,
 }
 
+impl Recipients {
+    /// Returns whether a router gets a digest in the round.
+    pub fn includes(&self, address: SocketAddr) -> bool {
+        self.load.contains(&address) || self.heartbeat.contains(&address)
+    }
+}
+
 /// The properties of a router whose changes all others should learn of soon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OwnRole {
--- a/crates/daisynotch_core/src/direct/exchange/tests.rs
+++ b/crates/daisynotch_core/src/direct/exchange/tests.rs
@@ -153,7 +153,9 @@
         if !member.hosts.on_digest(digest, now) {
             return;
         }
-        member.hosts.on_rumors(digest, member.own.id(), now);
+        member
+            .hosts
+            .on_rumors(digest, member.own.id(), Some(Duration::ZERO), now);
         if needs_welcome {
             let welcome = self.digest(number, true, 64, 24);
             self.routers[number].sent += 1;
--- a/crates/daisynotch_core/src/direct/hosts.rs
+++ b/crates/daisynotch_core/src/direct/hosts.rs
@@ -10,11 +10,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use daisynotch_objects::RouterId;
+use daisynotch_objects::{RouterId, RouterName};
 
 use super::digest::{Digest, Heartbeat, HostIntroduction, HostPhase, IntroducedHost};
 use super::store_order::{ConfigurationStamp, StorePosition};
-use crate::time::Timestamp;
+use crate::time::{Timestamp, age_to_ms};
 
 /// Silence after which a router with callers counts as absent and is no longer given out: three
 /// times the longest time between two heartbeats, including a lost one.
@@ -85,12 +85,11 @@
 
     fn heartbeat(&self, now: Timestamp) -> Heartbeat {
         let introduction = &self.introduction;
-        let age_ms = now.since(self.heard_at).as_millis();
         Heartbeat {
             router: introduction.id(),
             incarnation: introduction.incarnation,
             seq: self.latest_seq,
-            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+            age_ms: age_to_ms(now.since(self.heard_at)),
             phase: introduction.phase,
             is_crowded: introduction.is_crowded,
             has_callers: introduction.has_callers,
@@ -152,14 +151,26 @@
     }
 
     /// Processes what a digest reports about routers other than its sender.
-    pub fn on_rumors(&mut self, digest: &Digest, own: RouterId, now: Timestamp) {
+    ///
+    /// `transit` is an upper bound on the time that the digest was on its way. Without it, heartbeats
+    /// are ignored: passed on in a circle, they would keep a router present that nobody hears.
+    pub fn on_rumors(
+        &mut self,
+        digest: &Digest,
+        own: RouterId,
+        transit: Option<Duration>,
+        now: Timestamp,
+    ) {
+        let written_at = now - transit.unwrap_or_default();
         for introduced in &digest.introduced {
             if introduced.host.id() != own {
-                self.on_introduced(introduced, now);
+                self.on_introduced(introduced, written_at);
             }
         }
-        for heartbeat in &digest.heartbeats {
-            self.on_heartbeat(heartbeat, now);
+        if transit.is_some() {
+            for heartbeat in &digest.heartbeats {
+                self.on_heartbeat(heartbeat, written_at);
+            }
         }
         for address in &digest.known_hosts {
             let mut hosts = self.hosts.values();
@@ -169,7 +180,7 @@
         }
     }
 
-    fn on_introduced(&mut self, introduced: &IntroducedHost, now: Timestamp) {
+    fn on_introduced(&mut self, introduced: &IntroducedHost, written_at: Timestamp) {
         let IntroducedHost { host, heartbeat } = introduced;
         let known = self.hosts.get(&host.id());
         if known.is_some_and(|known| known.introduction.incarnation >= host.incarnation) {
@@ -178,7 +189,7 @@
         self.candidates.remove(&host.peer_address);
         let entry = Host {
             introduction: host.clone(),
-            heard_at: now - Duration::from_millis(u64::from(heartbeat.age_ms)),
+            heard_at: written_at - Duration::from_millis(u64::from(heartbeat.age_ms)),
             // Only the router's own digests report its configuration and store position.
             configuration: ConfigurationStamp::default(),
             endpoints_at: StorePosition::default(),
@@ -189,7 +200,7 @@
         self.hosts.insert(host.id(), entry);
     }
 
-    fn on_heartbeat(&mut self, heartbeat: &Heartbeat, now: Timestamp) {
+    fn on_heartbeat(&mut self, heartbeat: &Heartbeat, written_at: Timestamp) {
         let Some(known) = self.hosts.get_mut(&heartbeat.router) else {
             return;
         };
@@ -197,7 +208,7 @@
         if introduction.incarnation != heartbeat.incarnation {
             return;
         }
-        let heard_at = now - Duration::from_millis(u64::from(heartbeat.age_ms));
+        let heard_at = written_at - Duration::from_millis(u64::from(heartbeat.age_ms));
         known.heard_at = known.heard_at.max(heard_at);
         if heartbeat.seq > known.latest_seq {
             known.latest_seq = heartbeat.seq;
@@ -251,6 +262,11 @@
         is_new && (digest.known_hosts_len as usize) * 2 < self.hosts.len()
     }
 
+    /// Returns the name of a known router.
+    pub fn name(&self, id: RouterId) -> Option<&RouterName> {
+        self.hosts.get(&id).map(|host| &host.introduction.router)
+    }
+
     /// Returns the number of known other routers, including absent ones that have not timed out.
     pub fn known_len(&self) -> usize {
         self.hosts.len()
--- a/crates/daisynotch_core/src/direct/hosts/tests.rs
+++ b/crates/daisynotch_core/src/direct/hosts/tests.rs
@@ -95,6 +95,7 @@
     table.on_rumors(
         &naming,
         introduction("own-a", "one", HostPhase::Serving).id(),
+        Some(Duration::ZERO),
         at(0),
     );
     let addresses = table.peer_addresses(at(1));
@@ -238,13 +239,13 @@
         there.on_digest(&received, at(seq * 75));
         let mut relayed = digest("r-c", "one", HostPhase::Serving, seq);
         relayed.heartbeats = there.heartbeats(32, 0, at(seq * 75 + 10));
-        here.on_rumors(&relayed, own, at(seq * 75 + 10));
+        here.on_rumors(&relayed, own, Some(Duration::ZERO), at(seq * 75 + 10));
     }
     assert_eq!(here.present(at(2_000)).count(), 1);
     // Relaying an old heartbeat does not keep a router present that no router hears any more.
     let mut relayed = digest("r-c", "one", HostPhase::Serving, 21);
     relayed.heartbeats = there.heartbeats(32, 0, at(2_100));
-    here.on_rumors(&relayed, own, at(2_110));
+    here.on_rumors(&relayed, own, Some(Duration::ZERO), at(2_110));
     assert_eq!(here.present(at(2_250)).count(), 0);
 }
 
@@ -261,7 +262,7 @@
     let mut relayed = digest("r-c", "one", HostPhase::Serving, 1);
     relayed.heartbeats = there.heartbeats(32, 0, at(20));
     relayed.introduced = there.introductions(8, 0, at(20));
-    here.on_rumors(&relayed, own, at(20));
+    here.on_rumors(&relayed, own, Some(Duration::ZERO), at(20));
     assert_eq!(callers(&here, at(21)), ["10.0.0.97:80"]);
 }
 
--- a/crates/daisynotch_core/src/direct/shared_limits/news.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/news.rs
@@ -9,10 +9,10 @@
 use super::demand::DemandLevel;
 use super::{LimitChange, PeerDemands, RequestRate, SharedLimits, Statement};
 use crate::seeded_fault::{SeededFault, is_seeded};
-use crate::time::Timestamp;
+use crate::time::{Timestamp, age_to_ms};
 
-/// How much later than the known limit another router must have heard of a looser one: longer
-/// than digests are late, which makes what they say look younger than it is.
+/// How much later than the known limit another router must have heard of a looser one. A looser limit
+/// that is taken too early exceeds what the endpoint can bear.
 const LOOSER_MARGIN: Duration = Duration::from_secs(1);
 
 /// The limit that an endpoint states, or that it states none any more.
@@ -48,6 +48,18 @@
 }
 
 impl LimitNews {
+    /// Adds the time on the way to the ages of limits. Without an upper bound on that time, limits
+    /// are dropped: passed on in a circle, they would outlive the responses that stated them.
+    pub fn add_transit(&mut self, transit: Option<Duration>) {
+        let Some(transit) = transit else {
+            self.limits.clear();
+            return;
+        };
+        for stated in &mut self.limits {
+            stated.age_ms = stated.age_ms.saturating_add(age_to_ms(transit));
+        }
+    }
+
     /// Returns whether the message says nothing.
     pub fn is_empty(&self) -> bool {
         self.limits.is_empty()
@@ -72,8 +84,7 @@
         let limits = selected.map(|(endpoint, statement)| StatedLimit {
             endpoint: **endpoint,
             limit: statement.limit,
-            age_ms: u32::try_from(now.since(statement.confirmed_at).as_millis())
-                .unwrap_or(u32::MAX),
+            age_ms: age_to_ms(now.since(statement.confirmed_at)),
         });
         let limits = limits.collect();
         self.sent = self.sent.wrapping_add(count);
--- a/crates/daisynotch_core/src/lib.rs
+++ b/crates/daisynotch_core/src/lib.rs
@@ -57,4 +57,4 @@
     Inquiry, InquiryEnd, InquiryStep, QuestionEnd, SenderEvidence,
 };
 pub use scheduler::{Scheduler, SchedulerAction, SchedulerSettings, TicketKey};
-pub use time::Timestamp;
+pub use time::{Timestamp, age_to_ms};
--- a/crates/daisynotch_core/src/seeded_fault.rs
+++ b/crates/daisynotch_core/src/seeded_fault.rs
@@ -1,7 +1,7 @@
 //! Deliberate faults that validate the model check and the checks of generated histories.
 //!
 //! Each fault breaks one invariant of `docs/design/protocol-specification.md`,
-//! `docs/design/crashing-parts.md`, `docs/design/response-ends.md` or
+//! `docs/design/crashing-parts.md`, `docs/design/response-ends.md`, `docs/design/exchange.md` or
 //! `docs/design/shared-limits.md`. Seeding requires the cargo feature `seeded_faults`, which only the tests of this crate enable;
 //! without it the checks compile to a constant and cost nothing. The seeded fault is a
 //! thread-local value, so tests can run in parallel.
@@ -54,6 +54,10 @@
     DivideAmongAll,
     /// Limits are not passed on to other routers.
     KeepLimitSecret,
+    /// The time that a message was on its way is left out of the ages in it.
+    IgnoreTransit,
+    /// The same for the first messages of a router only, whose time on the way has no bound.
+    AssumeNoTransit,
 }
 
 #[cfg(feature = "seeded_faults")]
--- a/crates/daisynotch_core/src/time.rs
+++ b/crates/daisynotch_core/src/time.rs
@@ -16,6 +16,12 @@
     }
 }
 
+/// Returns a time in whole milliseconds, rounded up: the age of a fact must not become less when it
+/// is written to a message.
+pub fn age_to_ms(age: Duration) -> u32 {
+    u32::try_from(age.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
+}
+
 impl Add<Duration> for Timestamp {
     type Output = Self;
 
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -16,6 +16,7 @@
 mod head_limit;
 mod ingress;
 mod inquiry;
+mod key_trust;
 mod last_answers;
 mod listener;
 mod metrics;
--- a/crates/daisynotch_router/src/direct/news.rs
+++ b/crates/daisynotch_router/src/direct/news.rs
@@ -2,6 +2,8 @@
 //!
 //! Routers of an earlier version read the part that they know and ignore the rest.
 
+use std::time::Duration;
+
 use daisynotch_core::direct::{CrashNews, LimitNews};
 use daisynotch_objects::RouterId;
 use serde_json::json;
@@ -14,7 +16,14 @@
 /// Maximum number of limits in a digest.
 const LIMITS_MAX: usize = 256;
 
-/// Encodes the news for a digest; empty if there are none.
+/// What a router says of crashes and limits.
+#[derive(Debug, Default)]
+pub(super) struct News {
+    crashes: CrashNews,
+    limits: LimitNews,
+}
+
+/// Encodes the news for a digest.
 pub(super) fn encode_for_digest(router: &Router) -> Vec<u8> {
     encode(router, CRASH_REPORTS_MAX, LIMITS_MAX)
 }
@@ -30,14 +39,7 @@
     let crashes = dispatcher.crash_news(crash_reports_max, now);
     let limits = dispatcher.limit_news(limits_max, now);
     drop(dispatcher);
-    let encoded = if !limits.is_empty() {
-        postcard::to_stdvec(&(crashes, limits))
-    } else if !crashes.is_empty() {
-        postcard::to_stdvec(&crashes)
-    } else {
-        return Vec::new();
-    };
-    encoded.unwrap_or_else(|error| {
+    postcard::to_stdvec(&(crashes, limits)).unwrap_or_else(|error| {
         let fields = json!({"error": error.to_string()});
         router
             .log
@@ -46,29 +48,50 @@
     })
 }
 
-/// Applies the news that follow a message of `sender`, if it is known.
-pub(super) fn apply(router: &Router, encoded: &[u8], sender: Option<RouterId>, source: &str) {
-    if encoded.is_empty() {
-        return;
+impl News {
+    /// Decodes the news that follow a message, and returns what follows them. Routers of an earlier
+    /// version leave out parts that say nothing.
+    pub(super) fn decode(encoded: &[u8]) -> Result<(Self, &[u8]), postcard::Error> {
+        let mut news = Self::default();
+        let mut rest = encoded;
+        if !rest.is_empty() {
+            (news.crashes, rest) = postcard::take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            (news.limits, rest) = postcard::take_from_bytes(rest)?;
+        }
+        Ok((news, rest))
     }
-    let decoded = postcard::take_from_bytes::<CrashNews>(encoded).and_then(|(crashes, rest)| {
-        let limits = (!rest.is_empty()).then(|| postcard::from_bytes::<LimitNews>(rest));
-        Ok((crashes, limits.transpose()?))
-    });
-    match decoded {
-        Ok((crashes, limits)) => {
+
+    /// Applies the news of `sender`, if it is known. `transit` is an upper bound on the time that
+    /// they were on their way.
+    pub(super) fn apply(
+        mut self,
+        router: &Router,
+        sender: Option<RouterId>,
+        transit: Option<Duration>,
+        source: &str,
+    ) {
+        let has_limits = !self.limits.is_empty();
+        self.crashes.add_transit(transit);
+        self.limits.add_transit(transit);
+        if !self.crashes.is_empty() {
             let now = router.now();
-            router.dispatcher.borrow_mut().on_crash_news(&crashes, now);
+            let mut dispatcher = router.dispatcher.borrow_mut();
+            dispatcher.on_crash_news(&self.crashes, now);
+            drop(dispatcher);
             router.log_evidence_changes(source);
-            if let Some(limits) = limits {
-                router.on_limit_news(&limits, sender, source);
-            }
         }
-        Err(error) => {
-            let fields = json!({"error": error.to_string(), "source": source});
-            router
-                .log
-                .write(Importance::Essential, "news_unreadable", fields);
+        if has_limits {
+            router.on_limit_news(&self.limits, sender, source);
         }
     }
 }
+
+/// Logs news that can't be decoded, which are ignored.
+pub(super) fn log_unreadable(router: &Router, error: &postcard::Error, source: &str) {
+    let fields = json!({"error": error.to_string(), "source": source});
+    router
+        .log
+        .write(Importance::Essential, "news_unreadable", fields);
+}
--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -8,9 +8,10 @@
 
 use bytes::Bytes;
 use daisynotch_core::direct::{
-    ConfigurationStamp, DepartedEndpoint, Digest, Exchange, HostPhase, OwnRole, Recipients,
-    StorePosition,
+    ConfigurationStamp, DepartedEndpoint, Digest, Exchange, HostPhase, MessageTiming, OwnRole,
+    Recipients, StorePosition,
 };
+use daisynotch_core::{Timestamp, age_to_ms};
 use daisynotch_objects::{EndpointId, RouterId, RouterName};
 use daisynotch_platform::ports::{StoreEvent, StoreItem};
 use http_body_util::{BodyExt, Full, Limited};
@@ -25,7 +26,7 @@
 
 use super::connections::Connection;
 use super::event_log::Importance;
-use super::news;
+use super::news::{self, News};
 use super::response::{LocalResponse, ResponseBody};
 use super::state::Router;
 use super::store_follower::{on_endpoint_event, replace_endpoints};
@@ -35,6 +36,8 @@
 pub(crate) const DIGEST_INTERVAL: Duration = Duration::from_millis(75);
 /// Maximum size of a digest: about as much as a datagram can hold.
 const DATAGRAM_MAX_BYTES: usize = 60_000;
+/// Maximum size of the timing that follows a digest.
+const TIMING_MAX_BYTES: usize = 64;
 /// Maximum number of addresses of other routers in a digest.
 const KNOWN_HOSTS_MAX: usize = 3;
 /// Maximum number of addresses in a digest to a router that knows few others.
@@ -95,7 +98,12 @@
     while ticks.recv().await.is_some() {
         let now = router.now();
         let role = own_role(&router);
-        let recipients = exchange.next_round(&mut router.hosts.borrow_mut(), role, now);
+        let mut recipients = exchange.next_round(&mut router.hosts.borrow_mut(), role, now);
+        for address in router.round_trips.borrow_mut().take_due_replies(now) {
+            if !recipients.includes(address) {
+                recipients.heartbeat.push(address);
+            }
+        }
         router.introduction.borrow_mut().has_callers = role.has_callers;
         let own = router.introduction.borrow().id();
         router.dispatcher.borrow_mut().divide_limits(own, now);
@@ -119,7 +127,7 @@
                 recent: recent.clone(),
             };
             let addresses = &recipients.heartbeat;
-            send(&router, &socket, &datagram, &news, addresses);
+            send(&router, &socket, &datagram, &news, addresses, now);
         }
         if !recipients.load.is_empty() {
             // If every round reaches all routers with callers, they need no heartbeats of each
@@ -138,6 +146,7 @@
                 &Datagram { digest, recent },
                 &news,
                 &recipients.load,
+                now,
             );
         }
     }
@@ -153,21 +162,34 @@
     }
 }
 
-/// Sends a datagram, followed by encoded news.
+/// Sends a datagram, followed by encoded news and the timing for each recipient.
+///
+/// `written_at` is no later than the ages in the datagram were taken.
 fn send(
     router: &Router,
     socket: &UdpSocket,
     datagram: &Datagram,
     news: &[u8],
     addresses: &[SocketAddr],
+    written_at: Timestamp,
 ) {
     let encoded = postcard::to_stdvec(datagram).map(|mut bytes| {
         bytes.extend_from_slice(news);
         bytes
     });
     let problem = match encoded {
-        Ok(bytes) if bytes.len() <= DATAGRAM_MAX_BYTES => {
+        Ok(mut bytes) if bytes.len() + TIMING_MAX_BYTES <= DATAGRAM_MAX_BYTES => {
+            let shared_len = bytes.len();
             for address in addresses {
+                let timing = router.round_trips.borrow().timing_for(*address, written_at);
+                bytes.truncate(shared_len);
+                bytes = match postcard::to_extend(&timing, bytes) {
+                    Ok(bytes) => bytes,
+                    Err(error) => {
+                        log_unwritable(router, &error.to_string());
+                        return;
+                    }
+                };
                 // The next digest makes up for a lost one, so a full send buffer is not waited
                 // for.
                 if let Ok(sent) = socket.try_send_to(&bytes, *address) {
@@ -183,6 +205,10 @@
         ),
         Err(error) => error.to_string(),
     };
+    log_unwritable(router, &problem);
+}
+
+fn log_unwritable(router: &Router, problem: &str) {
     let fields = json!({"error": problem});
     router
         .log
@@ -206,11 +232,7 @@
         host: router.introduction.borrow().clone(),
         seq: router.next_digest_seq(),
         configuration: router.configuration.get(),
-        configuration_age_ms: router
-            .confirmation
-            .borrow()
-            .age(now)
-            .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
+        configuration_age_ms: router.confirmation.borrow().age(now).map(age_to_ms),
         endpoints_at: router.store_view.borrow().endpoints_at,
         arrivals_per_core_s: router.arrivals_per_core_s(),
         endpoints: Vec::new(),
@@ -270,7 +292,7 @@
                 continue;
             }
         };
-        let (datagram, news) = match postcard::take_from_bytes(&buffer[..length]) {
+        let (datagram, rest) = match postcard::take_from_bytes(&buffer[..length]) {
             Ok(decoded) => decoded,
             Err(error) => {
                 let fields = json!({"from": from.to_string(), "error": error.to_string()});
@@ -300,7 +322,19 @@
         if !router.hosts.borrow_mut().on_digest(&digest, now) {
             continue;
         }
-        router.hosts.borrow_mut().on_rumors(&digest, own, now);
+        let (news, timing) = decode_rest(&router, rest);
+        let transit = timing.and_then(|timing| {
+            router.round_trips.borrow_mut().on_message(
+                digest.host.peer_address,
+                digest.host.incarnation,
+                &timing,
+                router.introduction.borrow().incarnation,
+                now,
+            )
+        });
+        let mut hosts = router.hosts.borrow_mut();
+        hosts.on_rumors(&digest, own, transit, now);
+        drop(hosts);
         if needs_welcome {
             let datagram = Datagram {
                 digest: heartbeat_digest(
@@ -313,11 +347,11 @@
             };
             let news = news::encode_for_digest(&router);
             let address = [digest.host.peer_address];
-            send(&router, &socket, &datagram, &news, &address);
+            send(&router, &socket, &datagram, &news, &address, now);
         }
         router.dispatcher.borrow_mut().on_digest(&digest, now);
-        news::apply(&router, news, Some(digest.host.id()), "digest");
-        router.on_configuration_age(&digest, now);
+        news.apply(&router, Some(digest.host.id()), transit, "digest");
+        router.on_configuration_age(&digest, transit, now);
         for endpoint in &digest.leaving {
             router.on_endpoint_leaving(*endpoint, "digest");
         }
@@ -331,6 +365,18 @@
     }
 }
 
+/// Decodes what follows a digest: news, and the timing unless the sender's version has none.
+fn decode_rest(router: &Router, rest: &[u8]) -> (News, Option<MessageTiming>) {
+    let decoded = News::decode(rest).and_then(|(news, rest)| {
+        let timing = (!rest.is_empty()).then(|| postcard::from_bytes(rest));
+        Ok((news, timing.transpose()?))
+    });
+    decoded.unwrap_or_else(|error| {
+        news::log_unreadable(router, &error, "digest");
+        (News::default(), None)
+    })
+}
+
 /// Fetches the store's state from other routers whenever they have newer state.
 pub(crate) async fn catch_up(router: Rc<Router>, mut ticks: mpsc::Receiver<Tick>) {
     let mut behind_since = None;
@@ -422,6 +468,7 @@
 }
 
 async fn fetch_store_view(router: &Rc<Router>, address: SocketAddr) -> Result<(), String> {
+    let asked_at = router.now();
     let exchange = async {
         let mut connection = Connection::open(address)
             .await
@@ -451,7 +498,13 @@
     let (view, news) =
         postcard::take_from_bytes::<StoreViewMessage>(&body).map_err(|error| error.to_string())?;
     // A router that starts gets the news before it has a configuration and sends requests.
-    news::apply(router, news, None, "router");
+    match News::decode(news) {
+        Ok((news, _)) => {
+            let transit = router.now().since(asked_at);
+            news.apply(router, None, Some(transit), "router");
+        }
+        Err(error) => news::log_unreadable(router, &error, "router"),
+    }
     for endpoint in view.leaving {
         router.on_endpoint_leaving(endpoint, "router");
     }
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -9,9 +9,9 @@
 
 use bytes::Bytes;
 use daisynotch_core::direct::{
-    ConfigurationStamp, Confirmation, Digest, Dispatcher, EndpointChange, EndpointList, Grant,
+    ConfigurationStamp, Confirmation, Dispatcher, EndpointChange, EndpointList, Grant,
     HostIntroduction, HostPhase, HostTable, IdleLimits, OpenRun, Pressure, QueueId, RequestSpec,
-    RouteTable, RunId, RunOutcome, StorePosition, Verdict,
+    RoundTrips, RouteTable, RunId, RunOutcome, StorePosition, Verdict,
 };
 use daisynotch_core::{EndpointId, Timestamp};
 use daisynotch_platform::ports::{SharedPlatform, StoreEvent, StoreItem};
@@ -91,6 +91,8 @@
     pub(crate) pressure: RefCell<Pressure>,
     /// How long ago the configuration was known to be the newest.
     pub(crate) confirmation: RefCell<Confirmation>,
+    /// How long messages of other routers were on their way.
+    pub(crate) round_trips: RefCell<RoundTrips>,
     /// When a leaving router answers what is left.
     pub(crate) last_answers: LastAnswers,
     /// Connections whose requests are refused unread.
@@ -108,7 +110,7 @@
     /// When `is_store_reachable` last changed.
     store_reachability_changed_at: Cell<Timestamp>,
     /// Result of the latest call of `trusts_keys`.
-    were_keys_trusted: Cell<bool>,
+    pub(super) were_keys_trusted: Cell<bool>,
     verdicts: RefCell<HashMap<QueueId, oneshot::Sender<Verdict>>>,
 }
 
@@ -144,6 +146,7 @@
             arrivals: ArrivalRate::default(),
             pressure: RefCell::default(),
             confirmation: RefCell::default(),
+            round_trips: RefCell::default(),
             last_answers: LastAnswers::default(),
             unread: UnreadConnections::default(),
             unreadable: UnreadableItems::default(),
@@ -294,42 +297,6 @@
         }
     }
 
-    /// Applies the age of another router's configuration, if that configuration is the one in
-    /// force here or an older one.
-    pub(crate) fn on_configuration_age(&self, digest: &Digest, now: Timestamp) {
-        if let Some(age_ms) = digest.configuration_age_ms
-            && !digest
-                .configuration
-                .is_newer_than(&self.configuration.get())
-        {
-            let age = Duration::from_millis(u64::from(age_ms));
-            self.confirmation
-                .borrow_mut()
-                .on_peer_confirmation(age, now);
-        }
-    }
-
-    /// Returns whether keys may be trusted.
-    ///
-    /// With `fail_closed`, a revoked key must be refused in time, so keys are trusted only
-    /// while the configuration is known to be the newest.
-    pub(crate) fn trusts_keys(&self) -> bool {
-        let max = self.settings.borrow().credentials.trusted_age_max();
-        let Some(max) = max else {
-            return true;
-        };
-        let holds = self.confirmation.borrow().is_fresh(max, self.now());
-        if self.were_keys_trusted.replace(holds) != holds {
-            let age = self.confirmation.borrow().age(self.now());
-            let fields = json!({
-                "trusted": holds, "age_ms": age.map(|age| age.as_millis() as u64),
-                "version": self.routes().map_or(0, |routes| routes.version),
-            });
-            self.log.write(Importance::Essential, "keys", fields);
-        }
-        holds
-    }
-
     /// Applies changes of the endpoints.
     pub(crate) fn on_endpoint_changes(&self, changes: Vec<EndpointChange>, source: &str) {
         if changes.is_empty() {
