Bound the memory that all bodies take together

Operators of similar systems reported hosts that ran out of memory: a faulty server sent bytes without end, and the requests of all callers of the host ended with it.

Cause: a response was bounded to 1 MB, an event to 256 KB and a request to what the configuration says, but not their sum. Read buffers of connections to endpoints took up to 128 KB more each.

Change: request bodies share an eighth of the memory, response bodies and incomplete events another. A request that doesn't fit is refused as not run. Bodies whose length is known to be too large are refused at once. Read buffers hold 32 KB.

--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -5,6 +5,7 @@
 //! may be lost, late or duplicated; the next one replaces it.
 //! See `docs/design/direct-dispatch.md`.
 
+mod body_memory;
 mod confirmation;
 mod crash_evidence;
 mod digest;
@@ -31,6 +32,7 @@
 mod store_order;
 mod waiting;
 
+pub use body_memory::{BodyMemory, HeldMemory, NoBodyMemory};
 pub use confirmation::{Confirmation, ConfirmationSource};
 pub use crash_evidence::{
     Assessment, CrashEvidence, CrashNews, CrashReport, CrashedEndpoint, CrashedEndpoints,
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -6,6 +6,7 @@
 mod activity;
 mod admin;
 mod arrivals;
+mod body;
 mod connections;
 mod crash_check;
 mod daemon;
--- /dev/null
+++ b/crates/daisynotch_router/src/direct/body.rs
@@ -0,0 +1,79 @@
+//! Reads the bodies of requests and responses into memory that all of them share.
+
+use bytes::{Bytes, BytesMut};
+use daisynotch_core::direct::{BodyMemory, HeldMemory, NoBodyMemory};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use smallvec::SmallVec;
+
+/// Why a body was not read to its end.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ReadBodyError {
+    /// The body is longer than any of its kind may be.
+    #[error("the body exceeds {0} bytes")]
+    TooLong(usize),
+    /// The bodies of other requests take too much memory.
+    #[error(transparent)]
+    NoMemory(#[from] NoBodyMemory),
+    /// The connection broke, or the body is invalid.
+    #[error("reading the body failed: {0}")]
+    Broken(#[from] hyper::Error),
+}
+
+/// A body and the memory that it takes.
+struct HeldBody {
+    bytes: Bytes,
+    /// Freed with the body.
+    _memory: HeldMemory,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Returns bytes that hold `memory` until their last clone is dropped.
+fn with_memory(bytes: Bytes, memory: HeldMemory) -> Bytes {
+    Bytes::from_owner(HeldBody {
+        bytes,
+        _memory: memory,
+    })
+}
+
+/// Reads a body to its end.
+pub(super) async fn read(
+    body: &mut Incoming,
+    max_bytes: usize,
+    memory: &BodyMemory,
+) -> Result<Bytes, ReadBodyError> {
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(ReadBodyError::TooLong(max_bytes));
+    }
+    let mut held = memory.hold();
+    let mut length = 0;
+    let mut chunks = SmallVec::<[Bytes; 2]>::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(chunk) = frame?.into_data() else {
+            continue;
+        };
+        length += chunk.len();
+        if length > max_bytes {
+            return Err(ReadBodyError::TooLong(max_bytes));
+        }
+        held.resize(length)?;
+        chunks.push(chunk);
+    }
+    let whole = match chunks.len() {
+        0 => return Ok(Bytes::new()),
+        1 => chunks.remove(0),
+        _ => {
+            let mut whole = BytesMut::with_capacity(length);
+            chunks
+                .iter()
+                .for_each(|chunk| whole.extend_from_slice(chunk));
+            whole.freeze()
+        }
+    };
+    Ok(with_memory(whole, held))
+}
--- a/crates/daisynotch_router/src/direct/connections.rs
+++ b/crates/daisynotch_router/src/direct/connections.rs
@@ -45,6 +45,9 @@
 /// Maximum number of bytes before the body of a response, including informational responses:
 /// several times the longest response heads.
 const HEAD_MAX_BYTES: usize = 128 * 1024;
+/// Maximum size of a connection's read buffer, which also bounds a single response head: twice the
+/// largest head of a caller's request.
+const READ_BUFFER_MAX_BYTES: usize = 32 * 1024;
 /// Maximum number of idle connections per endpoint.
 const IDLE_PER_ENDPOINT_MAX: usize = 16;
 
@@ -107,7 +110,7 @@
         let head_limit = HeadLimit::default();
         let stream = LimitedStream::new(stream, head_limit.clone());
         let handshake = http1::Builder::new()
-            .max_buf_size(HEAD_MAX_BYTES)
+            .max_buf_size(READ_BUFFER_MAX_BYTES)
             .handshake(TokioIo::new(stream))
             .await;
         let (sender, connection) = handshake.map_err(|error| failed(&error))?;
--- a/crates/daisynotch_router/src/direct/directory.rs
+++ b/crates/daisynotch_router/src/direct/directory.rs
@@ -84,6 +84,13 @@
     router.metrics.waiting.set(dispatcher.waiting_len() as i64);
     router.metrics.running.set(dispatcher.running_len() as i64);
     drop(dispatcher);
+    let bodies = [
+        (&router.metrics.request_body_bytes, &router.request_memory),
+        (&router.metrics.response_body_bytes, &router.response_memory),
+    ];
+    for (gauge, memory) in bodies {
+        gauge.set(memory.used_bytes() as i64);
+    }
     match router.metrics.to_text() {
         Ok(text) => with_content_type(Bytes::from(text), "text/plain; version=0.0.4"),
         Err(error) => {
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -12,7 +12,6 @@
     TeamEntry, Verdict,
 };
 use daisynotch_platform::ports::CallerHeaders;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::http::request::Parts as RequestHead;
@@ -23,6 +22,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::body::{self, ReadBodyError};
 use super::event_log::Importance;
 use super::full_relay::FullRelayOutcome;
 use super::relay_mode::RelayMode;
@@ -192,7 +192,7 @@
     let arrived_at = Instant::now();
     let now = router.now();
     router.arrivals.add(now);
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let marks = router.platform.decode_caller_headers(&head.headers);
     let (marks, problem) = match marks {
         Ok(marks) => (marks, None),
@@ -260,13 +260,23 @@
     let deadline = marks.deadline.unwrap_or(DEADLINE_DEFAULT);
     let give_up = deadline.min(route.timeout);
     let limits = routes.limits;
-    let read = Limited::new(body, limits.body_max_bytes).collect();
+    let read = body::read(&mut body, limits.body_max_bytes, &router.request_memory);
     let body = match tokio::time::timeout(give_up.min(limits.idle_timeout), read).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+        Ok(Ok(body)) => body,
+        Ok(Err(ReadBodyError::TooLong(_))) => {
             return Err(reject(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
         }
-        Ok(Err(_)) => return Err(reject(StatusCode::BAD_REQUEST, "body_unreadable")),
+        Ok(Err(ReadBodyError::NoMemory(_))) => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Err(refuse(LocalResponse::with_retry_after(
+                status,
+                "no_body_memory",
+                RETRY_AFTER_DEFAULT,
+            )));
+        }
+        Ok(Err(ReadBodyError::Broken(_))) => {
+            return Err(reject(StatusCode::BAD_REQUEST, "body_unreadable"));
+        }
         Err(_) => return Err(reject(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
     };
     let answer_tokens = marks.answer_hint_tokens.map_or_else(
--- a/crates/daisynotch_router/src/direct/full_relay.rs
+++ b/crates/daisynotch_router/src/direct/full_relay.rs
@@ -3,10 +3,9 @@
 use bytes::Bytes;
 use daisynotch_core::BodyContent;
 use daisynotch_core::direct::RunOutcome;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 
+use super::body::{self, ReadBodyError};
 use super::forward::{Call, to_caller_response};
 use super::response::{LocalResponse, ResponseBody};
 use super::send::StartedResponse;
@@ -22,8 +21,8 @@
     Whole(Bytes),
     /// The connection broke.
     Broken(String),
-    /// The body is too long to be held in memory.
-    TooLong,
+    /// The body is too long to be held in memory, alone or beside others.
+    TooLong(String),
     /// The request's deadline passed.
     TimedOut,
 }
@@ -68,9 +67,8 @@
             let response = to_caller_response(started.head, ResponseBody::Full(Some(body)));
             return FullRelayOutcome::Response(response);
         }
-        BodyEnd::TooLong => {
+        BodyEnd::TooLong(problem) => {
             started.guard.end(RunOutcome::Broken);
-            let problem = format!("the response body exceeds {FULL_RESPONSE_MAX_BYTES} bytes");
             call.history.failures.push(problem);
             (StatusCode::BAD_GATEWAY, "answer_too_long")
         }
@@ -93,19 +91,19 @@
 }
 
 async fn read_body(call: &Call, started: &mut StartedResponse) -> BodyEnd {
-    let incoming: &mut Incoming = &mut started.incoming;
-    let read = Limited::new(incoming, FULL_RESPONSE_MAX_BYTES).collect();
+    let memory = &call.router.response_memory;
+    let read = body::read(&mut started.incoming, FULL_RESPONSE_MAX_BYTES, memory);
     let read = Witness::observe(&mut started.witness, read);
     match tokio::time::timeout_at(call.give_up_at, read).await {
         Ok(Ok(body)) => match call.judge_end(started, BodyContent::Opaque).await {
-            Ok(()) => BodyEnd::Whole(body.to_bytes()),
+            Ok(()) => BodyEnd::Whole(body),
             Err(reason) => BodyEnd::Broken(format!("the response was cut: {reason}")),
         },
-        Ok(Err(error)) if error.is::<LengthLimitError>() => BodyEnd::TooLong,
-        Ok(Err(error)) => {
+        Ok(Err(ReadBodyError::Broken(error))) => {
             call.report_broken(started);
             BodyEnd::Broken(format!("reading the response body failed: {error}"))
         }
+        Ok(Err(error)) => BodyEnd::TooLong(error.to_string()),
         Err(_) => BodyEnd::TimedOut,
     }
 }
--- a/crates/daisynotch_router/src/direct/metrics.rs
+++ b/crates/daisynotch_router/src/direct/metrics.rs
@@ -35,6 +35,10 @@
     pub(crate) waiting: IntGauge,
     /// Requests at endpoints.
     pub(crate) running: IntGauge,
+    /// Bytes of the bodies of callers' requests that are in memory.
+    pub(crate) request_body_bytes: IntGauge,
+    /// Bytes of the bodies of responses that are in memory.
+    pub(crate) response_body_bytes: IntGauge,
     /// Calls to the store by use and result.
     pub(crate) store_calls: IntCounterVec,
     /// Digests by direction.
@@ -94,6 +98,14 @@
             wait: Histogram::with_opts(latency("wait_seconds", "Wait for a place."))?,
             waiting: IntGauge::new("daisynotch_waiting", "Requests that wait for a place.")?,
             running: IntGauge::new("daisynotch_running", "Requests at endpoints.")?,
+            request_body_bytes: IntGauge::new(
+                "daisynotch_request_body_bytes",
+                "Bytes of the bodies of callers' requests in memory.",
+            )?,
+            response_body_bytes: IntGauge::new(
+                "daisynotch_response_body_bytes",
+                "Bytes of the bodies of responses in memory.",
+            )?,
             store_calls: counters(
                 "store_calls_total",
                 "Calls to the store.",
@@ -147,7 +159,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 19] = [
+        let collectors: [Box<dyn Collector>; 21] = [
             Box::new(self.requests.clone()),
             Box::new(self.sends.clone()),
             Box::new(self.response_ends.clone()),
@@ -156,6 +168,8 @@
             Box::new(self.wait.clone()),
             Box::new(self.waiting.clone()),
             Box::new(self.running.clone()),
+            Box::new(self.request_body_bytes.clone()),
+            Box::new(self.response_body_bytes.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.digests.clone()),
             Box::new(self.digest_sent_bytes.clone()),
--- a/crates/daisynotch_router/src/direct/settings.rs
+++ b/crates/daisynotch_router/src/direct/settings.rs
@@ -23,6 +23,9 @@
 /// Fraction of the memory that callers' connections may use.
 const CONNECTIONS_MEMORY_FRACTION: f64 = 0.45;
 
+/// Fraction of the memory that the bodies of requests may use, and as much for responses.
+const BODIES_MEMORY_FRACTION: f64 = 0.125;
+
 /// Retry budget, shared by all routers.
 #[derive(Debug, Clone, PartialEq, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -132,6 +135,11 @@
             .max(1)
     }
 
+    /// Returns the memory for the bodies of requests, and that for the bodies of responses.
+    pub fn body_memory_bytes(&self) -> usize {
+        ((self.memory_max_mb * 1024 * 1024) as f64 * BODIES_MEMORY_FRACTION) as usize
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         let positive = |key, value: f64| {
             if value > 0.0 && value <= 86_400.0 {
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use daisynotch_core::direct::{
-    ConfigurationStamp, Confirmation, Dispatcher, EndpointChange, EndpointList, Grant,
+    BodyMemory, ConfigurationStamp, Confirmation, Dispatcher, EndpointChange, EndpointList, Grant,
     HostIntroduction, HostPhase, HostTable, IdleLimits, OpenRun, Pressure, QueueId, RequestSpec,
     RoundTrips, RouteTable, RunId, RunOutcome, StorePosition, Verdict,
 };
@@ -65,6 +65,10 @@
     pub(crate) log: EventLog,
     pub(crate) metrics: Metrics,
     pub(crate) connections: ConnectionPool,
+    /// Memory for the bodies of callers' requests.
+    pub(crate) request_memory: BodyMemory,
+    /// Memory for the bodies of responses.
+    pub(crate) response_memory: BodyMemory,
     pub(crate) introduction: RefCell<HostIntroduction>,
     pub(crate) routes: RefCell<Option<Rc<RouteTable>>>,
     /// Idle limits of callers' connections.
@@ -123,6 +127,7 @@
         metrics: Metrics,
     ) -> Self {
         let zone = Arc::from(settings.zone.to_string());
+        let body_memory_bytes = settings.body_memory_bytes();
         Self {
             dispatcher: RefCell::new(Dispatcher::new(zone, settings.dispatcher())),
             settings: RefCell::new(settings),
@@ -131,6 +136,8 @@
             log,
             metrics,
             connections: ConnectionPool::default(),
+            request_memory: BodyMemory::new(body_memory_bytes),
+            response_memory: BodyMemory::new(body_memory_bytes),
             introduction: RefCell::new(introduction),
             routes: RefCell::new(None),
             idle_limits: RefCell::default(),
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -21,6 +21,8 @@
 const QUEUED_CHUNKS_MAX: usize = 16;
 /// Maximum size of an event, which is buffered until it is complete.
 const EVENT_MAX_BYTES: usize = 256 * 1024;
+/// Size up to which the buffered part of an event is not counted: nearly all events are smaller.
+const UNCOUNTED_EVENT_BYTES: usize = 4 * 1024;
 type ChunkSender = mpsc::Sender<Result<Bytes, TruncatedResponse>>;
 
 /// How relaying the stream of one endpoint ended.
@@ -171,6 +173,7 @@
     chunks: &ChunkSender,
 ) -> StreamEnd {
     let mut last_bytes_at = Instant::now();
+    let mut event_memory = call.router.response_memory.hold();
     loop {
         let waits_for = WaitsFor::Bytes {
             last_at: last_bytes_at,
@@ -254,6 +257,10 @@
         if framer.partial_len() > EVENT_MAX_BYTES {
             return StreamEnd::Broken(format!("an event exceeds {EVENT_MAX_BYTES} bytes"));
         }
+        let counted_bytes = framer.partial_len().saturating_sub(UNCOUNTED_EVENT_BYTES);
+        if let Err(error) = event_memory.resize(counted_bytes) {
+            return StreamEnd::Broken(format!("an event does not end: {error}"));
+        }
         if !complete_events.is_empty() {
             let sent = tokio::select! {
                 sent = chunks.send(Ok(complete_events)) => sent,
