--- a/crates/daisynotch_router/src/direct/news.rs
+++ b/crates/daisynotch_router/src/direct/news.rs
@@ -95,3 +95,6 @@
         .log
         .write(Importance::Essential, "news_unreadable", fields);
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daisynotch_router/src/direct/news/tests.rs
@@ -0,0 +1,39 @@
+use daisynotch_core::Timestamp;
+use daisynotch_core::direct::{CrashedEndpoint, MessageTiming};
+use daisynotch_objects::EndpointId;
+
+use super::*;
+
+fn crashes() -> CrashNews {
+    CrashNews {
+        crashes: vec![CrashedEndpoint {
+            endpoint: EndpointId(7),
+            age_ms: 5,
+        }],
+        ..CrashNews::default()
+    }
+}
+
+/// Routers of an earlier version leave out what says nothing, and send no timing.
+#[test]
+fn news_of_an_earlier_version_are_decoded() {
+    let (news, rest) = News::decode(&[]).unwrap();
+    assert!(news.crashes.is_empty() && news.limits.is_empty() && rest.is_empty());
+    let encoded = postcard::to_stdvec(&crashes()).unwrap();
+    let (news, rest) = News::decode(&encoded).unwrap();
+    assert_eq!(news.crashes, crashes());
+    assert!(news.limits.is_empty() && rest.is_empty());
+}
+
+#[test]
+fn timing_follows_news_that_say_nothing() {
+    let timing = MessageTiming {
+        written_at: Timestamp(9),
+        echo: None,
+    };
+    let encoded = postcard::to_stdvec(&(CrashNews::default(), LimitNews::default(), timing));
+    let encoded = encoded.unwrap();
+    let (news, rest) = News::decode(&encoded).unwrap();
+    assert!(news.crashes.is_empty() && news.limits.is_empty());
+    assert_eq!(postcard::from_bytes::<MessageTiming>(rest), Ok(timing));
+}
