Keep requests away from evacuated availability zones

Cause: routers knew nothing of orders to evacuate a zone.

Change: the set of orders at a store position is state of each router, listed with the configuration and passed on in each digest and store view. The dispatcher selects from endpoints of other zones only, and refuses at once what no endpoint is left for.

--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -12,6 +12,7 @@
 mod dispatcher;
 mod endpoints;
 mod engine;
+mod evacuation;
 mod event_framer;
 mod event_order;
 mod exchange;
@@ -44,6 +45,7 @@
 };
 pub use dispatcher::Dispatcher;
 pub use endpoints::{DepartedEndpoint, EndpointChange, EndpointEntry, EndpointList, EndpointState};
+pub use evacuation::{EvacuationChange, EvacuationNews, EvacuationOrder, Evacuations};
 pub use event_framer::EventFramer;
 pub use event_order::EventError;
 pub use exchange::{Exchange, OwnRole, Recipients};
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod decision;
+mod evacuations;
 mod limits;
 mod moves;
 
@@ -10,6 +11,7 @@
 use std::time::Duration;
 
 use daisynotch_objects::{EndpointId, RouterId};
+use smallvec::SmallVec;
 
 use super::crash_evidence::{CrashEvidence, PartIds, shared_part_ids};
 use super::digest::{Digest, EndpointDigest, PlacedParts, TeamDigest};
@@ -66,7 +68,9 @@
     own_zone: Arc<str>,
     engine_limits: HashMap<Arc<str>, Option<EngineLimits>>,
     endpoints: HashMap<EndpointId, EndpointLoad>,
+    /// The endpoints to which requests may be sent: those outside evacuated zones.
     endpoints_by_service: HashMap<Arc<str>, Vec<EndpointId>>,
+    evacuated_zones: SmallVec<[Arc<str>; 2]>,
     latencies: HashMap<Arc<str>, ServiceLatency>,
     shares: TeamShares,
     retry_budget: RetryBudget,
@@ -91,6 +95,7 @@
             engine_limits: HashMap::new(),
             endpoints: HashMap::new(),
             endpoints_by_service: HashMap::new(),
+            evacuated_zones: SmallVec::new(),
             latencies: HashMap::new(),
             shares: TeamShares::new(settings.shares),
             retry_budget: RetryBudget::new(settings.retry_budget),
@@ -117,10 +122,9 @@
                 continue;
             };
             let engine = service.engine;
-            for id in &self.endpoints_by_service[&name] {
-                if let Some(load) = self.endpoints.get_mut(id) {
-                    load.set_engine(engine);
-                }
+            let loads = self.endpoints.values_mut();
+            for load in loads.filter(|load| load.entry.service == name) {
+                load.set_engine(engine);
             }
             self.engine_limits.insert(name, engine);
         }
@@ -359,7 +363,7 @@
     fn add_endpoint(&mut self, entry: EndpointEntry, table: &RouteTable) {
         let id = entry.id();
         if let Some(load) = self.endpoints.get_mut(&id) {
-            if load.entry.service == entry.service {
+            if load.entry.service == entry.service && load.entry.zone == entry.zone {
                 load.entry = entry;
                 return;
             }
@@ -370,10 +374,10 @@
             .and_then(|service| service.engine);
         let service = Arc::clone(&entry.service);
         self.engine_limits.insert(Arc::clone(&service), engine);
-        self.endpoints_by_service
-            .entry(service)
-            .or_default()
-            .push(id);
+        let of_service = self.endpoints_by_service.entry(service).or_default();
+        if !self.evacuated_zones.contains(&entry.zone) {
+            of_service.push(id);
+        }
         self.endpoints.insert(id, EndpointLoad::new(entry, engine));
         self.crash_evidence.set_engines(self.endpoints.len());
     }
--- a/crates/daisynotch_core/src/direct/dispatcher/decision.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/decision.rs
@@ -142,6 +142,9 @@
             return refuse(RefuseReason::NoRoom, NO_ENDPOINT_RETRY_MS);
         }
         if choice.is_none() && may_place && !self.has_endpoint(&spec.service) {
+            if self.is_service_evacuated(&spec.service) {
+                return refuse(RefuseReason::Evacuated, RETRY_AFTER_RANGE_MS.1);
+            }
             let wait_max = spec.objective.mul_f64(NO_ENDPOINT_WAIT_FRACTION);
             return if waited < wait_max {
                 None
@@ -270,7 +273,7 @@
         self.pushbacks.earliest_end(ids, &spec.tried, now)
     }
 
-    fn has_endpoint(&self, service: &str) -> bool {
+    pub(super) fn has_endpoint(&self, service: &str) -> bool {
         let of_service = self.endpoints_by_service.get(service);
         of_service.is_some_and(|of_service| !of_service.is_empty())
     }
--- a/crates/daisynotch_core/src/direct/request.rs
+++ b/crates/daisynotch_core/src/direct/request.rs
@@ -97,6 +97,8 @@
 pub enum RefuseReason {
     /// The service has no known endpoint.
     NoEndpoint,
+    /// All endpoints of the service are in evacuated zones.
+    Evacuated,
     /// The team has used up its share and there is no idle capacity.
     BeyondShare,
     /// The answer can't begin in time.
@@ -114,6 +116,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NoEndpoint => "no_endpoint",
+            Self::Evacuated => "evacuated",
             Self::BeyondShare => "beyond_share",
             Self::NoRoom => "no_room",
             Self::PushedBack => "endpoints_pushed_back",
--- a/crates/daisynotch_core/src/seeded_fault.rs
+++ b/crates/daisynotch_core/src/seeded_fault.rs
@@ -1,8 +1,8 @@
 //! Deliberate faults that validate the model check and the checks of generated histories.
 //!
 //! Each fault breaks one invariant of `docs/design/protocol-specification.md`,
-//! `docs/design/crashing-parts.md`, `docs/design/response-ends.md`, `docs/design/exchange.md` or
-//! `docs/design/shared-limits.md`. Seeding requires the cargo feature `seeded_faults`, which only the tests of this crate enable;
+//! `docs/design/crashing-parts.md`, `docs/design/response-ends.md`, `docs/design/exchange.md`,
+//! `docs/design/shared-limits.md` or `docs/design/evacuation.md`. Seeding requires the cargo feature `seeded_faults`, which only the tests of this crate enable;
 //! without it the checks compile to a constant and cost nothing. The seeded fault is a
 //! thread-local value, so tests can run in parallel.
 
@@ -58,6 +58,8 @@
     IgnoreTransit,
     /// The same for the first messages of a router only, whose time on the way has no bound.
     AssumeNoTransit,
+    /// Orders to evacuate a zone are not taken from other routers.
+    IgnoreEvacuationNews,
 }
 
 #[cfg(feature = "seeded_faults")]
--- a/crates/daisynotch_platform/src/ports.rs
+++ b/crates/daisynotch_platform/src/ports.rs
@@ -131,6 +131,9 @@
 pub struct StorePrefixes {
     /// Prefix of the operators' configuration.
     pub configuration: &'static str,
+    /// Prefix of the operators' orders to evacuate an availability zone, below that of the
+    /// configuration; the rest of the key names the zone.
+    pub evacuations: &'static str,
     /// Prefix of the endpoints' entries.
     pub endpoints: &'static str,
     /// Prefix of the routers' own entries.
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -11,6 +11,7 @@
 mod crash_check;
 mod daemon;
 mod directory;
+mod evacuation;
 mod event_log;
 mod forward;
 mod full_relay;
@@ -42,4 +43,5 @@
 
 pub use admin::BlockedParts;
 pub use daemon::{DirectAddresses, DirectDaemon, DirectError, run};
+pub use evacuation::EvacuatedZone;
 pub use settings::{CredentialSettings, DirectSettings, RetrySettings};
--- a/crates/daisynotch_router/src/direct/admin.rs
+++ b/crates/daisynotch_router/src/direct/admin.rs
@@ -1,4 +1,4 @@
-//! HTTP handlers for operators: metrics and blocked prompt parts.
+//! HTTP handlers for operators: metrics, blocked prompt parts and evacuated zones.
 
 use hyper::{Method, Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -11,6 +11,9 @@
 /// Path under which operators read blocked parts. One part is unblocked by `DELETE` below it.
 const BLOCKED_PARTS_PATH: &str = "/blocked-parts";
 
+/// Path under which operators read evacuated availability zones.
+const EVACUATIONS_PATH: &str = "/evacuations";
+
 /// Prompt parts that a router refuses, as operators see them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BlockedParts {
@@ -32,6 +35,7 @@
         .and_then(|rest| rest.strip_prefix('/'));
     match (method, part) {
         (&Method::GET, None) if path == BLOCKED_PARTS_PATH => blocked_parts(router),
+        (&Method::GET, None) if path == EVACUATIONS_PATH => to_json(&router.evacuated_zones()),
         (&Method::DELETE, Some(part)) => unblock(router, part),
         _ => directory::metrics(router, path),
     }
@@ -51,7 +55,11 @@
         failed_trials: block.renewals,
     });
     let blocks: Vec<BlockedParts> = blocks.collect();
-    let body = serde_json::to_vec(&blocks).expect("names and numbers can be encoded as JSON");
+    to_json(&blocks)
+}
+
+fn to_json(value: &impl Serialize) -> Response<ResponseBody> {
+    let body = serde_json::to_vec(value).expect("names and numbers can be encoded as JSON");
     directory::with_content_type(body.into(), "application/json")
 }
 
--- a/crates/daisynotch_router/src/direct/daemon.rs
+++ b/crates/daisynotch_router/src/direct/daemon.rs
@@ -338,6 +338,7 @@
         let changes = router.endpoints.borrow_mut().expire(now);
         router.on_endpoint_changes(changes, "lapsed");
         router.dispatcher.borrow_mut().expire(now);
+        router.expire_evacuations();
         router.log_evidence_changes("expiry");
         router.connections.expire(now);
         router.log.flush();
--- a/crates/daisynotch_router/src/direct/metrics.rs
+++ b/crates/daisynotch_router/src/direct/metrics.rs
@@ -62,6 +62,8 @@
     pub(crate) limited_endpoints: IntGauge,
     /// Responses of endpoints that state such a limit.
     pub(crate) limited_responses: IntCounter,
+    /// Availability zones to whose endpoints no request is sent, by order of the operators.
+    pub(crate) evacuated_zones: IntGauge,
 }
 
 impl Metrics {
@@ -148,6 +150,10 @@
                 "daisynotch_limited_responses_total",
                 "Responses of endpoints that state such a limit.",
             )?,
+            evacuated_zones: IntGauge::new(
+                "daisynotch_evacuated_zones",
+                "Availability zones that are evacuated.",
+            )?,
         };
         router_metrics.register()?;
         Ok(router_metrics)
@@ -159,7 +165,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 21] = [
+        let collectors: [Box<dyn Collector>; 22] = [
             Box::new(self.requests.clone()),
             Box::new(self.sends.clone()),
             Box::new(self.response_ends.clone()),
@@ -181,6 +187,7 @@
             Box::new(self.blocked_parts.clone()),
             Box::new(self.limited_endpoints.clone()),
             Box::new(self.limited_responses.clone()),
+            Box::new(self.evacuated_zones.clone()),
         ];
         metrics::register(&self.registry, collectors)
     }
--- a/crates/daisynotch_router/src/direct/news.rs
+++ b/crates/daisynotch_router/src/direct/news.rs
@@ -1,10 +1,12 @@
-//! News that follows messages between routers: evidence on crashes, and stated limits.
+//! News that follows messages between routers: evidence on crashes, stated limits and, after the
+//! timing of a digest, fleet news.
 //!
-//! Routers of an earlier version read the part that they know and ignore the rest.
+//! Routers of an earlier version read the part that they know and ignore the rest. They take what
+//! follows the limits in a digest for its timing, so later parts come after that.
 
 use std::time::Duration;
 
-use daisynotch_core::direct::{CrashNews, LimitNews};
+use daisynotch_core::direct::{CrashNews, EvacuationNews, LimitNews};
 use daisynotch_objects::RouterId;
 use serde_json::json;
 
@@ -88,6 +90,40 @@
     }
 }
 
+/// What a router tells all others, whether it has callers or not.
+#[derive(Debug, Default)]
+pub(super) struct FleetNews {
+    evacuations: EvacuationNews,
+}
+
+/// Encodes the fleet news.
+pub(super) fn encode_fleet(router: &Router) -> Vec<u8> {
+    let evacuations = router.evacuations.borrow().to_news();
+    postcard::to_stdvec(&evacuations).unwrap_or_else(|error| {
+        let fields = json!({"error": error.to_string()});
+        router
+            .log
+            .write(Importance::Essential, "news_unwritable", fields);
+        Vec::new()
+    })
+}
+
+impl FleetNews {
+    /// Decodes fleet news; routers of an earlier version send none.
+    pub(super) fn decode(encoded: &[u8]) -> Result<Self, postcard::Error> {
+        let mut news = Self::default();
+        if !encoded.is_empty() {
+            (news.evacuations, _) = postcard::take_from_bytes(encoded)?;
+        }
+        Ok(news)
+    }
+
+    /// Applies the news.
+    pub(super) fn apply(self, router: &Router, source: &str) {
+        router.on_evacuation_news(self.evacuations, source);
+    }
+}
+
 /// Logs news that can't be decoded, which are ignored.
 pub(super) fn log_unreadable(router: &Router, error: &postcard::Error, source: &str) {
     let fields = json!({"error": error.to_string(), "source": source});
--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -26,7 +26,7 @@
 
 use super::connections::Connection;
 use super::event_log::Importance;
-use super::news::{self, News};
+use super::news::{self, FleetNews, News};
 use super::response::{LocalResponse, ResponseBody};
 use super::state::Router;
 use super::store_follower::{on_endpoint_event, replace_endpoints};
@@ -162,7 +162,7 @@
     }
 }
 
-/// Sends a datagram, followed by encoded news and the timing for each recipient.
+/// Sends a datagram, followed by encoded news, the timing for each recipient and fleet news.
 ///
 /// `written_at` is no later than the ages in the datagram were taken.
 fn send(
@@ -173,12 +173,15 @@
     addresses: &[SocketAddr],
     written_at: Timestamp,
 ) {
+    let fleet_news = news::encode_fleet(router);
     let encoded = postcard::to_stdvec(datagram).map(|mut bytes| {
         bytes.extend_from_slice(news);
         bytes
     });
     let problem = match encoded {
-        Ok(mut bytes) if bytes.len() + TIMING_MAX_BYTES <= DATAGRAM_MAX_BYTES => {
+        Ok(mut bytes)
+            if bytes.len() + TIMING_MAX_BYTES + fleet_news.len() <= DATAGRAM_MAX_BYTES =>
+        {
             let shared_len = bytes.len();
             for address in addresses {
                 let timing = router.round_trips.borrow().timing_for(*address, written_at);
@@ -190,6 +193,7 @@
                         return;
                     }
                 };
+                bytes.extend_from_slice(&fleet_news);
                 // The next digest makes up for a lost one, so a full send buffer is not waited
                 // for.
                 if let Ok(sent) = socket.try_send_to(&bytes, *address) {
@@ -322,7 +326,7 @@
         if !router.hosts.borrow_mut().on_digest(&digest, now) {
             continue;
         }
-        let (news, timing) = decode_rest(&router, rest);
+        let (news, timing, fleet_news) = decode_rest(&router, rest);
         let transit = timing.and_then(|timing| {
             router.round_trips.borrow_mut().on_message(
                 digest.host.peer_address,
@@ -351,6 +355,7 @@
         }
         router.dispatcher.borrow_mut().on_digest(&digest, now);
         news.apply(&router, Some(digest.host.id()), transit, "digest");
+        fleet_news.apply(&router, "digest");
         router.on_configuration_age(&digest, transit, now);
         for endpoint in &digest.leaving {
             router.on_endpoint_leaving(*endpoint, "digest");
@@ -365,15 +370,19 @@
     }
 }
 
-/// Decodes what follows a digest: news, and the timing unless the sender's version has none.
-fn decode_rest(router: &Router, rest: &[u8]) -> (News, Option<MessageTiming>) {
+/// Decodes what follows a digest: news, the timing and fleet news. Senders of an earlier version leave
+/// out the last ones.
+fn decode_rest(router: &Router, rest: &[u8]) -> (News, Option<MessageTiming>, FleetNews) {
     let decoded = News::decode(rest).and_then(|(news, rest)| {
-        let timing = (!rest.is_empty()).then(|| postcard::from_bytes(rest));
-        Ok((news, timing.transpose()?))
+        if rest.is_empty() {
+            return Ok((news, None, FleetNews::default()));
+        }
+        let (timing, rest) = postcard::take_from_bytes(rest)?;
+        Ok((news, Some(timing), FleetNews::decode(rest)?))
     });
     decoded.unwrap_or_else(|error| {
         news::log_unreadable(router, &error, "digest");
-        (News::default(), None)
+        (News::default(), None, FleetNews::default())
     })
 }
 
@@ -498,10 +507,13 @@
     let (view, news) =
         postcard::take_from_bytes::<StoreViewMessage>(&body).map_err(|error| error.to_string())?;
     // A router that starts gets the news before it has a configuration and sends requests.
-    match News::decode(news) {
-        Ok((news, _)) => {
+    let decoded = News::decode(news)
+        .and_then(|(news, fleet_news)| Ok((news, FleetNews::decode(fleet_news)?)));
+    match decoded {
+        Ok((news, fleet_news)) => {
             let transit = router.now().since(asked_at);
             news.apply(router, None, Some(transit), "router");
+            fleet_news.apply(router, "router");
         }
         Err(error) => news::log_unreadable(router, &error, "router"),
     }
@@ -555,6 +567,7 @@
     match postcard::to_stdvec(&message) {
         Ok(mut body) => {
             body.extend_from_slice(&news::encode_all(router));
+            body.extend_from_slice(&news::encode_fleet(router));
             Response::new(ResponseBody::Full(Some(Bytes::from(body))))
         }
         Err(error) => {
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -9,9 +9,9 @@
 
 use bytes::Bytes;
 use daisynotch_core::direct::{
-    BodyMemory, ConfigurationStamp, Confirmation, Dispatcher, EndpointChange, EndpointList, Grant,
-    HostIntroduction, HostPhase, HostTable, IdleLimits, OpenRun, Pressure, QueueId, RequestSpec,
-    RoundTrips, RouteTable, RunId, RunOutcome, StorePosition, Verdict,
+    BodyMemory, ConfigurationStamp, Confirmation, Dispatcher, EndpointChange, EndpointList,
+    Evacuations, Grant, HostIntroduction, HostPhase, HostTable, IdleLimits, OpenRun, Pressure,
+    QueueId, RequestSpec, RoundTrips, RouteTable, RunId, RunOutcome, StorePosition, Verdict,
 };
 use daisynotch_core::{EndpointId, Timestamp};
 use daisynotch_platform::ports::{SharedPlatform, StoreEvent, StoreItem};
@@ -81,6 +81,8 @@
     /// Checks in progress of whether an endpoint crashed.
     pub(super) crash_checks: RefCell<HashMap<EndpointId, CrashCheck>>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
+    /// Orders to evacuate availability zones.
+    pub(super) evacuations: RefCell<Evacuations>,
     pub(crate) hosts: RefCell<HostTable>,
     pub(crate) store_view: RefCell<StoreView>,
     /// Number of open connections of callers.
@@ -145,6 +147,7 @@
             endpoint_names: RefCell::default(),
             unframed_services: RefCell::default(),
             crash_checks: RefCell::default(),
+            evacuations: RefCell::default(),
             hosts: RefCell::default(),
             store_view: RefCell::default(),
             open_caller_connections: Cell::new(0),
--- a/crates/daisynotch_router/src/direct/store_follower.rs
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -16,6 +16,7 @@
 use rand::RngExt;
 use serde_json::json;
 
+use super::evacuation;
 use super::event_log::Importance;
 use super::state::{RecentChange, Router};
 use super::store_blocks;
@@ -208,7 +209,11 @@
     // Before entries count as missing: they may have lapsed in the outage.
     router.on_store_reachability(true, "");
     let era_began_at = record_era_start(router, at);
+    evacuation::apply_listing(router, &items, at);
     for item in &items {
+        if item.key.starts_with(prefixes.evacuations) {
+            continue;
+        }
         let is_written_in_era = item.revision > era_began_at.revision;
         let written_in_era = is_written_in_era.then_some(at.era);
         router.on_configuration(&item.value, at.era, written_in_era, "store");
@@ -278,6 +283,10 @@
 
 fn on_event(router: &Rc<Router>, era: u64, event: &StoreEvent) {
     let prefixes = router.platform.prefixes();
+    if event.key().starts_with(prefixes.evacuations) {
+        evacuation::apply_event(router, era, event);
+        return;
+    }
     if event.key().starts_with(prefixes.configuration) {
         if let StoreEvent::Written(item) = event {
             router.on_configuration(&item.value, era, Some(era), "store");
