Send callers to no more sizes of hosts than they need

Cause: hosts of half the largest size or more were given out too.

Change: sizes are taken in descending order until two hosts and the processor time that callers need are reached (hosts/selection.rs).

--- a/crates/daisynotch_core/src/direct/hosts.rs
+++ b/crates/daisynotch_core/src/direct/hosts.rs
@@ -5,6 +5,8 @@
 //! stop, its address is no longer given out within a second. A router that hears no other assumes
 //! that it is itself partitioned, and gives out all addresses that it knew.
 
+mod selection;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -105,8 +107,6 @@
 /// imbalance that chance makes likely.
 const EXCESS_FACTOR: f64 = 1.5;
 
-/// Number of large routers below which small ones are given out too.
-const LARGE_HOSTS_MIN: usize = 2;
 /// Processor time budgeted per request: three times what a stream takes (the bench `throughput`).
 const CORE_MS_PER_REQUEST: f64 = 1.0;
 /// Age up to which a heartbeat of a router without callers is relayed.
@@ -454,15 +454,7 @@
         if own.phase == HostPhase::Serving {
             hosts.push(own);
         }
-        let largest = hosts.iter().map(|host| host.cpu_millicores).max();
-        let is_large = |host: &&HostIntroduction| host.cpu_millicores * 2 >= largest.unwrap_or(0);
-        let large = hosts.iter().copied().filter(|host| is_large(host));
-        let (count, millicores) = large.fold((0, 0), |(count, sum), host| {
-            (count + 1, sum + u64::from(host.cpu_millicores))
-        });
-        if count >= LARGE_HOSTS_MIN && millicores as f64 >= self.needed_millicores(now) {
-            hosts.retain(is_large);
-        }
+        selection::retain_needed(&mut hosts, self.needed_millicores(now));
         hosts
     }
 
