Limit the rate of cold endpoints across all routers

Cause: an endpoint that started lately tolerates few requests per second. Its entry says so up to two seconds late, and routers sent it their full rate meanwhile. Change: entries, health responses and the configuration state how long and how far an endpoint is cold. `cold_starts` presumes it from other signs, too: a new start, the end of an evacuation, and a failure after which the endpoint answers again. The rate is divided by `shared_limits` with a budget for windows of one second. Routers report their demand while any service has a cold rate, and share signs that others may not see after the evacuations. Without a cold rate in the configuration nothing changes.

--- a/crates/daisynotch_core/benches/direct_decision.rs
+++ b/crates/daisynotch_core/benches/direct_decision.rs
@@ -95,6 +95,7 @@
             slots: 64,
             memory_tokens: 400_000,
         }),
+        cold_start: None,
     });
     let settings = DispatcherSettings {
         shares: ShareSettings {
@@ -102,6 +103,7 @@
             window: Duration::from_secs(4),
         },
         retry_budget: RetryBudgetSettings::default(),
+        cold: Default::default(),
     };
     let mut dispatcher = Dispatcher::new(Arc::from("a"), settings);
     dispatcher.on_routes(&table);
@@ -115,6 +117,7 @@
             zone: Arc::from("a"),
             slots: 64,
             state: EndpointState::Ready,
+            cold_remaining: None,
         };
         dispatcher.on_endpoint(EndpointChange::Usable(entry), &table);
     }
--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -6,6 +6,7 @@
 //! See `docs/design/direct-dispatch.md`.
 
 mod body_memory;
+mod cold_starts;
 mod confirmation;
 mod crash_evidence;
 mod digest;
@@ -34,6 +35,9 @@
 mod waiting;
 
 pub use body_memory::{BodyMemory, HeldMemory, NoBodyMemory};
+pub use cold_starts::{
+    ColdChange, ColdNews, ColdReason, ColdSettings, FailedEndpoint, ReturnedZone,
+};
 pub use confirmation::{Confirmation, ConfirmationSource};
 pub use crash_evidence::{
     Assessment, CrashEvidence, CrashNews, CrashReport, CrashedEndpoint, CrashedEndpoints,
@@ -59,7 +63,7 @@
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 pub use round_trips::{Echo, MessageTiming, RoundTrips};
 pub use routes::{
-    CallerLimits, EngineLimits, Route, RouteKind, RouteTable, ServiceView, TeamEntry,
+    CallerLimits, ColdStart, EngineLimits, Route, RouteKind, RouteTable, ServiceView, TeamEntry,
 };
 pub use shared_limits::{
     DemandLevel, LimitChange, LimitNews, RequestRate, ServiceDemand, StatedLimit,
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -1,5 +1,6 @@
 //! Decides for each caller request whether to send it to an endpoint, queue it or refuse it.
 
+mod cold;
 mod crashes;
 mod decision;
 mod evacuations;
@@ -13,6 +14,7 @@
 use daisynotch_objects::{EndpointId, RouterId};
 use smallvec::SmallVec;
 
+use super::cold_starts::{ColdSettings, ColdStarts};
 use super::crash_evidence::{CrashEvidence, PartIds, shared_part_ids};
 use super::digest::{Digest, EndpointDigest, PlacedParts, TeamDigest};
 use super::endpoints::{EndpointChange, EndpointEntry};
@@ -80,6 +82,10 @@
     placed: Vec<PlacedParts>,
     pushbacks: Pushbacks,
     shared_limits: SharedLimits,
+    cold_starts: ColdStarts,
+    cold_settings: ColdSettings,
+    /// This router, once it is known.
+    own_id: Option<RouterId>,
     crash_evidence: CrashEvidence,
     /// The endpoints listed in the latest digest of each other router.
     endpoints_by_peer: HashMap<RouterId, Vec<EndpointId>>,
@@ -104,6 +110,9 @@
             placed: Vec::new(),
             pushbacks: Pushbacks::default(),
             shared_limits: SharedLimits::default(),
+            cold_starts: ColdStarts::default(),
+            cold_settings: settings.cold,
+            own_id: None,
             crash_evidence: CrashEvidence::default(),
             endpoints_by_peer: HashMap::new(),
             next_id: 0,
@@ -115,6 +124,7 @@
     pub fn on_routes(&mut self, table: &RouteTable) {
         self.shares
             .set_tokens_per_s(table.limits.shared_tokens_per_s);
+        self.set_cold_services(table);
         let services: Vec<Arc<str>> = self.endpoints_by_service.keys().cloned().collect();
         for name in services {
             // Endpoints of a service that was dropped finish their requests under its limits.
@@ -237,6 +247,7 @@
             return;
         };
         load.health.on_byte(now);
+        self.cold_starts.on_byte(run.endpoint, run.sent_at, now);
         self.crash_evidence.on_alive(run.endpoint, now);
         if run.has_answer_begun {
             return;
@@ -267,7 +278,9 @@
         let Some(run) = self.runs.remove(&run) else {
             return;
         };
+        let mut may_have_restarted = matches!(ended, RunOutcome::Unreachable | RunOutcome::Broken);
         if let Some(load) = self.endpoints.get_mut(&run.endpoint) {
+            may_have_restarted |= ended == RunOutcome::Cancelled && load.health.is_lost(now);
             load.own.running = load.own.running.saturating_sub(1);
             load.own.unread_tokens = load.own.unread_tokens.saturating_sub(run.unread_tokens);
             load.own.memory_tokens = load.own.memory_tokens.saturating_sub(run.memory_tokens);
@@ -280,6 +293,9 @@
             }
         }
         self.refresh_due(run.endpoint);
+        if may_have_restarted {
+            self.note_failure(run.endpoint, now);
+        }
     }
 
     /// Records that an endpoint asked this router to send it no requests for `pause`.
@@ -340,6 +356,9 @@
         }
         self.pushbacks.expire(now);
         self.shared_limits.expire(now);
+        let endpoints = &self.endpoints;
+        let is_listed = |endpoint| endpoints.contains_key(&endpoint);
+        self.cold_starts.expire(is_listed, now);
         self.crash_evidence.expire(now);
     }
 
--- a/crates/daisynotch_core/src/direct/dispatcher/configuration_tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/configuration_tests.rs
@@ -11,6 +11,7 @@
         connections_max: 100,
         status_path: Arc::from("/status"),
         engine,
+        cold_start: None,
     });
     table
 }
--- a/crates/daisynotch_core/src/direct/dispatcher/crashes.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/crashes.rs
@@ -149,7 +149,7 @@
             Some((is_settled, hash, *id))
         });
         let (_, _, id) = candidates.max()?;
-        let has_limit = self.shared_limits.limit(id).is_some();
+        let has_limit = self.shared_limits.is_limited(id);
         evaluate_endpoint(id, self.endpoints.get(&id)?, has_limit, spec, latency)
     }
 }
--- a/crates/daisynotch_core/src/direct/dispatcher/decision.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/decision.rs
@@ -333,7 +333,7 @@
             {
                 continue;
             }
-            let has_limit = self.shared_limits.limit(*id).is_some();
+            let has_limit = self.shared_limits.is_limited(*id);
             let Some(mut candidate) = evaluate_endpoint(*id, load, has_limit, spec, latency) else {
                 continue;
             };
--- a/crates/daisynotch_core/src/direct/dispatcher/endpoint_tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/endpoint_tests.rs
@@ -16,6 +16,7 @@
             connections_max: 100,
             status_path: Arc::from("/status"),
             engine: None,
+            cold_start: None,
         });
     }
     let known = dispatcher.endpoints.values();
--- a/crates/daisynotch_core/src/direct/dispatcher/limits.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/limits.rs
@@ -49,6 +49,8 @@
 
     /// Divides the limits among the routers; called in each round of digests.
     pub fn divide_limits(&mut self, own: RouterId, now: Timestamp) {
+        self.note_silence(now);
+        self.refresh_cold(own, now);
         let endpoints = &self.endpoints;
         let service_of = |endpoint| endpoints.get(&endpoint).map(|load| &load.entry.service);
         self.shared_limits.divide(own, service_of, now);
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -30,12 +30,14 @@
             slots: 64,
             memory_tokens: 400_000,
         }),
+        cold_start: None,
     });
     table.add_service(ServiceView {
         name: Arc::from("orders"),
         connections_max: 100,
         status_path: Arc::from("/status"),
         engine: None,
+        cold_start: None,
     });
     table
 }
@@ -50,6 +52,7 @@
         zone: Arc::from("a"),
         slots: 6,
         state: EndpointState::Ready,
+        cold_remaining: None,
     }
 }
 
@@ -60,6 +63,7 @@
             window: Duration::from_secs(4),
         },
         retry_budget: RetryBudgetSettings::default(),
+        cold: Default::default(),
     };
     let table = table(tokens_per_s);
     let mut dispatcher = Dispatcher::new(Arc::from("a"), settings);
--- a/crates/daisynotch_core/src/direct/endpoints.rs
+++ b/crates/daisynotch_core/src/direct/endpoints.rs
@@ -65,6 +65,8 @@
     pub slots: u32,
     /// Whether the endpoint accepts requests.
     pub state: EndpointState,
+    /// How long the endpoint stays cold after the report; `None` if it does not say.
+    pub cold_remaining: Option<Duration>,
 }
 
 impl EndpointEntry {
--- a/crates/daisynotch_core/src/direct/endpoints/tests.rs
+++ b/crates/daisynotch_core/src/direct/endpoints/tests.rs
@@ -10,6 +10,7 @@
         zone: Arc::from("a"),
         slots: 4,
         state: EndpointState::Ready,
+        cold_remaining: None,
     }
 }
 
--- a/crates/daisynotch_core/src/direct/request.rs
+++ b/crates/daisynotch_core/src/direct/request.rs
@@ -7,6 +7,7 @@
 use daisynotch_objects::EndpointId;
 use smallvec::SmallVec;
 
+use super::cold_starts::ColdSettings;
 use super::part_cache::Parts;
 use super::retry_budget::RetryBudgetSettings;
 use super::shares::ShareSettings;
@@ -171,4 +172,6 @@
     pub shares: ShareSettings,
     /// How many requests may be retried.
     pub retry_budget: RetryBudgetSettings,
+    /// How many requests cold endpoints get.
+    pub cold: ColdSettings,
 }
--- a/crates/daisynotch_core/src/direct/routes.rs
+++ b/crates/daisynotch_core/src/direct/routes.rs
@@ -6,6 +6,8 @@
 
 use smallvec::SmallVec;
 
+use super::shared_limits::RequestRate;
+
 /// Whether requests of a route may run more than once, and whether their answers are streams.
 #[daisynotch_macros::value]
 #[derive(Copy)]
@@ -88,6 +90,16 @@
     pub memory_tokens: u64,
 }
 
+/// What the endpoints of a service tolerate after a start.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub struct ColdStart {
+    /// How long an endpoint is cold after it starts during traffic.
+    pub lasts: Duration,
+    /// The rate of requests from all routers together that a cold endpoint tolerates.
+    pub rate: RequestRate,
+}
+
 /// A group of endpoints that answer the same requests.
 #[daisynotch_macros::value]
 pub struct ServiceView {
@@ -99,6 +111,8 @@
     pub status_path: Arc<str>,
     /// The limits of each engine, set for services of batch engines only.
     pub engine: Option<EngineLimits>,
+    /// What endpoints tolerate after a start; `None` if they are never cold.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// A team to which credentials belong.
@@ -203,6 +217,11 @@
         self.services.get(name)
     }
 
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceView> {
+        self.services.values().map(|service| &**service)
+    }
+
     /// Finds the team to which a credential belongs.
     pub fn team_of(&self, credential: &str) -> Option<&Arc<TeamEntry>> {
         self.teams.get(credential)
--- a/crates/daisynotch_core/src/direct/shared_limits.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits.rs
@@ -6,6 +6,7 @@
 //! uses only a part of a limit, which all compute alike, and passes on what it knows.
 //! See `docs/design/shared-limits.md`.
 
+mod cold;
 mod demand;
 mod news;
 mod pace;
@@ -19,11 +20,13 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::cold::Membership;
 use self::demand::Demand;
 pub use self::demand::DemandLevel;
 pub use self::news::{LimitNews, ServiceDemand, StatedLimit};
 use self::pace::Pace;
-use self::parts::{Member, Part, part_of};
+pub(crate) use self::parts::Budget;
+use self::parts::{Member, Part};
 use crate::time::Timestamp;
 
 /// How long a limit is remembered that no response confirms, and the end of one.
@@ -120,8 +123,8 @@
 /// This router's share in the limit of one endpoint.
 #[derive(Debug, Clone, Copy)]
 struct Share {
-    limit: RequestRate,
-    /// The part of `limit` that follows from the latest members.
+    budget: Budget,
+    /// The part of `budget` that follows from the latest members.
     due: Part,
     pace: Pace,
 }
@@ -143,12 +146,23 @@
 pub(crate) struct SharedLimits {
     statements: HashMap<EndpointId, Statement>,
     shares: HashMap<EndpointId, Share>,
+    /// The limits of cold endpoints.
+    cold: HashMap<EndpointId, Budget>,
+    /// The services whose endpoints are ever cold, as hashes of their names.
+    cold_services: SmallVec<[u32; 4]>,
     /// The members in the latest round, by the hash of the service's name.
-    members: HashMap<u32, Vec<Member>>,
+    members: HashMap<u32, Membership>,
+    /// Earlier members of services whose endpoints are ever cold, with the time at which each was
+    /// replaced.
+    members_before: Vec<(Timestamp, u32, Membership)>,
+    /// This router's weight when it last heard all other routers, by the hash of the service's name.
+    own_weights: HashMap<u32, f64>,
     /// This router's demand by the hash of the service's name.
     demands: HashMap<u32, Demand>,
     peers: HashMap<RouterId, PeerDemands>,
     first_round_at: Option<Timestamp>,
+    /// When this router first heard another one that reports its demand.
+    first_heard_at: Option<Timestamp>,
     latest_round_at: Timestamp,
     /// Number of limits in messages so far, which tells where the next message begins.
     sent: usize,
@@ -211,7 +225,7 @@
     pub(crate) fn allows(&self, endpoint: EndpointId, now: Timestamp) -> bool {
         match self.shares.get(&endpoint) {
             Some(share) => share.pace.allows(now),
-            None => self.limit(endpoint).is_none(),
+            None => !self.is_limited(endpoint),
         }
     }
 
@@ -240,7 +254,7 @@
         let mut first: Option<Duration> = None;
         let mut is_any = false;
         for endpoint in endpoints {
-            self.limit(endpoint)?;
+            self.budget(endpoint)?;
             is_any = true;
             let Some(share) = self.shares.get(&endpoint) else {
                 continue;
@@ -268,24 +282,28 @@
         service: Option<&Arc<str>>,
         now: Timestamp,
     ) {
-        let (Some(limit), Some(service)) = (self.limit(endpoint), service) else {
+        let (Some(budget), Some(service)) = (self.budget(endpoint), service) else {
             self.shares.remove(&endpoint);
             return;
         };
-        let members = self.members(own, service_hash(service), now);
-        let due = part_of(own, endpoint, limit, &members);
+        let service = service_hash(service);
+        let members = self.members(own, service, now);
+        let due = self.due_part(own, endpoint, budget, &members, now);
         let started_at = self.first_round_at.unwrap_or(now);
         let is_settled = now.since(started_at) >= START_TIME;
+        let new_pace = if self.is_cold(endpoint) {
+            Pace::empty(self.least_part(own, endpoint, budget, service, due), now)
+        } else if is_settled {
+            Pace::new(due, now)
+        } else {
+            Pace::held(now)
+        };
         let share = self.shares.entry(endpoint).or_insert_with(|| Share {
-            limit,
+            budget,
             due,
-            pace: if is_settled {
-                Pace::new(due, now)
-            } else {
-                Pace::held(now)
-            },
+            pace: new_pace,
         });
-        share.limit = limit;
+        share.budget = budget;
         share.due = due;
         share.pace.set_part(due, now);
     }
@@ -299,46 +317,63 @@
     ) {
         self.first_round_at.get_or_insert(now);
         self.note_standstill(now);
-        let limits = self.statements.iter();
-        let limits = limits.filter_map(|(endpoint, known)| Some((*endpoint, known.limit?)));
-        let limits: Vec<(EndpointId, RequestRate)> = limits.collect();
-        let statements = &self.statements;
-        let has_limit = |endpoint: &EndpointId| {
-            let statement = statements.get(endpoint);
-            statement.is_some_and(|statement| statement.limit.is_some())
-        };
-        self.shares.retain(|endpoint, _| has_limit(endpoint));
+        let stated = self.statements.iter();
+        let stated = stated.filter(|(_, known)| known.limit.is_some());
+        let limited = stated.map(|(endpoint, _)| *endpoint);
+        let mut limited: Vec<EndpointId> = limited.chain(self.cold.keys().copied()).collect();
+        limited.sort_unstable();
+        limited.dedup();
+        self.shares
+            .retain(|endpoint, _| limited.binary_search(endpoint).is_ok());
         let mut changed: HashMap<u32, bool> = HashMap::new();
-        for (endpoint, limit) in limits {
-            let Some(service) = service_of(endpoint) else {
+        for service in self.cold_services.clone() {
+            self.refresh_members(own, service, &mut changed, now);
+        }
+        for endpoint in limited {
+            let (Some(service), Some(budget)) = (service_of(endpoint), self.budget(endpoint))
+            else {
                 continue;
             };
             let service = service_hash(service);
-            let is_changed = match changed.get(&service) {
-                Some(is_changed) => *is_changed,
-                None => {
-                    let members = self.members(own, service, now);
-                    let is_changed = self.members.get(&service) != Some(&members);
-                    self.members.insert(service, members);
-                    changed.insert(service, is_changed);
-                    is_changed
-                }
+            let is_changed = self.refresh_members(own, service, &mut changed, now);
+            let known = self.shares.get(&endpoint);
+            let is_held = self.is_cold(endpoint) && !self.may_hold_cold(now);
+            let due = match known {
+                Some(share) if !is_changed && !is_held && share.budget == budget => share.due,
+                _ => self.due_part(own, endpoint, budget, &self.members[&service], now),
             };
-            let members = &self.members[&service];
-            let part = || part_of(own, endpoint, limit, members);
             let share = self.shares.entry(endpoint).or_insert_with(|| Share {
-                limit,
-                due: part(),
+                budget,
+                due,
                 pace: Pace::held(now),
             });
-            if is_changed || share.limit != limit {
-                share.limit = limit;
-                share.due = part();
-            }
-            share.pace.set_part(share.due, now);
+            share.budget = budget;
+            share.due = due;
+            share.pace.set_part(due, now);
         }
     }
 
+    /// Updates the members of a service once in a round and returns whether they changed.
+    fn refresh_members(
+        &mut self,
+        own: RouterId,
+        service: u32,
+        changed: &mut HashMap<u32, bool>,
+        now: Timestamp,
+    ) -> bool {
+        if let Some(is_changed) = changed.get(&service) {
+            return *is_changed;
+        }
+        let members = self.members(own, service, now);
+        let is_changed = self.members.get(&service) != Some(&members);
+        if is_changed {
+            let before = self.members.insert(service, members);
+            self.keep_members_before(service, before, now);
+        }
+        changed.insert(service, is_changed);
+        is_changed
+    }
+
     /// Gives up all parts after the process stood still: other routers may use them by now, and
     /// what this router knows of them is as old.
     fn note_standstill(&mut self, now: Timestamp) {
@@ -360,26 +395,23 @@
     ///
     /// A router that hears no other may be the one that is cut off, so it goes on reckoning with
     /// those that it knew.
-    fn members(&mut self, own: RouterId, service: u32, now: Timestamp) -> Vec<Member> {
+    fn members(&mut self, own: RouterId, service: u32, now: Timestamp) -> Membership {
         let is_heard = |peer: &PeerDemands| now.since(peer.heard_at) < PEER_SILENCE_MAX;
         let hears_any = self.peers.values().any(is_heard);
-        let peers = self.peers.iter();
-        let peers =
-            peers.filter(|(router, peer)| **router != own && (!hears_any || is_heard(peer)));
-        let mut levels: Vec<(RouterId, DemandLevel)> = peers
-            .map(|(router, peer)| (*router, peer.level(service)))
-            .collect();
         let own_level = self.demands.entry(service).or_default().level(now);
-        levels.push((own, own_level));
-        // Without any demand, all routers are equal.
-        let has_demand = levels.iter().any(|(_, level)| level.0 > 0);
-        let members = levels.into_iter().map(|(router, level)| Member {
-            router,
-            weight: if has_demand { level.weight() } else { 1.0 },
-        });
-        let mut members: Vec<Member> = members.filter(|member| member.weight > 0.0).collect();
-        members.sort_unstable_by_key(|member| member.router);
-        members
+        let peers = self.peers.iter().filter(|(router, _)| **router != own);
+        let levels = |may_be_silent: bool| {
+            let peers = peers.clone();
+            let peers = peers.filter(move |(_, peer)| may_be_silent || is_heard(peer));
+            peers.map(|(router, peer)| (*router, peer.level(service)))
+        };
+        let heard = weigh(own, own_level, levels(!hears_any));
+        let known = if self.cold_services.contains(&service) {
+            weigh(own, own_level, levels(true))
+        } else {
+            Vec::new()
+        };
+        self.bound_own_weight(own, service, Membership { heard, known })
     }
 
     /// Returns the number of endpoints that state a limit.
@@ -399,6 +431,25 @@
     }
 }
 
+/// Returns the routers with demand, or all of them if none has any.
+fn weigh(
+    own: RouterId,
+    own_level: DemandLevel,
+    peers: impl Iterator<Item = (RouterId, DemandLevel)>,
+) -> Vec<Member> {
+    let mut levels: Vec<(RouterId, DemandLevel)> = peers.collect();
+    levels.push((own, own_level));
+    // Without any demand, all routers are equal.
+    let has_demand = levels.iter().any(|(_, level)| level.0 > 0);
+    let members = levels.into_iter().map(|(router, level)| Member {
+        router,
+        weight: if has_demand { level.weight() } else { 1.0 },
+    });
+    let mut members: Vec<Member> = members.filter(|member| member.weight > 0.0).collect();
+    members.sort_unstable_by_key(|member| member.router);
+    members
+}
+
 fn service_hash(service: &str) -> u32 {
     xxh3_64(service.as_bytes()) as u32
 }
--- a/crates/daisynotch_core/src/direct/shared_limits/news.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/news.rs
@@ -62,15 +62,19 @@
 
     /// Returns whether the message says nothing.
     pub fn is_empty(&self) -> bool {
-        self.limits.is_empty()
+        self.limits.is_empty() && self.demands.is_empty()
     }
 }
 
 impl SharedLimits {
-    /// Returns the next message for other routers; empty while no limit is known. If there are
-    /// more than `limits_max` limits, they are sent in turns.
+    /// Returns the next message for other routers; empty while no limit is known and no endpoint is
+    /// ever cold. If there are more than `limits_max` limits, they are sent in turns.
+    ///
+    /// The demand for services whose endpoints may become cold is always exchanged, because
+    /// routers have to divide a cold endpoint's limit at once.
     pub(crate) fn next_news(&mut self, limits_max: usize, now: Timestamp) -> LimitNews {
-        if self.statements.is_empty() || is_seeded(SeededFault::KeepLimitSecret) {
+        let is_silent = self.statements.is_empty() && self.cold_services.is_empty();
+        if is_silent || is_seeded(SeededFault::KeepLimitSecret) {
             return LimitNews::default();
         }
         let mut known: Vec<(&EndpointId, &Statement)> = self.statements.iter().collect();
@@ -79,7 +83,7 @@
         let selected = known
             .iter()
             .cycle()
-            .skip(self.sent % known.len())
+            .skip(self.sent % known.len().max(1))
             .take(count);
         let limits = selected.map(|(endpoint, statement)| StatedLimit {
             endpoint: **endpoint,
@@ -88,9 +92,11 @@
         });
         let limits = limits.collect();
         self.sent = self.sent.wrapping_add(count);
-        let demands = self
-            .demands
-            .iter_mut()
+        let cold_services = &self.cold_services;
+        let has_limits = !self.statements.is_empty();
+        let demands = self.demands.iter_mut();
+        let demands = demands
+            .filter(|(service, _)| has_limits || cold_services.contains(service))
             .map(|(service, demand)| ServiceDemand {
                 service: *service,
                 level: demand.level(now),
@@ -110,6 +116,7 @@
         now: Timestamp,
     ) -> Vec<LimitChange> {
         if let Some(sender) = sender {
+            self.first_heard_at.get_or_insert(now);
             let levels = news.demands.iter();
             let levels = levels.map(|demand| (demand.service, demand.level));
             let demands = PeerDemands {
--- a/crates/daisynotch_core/src/direct/shared_limits/pace.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/pace.rs
@@ -11,7 +11,7 @@
 
 /// How long a larger part must have been due before it is used: several times the interval of
 /// digests.
-const RAISE_DELAY: Duration = Duration::from_millis(500);
+pub(super) const RAISE_DELAY: Duration = Duration::from_millis(500);
 /// Requests beyond the part, such as questions that can't wait, for which later ones make up.
 const DEBT_MAX_REQUESTS: f64 = 4.0;
 
@@ -49,6 +49,14 @@
         Self::new(Part::default(), now)
     }
 
+    /// Starts with a part of which nothing is left.
+    pub(super) fn empty(part: Part, now: Timestamp) -> Self {
+        Self {
+            left: 0.0,
+            ..Self::new(part, now)
+        }
+    }
+
     /// Sets the part that is due.
     pub(super) fn set_part(&mut self, due: Part, now: Timestamp) {
         self.refill(now);
--- a/crates/daisynotch_core/src/direct/shared_limits/parts.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/parts.rs
@@ -21,9 +21,42 @@
 /// the limit allows in [`BURST_TIME`].
 const BURST_REQUESTS: f64 = 5.0;
 const BURST_TIME: Duration = Duration::from_millis(400);
-/// Lower bound of the rate that is divided: with fewer requests, nobody learns that a limit
-/// ended.
-const RATE_MIN_PER_S: f64 = 0.25;
+/// Part of a cold endpoint's limit whose holders may be silent for it to be given to others: as much
+/// as may be sent in addition if they still run.
+const SILENT_FRACTION_MAX: f64 = 0.34;
+
+/// What all holders of one limit together may send.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Budget {
+    pub(crate) per_s: f64,
+    /// Requests that may be sent at once after a pause.
+    pub(crate) burst: f64,
+}
+
+impl Budget {
+    /// Lower bound of the rate that is divided: with fewer requests, nobody learns that a limit
+    /// ended.
+    pub(crate) const RATE_MIN_PER_S: f64 = 0.25;
+
+    /// Returns what keeps both limits.
+    pub(super) fn within(self, other: Self) -> Self {
+        Self {
+            per_s: self.per_s.min(other.per_s),
+            burst: self.burst.min(other.burst),
+        }
+    }
+}
+
+impl From<RequestRate> for Budget {
+    /// Returns what a stated limit allows; its bursts are for windows of 4 s.
+    fn from(limit: RequestRate) -> Self {
+        let per_s = limit.per_s().max(Self::RATE_MIN_PER_S);
+        Self {
+            per_s,
+            burst: BURST_REQUESTS + per_s * BURST_TIME.as_secs_f64(),
+        }
+    }
+}
 
 /// A router among which limits are divided.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -45,10 +78,11 @@
 pub(super) fn part_of(
     own: RouterId,
     endpoint: EndpointId,
-    limit: RequestRate,
+    budget: impl Into<Budget>,
     members: &[Member],
 ) -> Part {
-    let limit_per_s = limit.per_s().max(RATE_MIN_PER_S);
+    let budget = budget.into();
+    let limit_per_s = budget.per_s;
     if is_seeded(SeededFault::KeepWholeLimit) {
         let burst = BURST_REQUESTS;
         return Part {
@@ -60,10 +94,41 @@
         let per_s = limit_per_s / members.len().max(1) as f64;
         return Part { per_s, burst: 1.0 };
     }
-    let holders_max = (limit_per_s * HOLDER_INTERVAL.as_secs_f64()) as usize;
+    part_among(own, budget, &holders(endpoint, budget, members))
+}
+
+/// Returns the part of `own` in a cold endpoint's limit. `known` are all routers that were heard
+/// within a longer time than `heard`.
+///
+/// Many silent holders are more likely cut off than dead, and use their parts on. Only the parts of
+/// few are given to others.
+pub(super) fn cold_part_of(
+    own: RouterId,
+    endpoint: EndpointId,
+    budget: Budget,
+    heard: &[Member],
+    known: &[Member],
+) -> Part {
+    if known.len() > heard.len() {
+        let holders = holders(endpoint, budget, known);
+        let is_silent = |member: &Member| heard.iter().all(|other| other.router != member.router);
+        let silent = holders.iter().filter(|(_, member)| is_silent(member));
+        let silent: f64 = silent.map(|(_, member)| member.weight).sum();
+        if silent > SILENT_FRACTION_MAX * weight_of(&holders) {
+            return part_among(own, budget, &holders);
+        }
+    }
+    part_of(own, endpoint, budget, heard)
+}
+
+type Holders = SmallVec<[(f64, Member); HOLDERS_MAX + 1]>;
+
+/// Returns the members that hold a limit.
+fn holders(endpoint: EndpointId, budget: Budget, members: &[Member]) -> Holders {
+    let holders_max = (budget.per_s * HOLDER_INTERVAL.as_secs_f64()).min(budget.burst) as usize;
     let holders_max = holders_max.clamp(1, HOLDERS_MAX);
     // The first `holders_max` in a random order in which heavier members tend to come first.
-    let mut holders: SmallVec<[(f64, Member); HOLDERS_MAX + 1]> = SmallVec::new();
+    let mut holders = Holders::new();
     for member in members {
         let order = -unit_hash(member.router, endpoint).ln() / member.weight;
         let position = holders.partition_point(|(other, _)| *other <= order);
@@ -72,12 +137,18 @@
             holders.truncate(holders_max);
         }
     }
-    let weights: f64 = holders.iter().map(|(_, member)| member.weight).sum();
-    let burst = BURST_REQUESTS + limit_per_s * BURST_TIME.as_secs_f64();
+    holders
+}
+
+fn weight_of(holders: &Holders) -> f64 {
+    holders.iter().map(|(_, member)| member.weight).sum()
+}
+
+fn part_among(own: RouterId, budget: Budget, holders: &Holders) -> Part {
     let own = holders.iter().find(|(_, member)| member.router == own);
     own.map_or_else(Part::default, |(_, own)| Part {
-        per_s: limit_per_s * own.weight / weights,
-        burst: burst / holders.len() as f64,
+        per_s: budget.per_s * own.weight / weight_of(holders),
+        burst: budget.burst / holders.len() as f64,
     })
 }
 
--- a/crates/daisynotch_core/src/direct/shared_limits/parts/tests.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/parts/tests.rs
@@ -65,7 +65,7 @@
     let parts = parts(EndpointId(1), RequestRate(0), &members(&[1.0; 9]));
     let holders: Vec<&Part> = parts.iter().filter(|part| part.per_s > 0.0).collect();
     assert_eq!(holders.len(), 1);
-    assert_eq!(holders[0].per_s, RATE_MIN_PER_S);
+    assert_eq!(holders[0].per_s, Budget::RATE_MIN_PER_S);
 }
 
 #[test]
--- a/crates/daisynotch_core/src/response_end.rs
+++ b/crates/daisynotch_core/src/response_end.rs
@@ -9,6 +9,7 @@
 mod inquiry;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 pub use self::inquiry::{EarlierConnection, Inquiry, InquiryEnd, InquiryStep, QuestionEnd};
 use crate::seeded_fault::{SeededFault, is_seeded};
@@ -57,6 +58,8 @@
     pub name: Option<Arc<str>>,
     /// The wall-clock time of its start, in milliseconds.
     pub started_unix_ms: Option<u64>,
+    /// How long the endpoint stays cold.
+    pub cold_remaining: Option<Duration>,
 }
 
 /// The connection on which an endpoint was asked after a body had ended.
--- a/crates/daisynotch_core/src/response_end/tests.rs
+++ b/crates/daisynotch_core/src/response_end/tests.rs
@@ -48,6 +48,7 @@
     let status = |name: Option<&str>, started_unix_ms| EndpointStatus {
         name: name.map(Arc::from),
         started_unix_ms,
+        cold_remaining: None,
     };
     let evidence = |status: &EndpointStatus, asked_on| {
         SenderEvidence::from_status("i-1", 1_000, status, asked_on)
@@ -69,6 +70,7 @@
     let named = EndpointStatus {
         name: Some(Arc::from("i-1")),
         started_unix_ms: None,
+        cold_remaining: None,
     };
     let nameless = EndpointStatus::default();
     let evidence = |status: &EndpointStatus, asked_on| {
@@ -83,6 +85,7 @@
     let started = EndpointStatus {
         name: None,
         started_unix_ms: Some(1_000),
+        cold_remaining: None,
     };
     let unknown = SenderEvidence::from_status("i-1", 0, &started, new);
     assert_eq!(unknown, SenderEvidence::NoAnswer);
--- a/crates/daisynotch_core/src/seeded_fault.rs
+++ b/crates/daisynotch_core/src/seeded_fault.rs
@@ -2,7 +2,8 @@
 //!
 //! Each fault breaks one invariant of `docs/design/protocol-specification.md`,
 //! `docs/design/crashing-parts.md`, `docs/design/response-ends.md`, `docs/design/exchange.md`,
-//! `docs/design/shared-limits.md` or `docs/design/evacuation.md`. Seeding requires the cargo feature `seeded_faults`, which only the tests of this crate enable;
+//! `docs/design/shared-limits.md`, `docs/design/evacuation.md` or `docs/design/cold-endpoints.md`.
+//! Seeding requires the cargo feature `seeded_faults`, which only the tests of this crate enable;
 //! without it the checks compile to a constant and cost nothing. The seeded fault is a
 //! thread-local value, so tests can run in parallel.
 
@@ -60,6 +61,12 @@
     AssumeNoTransit,
     /// Orders to evacuate a zone are not taken from other routers.
     IgnoreEvacuationNews,
+    /// Limits of cold endpoints have the bursts of stated limits, which are for windows of 4 s.
+    IgnoreColdBound,
+    /// Failures of endpoints are not passed on to other routers.
+    KeepFailuresSecret,
+    /// A router that starts holds its parts of cold endpoints' limits before it hears others.
+    HoldAtStart,
 }
 
 #[cfg(feature = "seeded_faults")]
--- a/crates/daisynotch_core/tests/crash_histories.rs
+++ b/crates/daisynotch_core/tests/crash_histories.rs
@@ -101,6 +101,7 @@
                 slots: 64,
                 memory_tokens: 1_000_000,
             }),
+            cold_start: None,
         });
         let settings = DispatcherSettings {
             shares: ShareSettings {
@@ -108,6 +109,7 @@
                 window: Duration::from_secs(4),
             },
             retry_budget: RetryBudgetSettings::default(),
+            cold: Default::default(),
         };
         let routers = (0..rng.random_range(2..=4)).map(|_| {
             let mut dispatcher = Dispatcher::new(Arc::from("a"), settings);
@@ -166,6 +168,7 @@
             zone: Arc::from("a"),
             slots: 64,
             state: EndpointState::Ready,
+            cold_remaining: None,
         }
     }
 
--- a/crates/daisynotch_core/tests/limit_histories.rs
+++ b/crates/daisynotch_core/tests/limit_histories.rs
@@ -135,6 +135,7 @@
         zone: Arc::from("a"),
         slots: 64,
         state: EndpointState::Ready,
+        cold_remaining: None,
     }
 }
 
@@ -151,6 +152,7 @@
                 slots: 64,
                 memory_tokens: 10_000_000,
             }),
+            cold_start: None,
         });
         let endpoints = (0..plan.endpoints).map(|index| Endpoint {
             id: entry(index).id(),
@@ -198,6 +200,7 @@
                 window: Duration::from_secs(4),
             },
             retry_budget: RetryBudgetSettings::default(),
+            cold: Default::default(),
         };
         let mut dispatcher = Dispatcher::new(Arc::from("a"), settings);
         dispatcher.on_routes(&self.table);
--- a/crates/daisynotch_core/tests/message_ages.rs
+++ b/crates/daisynotch_core/tests/message_ages.rs
@@ -142,6 +142,7 @@
             window: Duration::from_secs(4),
         },
         retry_budget: RetryBudgetSettings::default(),
+        cold: Default::default(),
     };
     Router {
         introduction: HostIntroduction {
--- a/crates/daisynotch_core/tests/response_ends.rs
+++ b/crates/daisynotch_core/tests/response_ends.rs
@@ -222,6 +222,7 @@
         EndpointStatus {
             name: (!self.is_engine).then(|| Arc::from(name)),
             started_unix_ms: self.is_engine.then_some(started_unix_ms),
+            cold_remaining: None,
         }
     }
 
--- a/crates/daisynotch_emulator/src/fleet.rs
+++ b/crates/daisynotch_emulator/src/fleet.rs
@@ -26,6 +26,7 @@
         zone: Arc::from("a"),
         slots: experiment.engines.slots as u32,
         state: EndpointState::Ready,
+        cold_remaining: None,
     }
 }
 
@@ -45,6 +46,7 @@
             slots: experiment.engines.slots as u32,
             memory_tokens: experiment.engines.memory_tokens,
         }),
+        cold_start: None,
     });
     table
 }
@@ -59,6 +61,7 @@
             window: Duration::from_secs_f64(sharing.window_s),
         },
         retry_budget: RetryBudgetSettings::default(),
+        cold: Default::default(),
     };
     let mut dispatcher = Dispatcher::new(Arc::from("a"), settings);
     dispatcher.on_routes(&table);
--- a/crates/daisynotch_router/src/direct/evacuation.rs
+++ b/crates/daisynotch_router/src/direct/evacuation.rs
@@ -100,6 +100,9 @@
             return;
         }
         let orders: Vec<EvacuationOrder> = self.evacuations.borrow().orders().collect();
+        for change in changes.iter().filter(|change| change.since.is_none()) {
+            self.on_zone_returned(&change.zone, source);
+        }
         let zones = orders.iter().map(|order| Arc::clone(&order.zone));
         self.dispatcher.borrow_mut().set_evacuated_zones(zones);
         self.metrics.evacuated_zones.set(orders.len() as i64);
--- a/crates/daisynotch_router/src/direct/inquiry.rs
+++ b/crates/daisynotch_router/src/direct/inquiry.rs
@@ -75,9 +75,11 @@
         service: Option<&ServiceView>,
         asked_on: AskedOn,
     ) -> Result<SenderEvidence, AskError> {
+        let asked_at = self.now();
         let status = self.request_status(&mut connection, grant, service).await?;
         let (name, started_unix_ms) = (&grant.endpoint_name, grant.started_unix_ms);
         let evidence = SenderEvidence::from_status(name, started_unix_ms, &status, asked_on);
+        self.on_endpoint_status(grant, &status, evidence, asked_at);
         let is_sender = matches!(
             evidence,
             SenderEvidence::SameStart | SenderEvidence::SameName
--- a/crates/daisynotch_router/src/direct/metrics.rs
+++ b/crates/daisynotch_router/src/direct/metrics.rs
@@ -64,6 +64,8 @@
     pub(crate) limited_responses: IntCounter,
     /// Availability zones to whose endpoints no request is sent, by order of the operators.
     pub(crate) evacuated_zones: IntGauge,
+    /// Endpoints that are presumed cold.
+    pub(crate) cold_endpoints: IntGauge,
 }
 
 impl Metrics {
@@ -154,6 +156,10 @@
                 "daisynotch_evacuated_zones",
                 "Availability zones that are evacuated.",
             )?,
+            cold_endpoints: IntGauge::new(
+                "daisynotch_cold_endpoints",
+                "Endpoints that are presumed cold and get few requests.",
+            )?,
         };
         router_metrics.register()?;
         Ok(router_metrics)
@@ -165,7 +171,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 22] = [
+        let collectors: [Box<dyn Collector>; 23] = [
             Box::new(self.requests.clone()),
             Box::new(self.sends.clone()),
             Box::new(self.response_ends.clone()),
@@ -188,6 +194,7 @@
             Box::new(self.limited_endpoints.clone()),
             Box::new(self.limited_responses.clone()),
             Box::new(self.evacuated_zones.clone()),
+            Box::new(self.cold_endpoints.clone()),
         ];
         metrics::register(&self.registry, collectors)
     }
--- a/crates/daisynotch_router/src/direct/news.rs
+++ b/crates/daisynotch_router/src/direct/news.rs
@@ -1,12 +1,12 @@
 //! News that follows messages between routers: evidence on crashes, stated limits and, after the
-//! timing of a digest, fleet news.
+//! timing of a digest, fleet news: evacuations and signs of cold endpoints.
 //!
 //! Routers of an earlier version read the part that they know and ignore the rest. They take what
 //! follows the limits in a digest for its timing, so later parts come after that.
 
 use std::time::Duration;
 
-use daisynotch_core::direct::{CrashNews, EvacuationNews, LimitNews};
+use daisynotch_core::direct::{ColdNews, CrashNews, EvacuationNews, LimitNews};
 use daisynotch_objects::RouterId;
 use serde_json::json;
 
@@ -94,12 +94,31 @@
 #[derive(Debug, Default)]
 pub(super) struct FleetNews {
     evacuations: EvacuationNews,
+    cold: ColdNews,
 }
 
-/// Encodes the fleet news.
+/// Encodes the fleet news for a digest.
 pub(super) fn encode_fleet(router: &Router) -> Vec<u8> {
+    encode_fleet_with(router, false)
+}
+
+/// Encodes the fleet news for a router that starts.
+pub(super) fn encode_fleet_for_start(router: &Router) -> Vec<u8> {
+    encode_fleet_with(router, true)
+}
+
+fn encode_fleet_with(router: &Router, includes_heard: bool) -> Vec<u8> {
     let evacuations = router.evacuations.borrow().to_news();
-    postcard::to_stdvec(&evacuations).unwrap_or_else(|error| {
+    let cold = router
+        .dispatcher
+        .borrow()
+        .cold_news(includes_heard, router.now());
+    let encoded = if cold.is_empty() {
+        postcard::to_stdvec(&evacuations)
+    } else {
+        postcard::to_stdvec(&(evacuations, cold))
+    };
+    encoded.unwrap_or_else(|error| {
         let fields = json!({"error": error.to_string()});
         router
             .log
@@ -112,14 +131,19 @@
     /// Decodes fleet news; routers of an earlier version send none.
     pub(super) fn decode(encoded: &[u8]) -> Result<Self, postcard::Error> {
         let mut news = Self::default();
-        if !encoded.is_empty() {
-            (news.evacuations, _) = postcard::take_from_bytes(encoded)?;
+        let mut rest = encoded;
+        if !rest.is_empty() {
+            (news.evacuations, rest) = postcard::take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            (news.cold, _) = postcard::take_from_bytes(rest)?;
         }
         Ok(news)
     }
 
-    /// Applies the news.
-    pub(super) fn apply(self, router: &Router, source: &str) {
+    /// Applies the news. `transit` is an upper bound on the time that they were on their way.
+    pub(super) fn apply(self, router: &Router, transit: Option<Duration>, source: &str) {
+        router.on_cold_news(&self.cold, transit, source);
         router.on_evacuation_news(self.evacuations, source);
     }
 }
--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -107,6 +107,7 @@
         router.introduction.borrow_mut().has_callers = role.has_callers;
         let own = router.introduction.borrow().id();
         router.dispatcher.borrow_mut().divide_limits(own, now);
+        router.log_cold_changes("round");
         let (endpoints, teams, placed) = router.dispatcher.borrow_mut().to_digest(now);
         if recipients == Recipients::default() {
             recent_placements.clear();
@@ -355,7 +356,7 @@
         }
         router.dispatcher.borrow_mut().on_digest(&digest, now);
         news.apply(&router, Some(digest.host.id()), transit, "digest");
-        fleet_news.apply(&router, "digest");
+        fleet_news.apply(&router, transit, "digest");
         router.on_configuration_age(&digest, transit, now);
         for endpoint in &digest.leaving {
             router.on_endpoint_leaving(*endpoint, "digest");
@@ -513,7 +514,7 @@
         Ok((news, fleet_news)) => {
             let transit = router.now().since(asked_at);
             news.apply(router, None, Some(transit), "router");
-            fleet_news.apply(router, "router");
+            fleet_news.apply(router, Some(transit), "router");
         }
         Err(error) => news::log_unreadable(router, &error, "router"),
     }
@@ -567,7 +568,7 @@
     match postcard::to_stdvec(&message) {
         Ok(mut body) => {
             body.extend_from_slice(&news::encode_all(router));
-            body.extend_from_slice(&news::encode_fleet(router));
+            body.extend_from_slice(&news::encode_fleet_for_start(router));
             Response::new(ResponseBody::Full(Some(Bytes::from(body))))
         }
         Err(error) => {
--- a/crates/daisynotch_router/src/direct/settings.rs
+++ b/crates/daisynotch_router/src/direct/settings.rs
@@ -7,7 +7,9 @@
 use std::path::Path;
 use std::time::Duration;
 
-use daisynotch_core::direct::{DispatcherSettings, RetryBudgetSettings, ShareSettings};
+use daisynotch_core::direct::{
+    ColdSettings, DispatcherSettings, RetryBudgetSettings, ShareSettings,
+};
 use daisynotch_objects::{RouterName, ZoneName};
 
 use crate::settings::SettingsError;
@@ -58,6 +60,24 @@
     }
 }
 
+/// How many requests cold endpoints get from all routers together.
+#[derive(Debug, Clone, PartialEq, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ColdEndpointSettings {
+    /// Bound on the requests that arrive in any second, as a multiple of the rate that a cold
+    /// endpoint tolerates.
+    pub overrun: f64,
+    /// Requests that the bound allows in addition.
+    pub tolerance: f64,
+}
+
+impl Default for ColdEndpointSettings {
+    fn default() -> Self {
+        let ColdSettings { overrun, tolerance } = ColdSettings::default();
+        Self { overrun, tolerance }
+    }
+}
+
 /// Settings of a router that dispatches on its own.
 #[derive(Debug, Clone, PartialEq, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -97,6 +117,9 @@
     pub retry: RetrySettings,
     /// How long callers' keys are trusted.
     pub credentials: CredentialSettings,
+    /// How many requests cold endpoints get.
+    #[serde(default)]
+    pub cold: ColdEndpointSettings,
 }
 
 impl DirectSettings {
@@ -122,6 +145,10 @@
                 allowance: self.retry.allowance,
                 window: Duration::from_secs_f64(self.retry.window_s),
             },
+            cold: ColdSettings {
+                overrun: self.cold.overrun,
+                tolerance: self.cold.tolerance,
+            },
         }
     }
 
@@ -167,7 +194,9 @@
             })
         };
         non_negative("retry.ratio", self.retry.ratio)?;
-        non_negative("retry.allowance", self.retry.allowance)
+        non_negative("retry.allowance", self.retry.allowance)?;
+        non_negative("cold.overrun", self.cold.overrun)?;
+        non_negative("cold.tolerance", self.cold.tolerance)
     }
 }
 
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -297,6 +297,7 @@
             .borrow_mut()
             .on_limit(idle_limit, self.now());
         self.dispatcher.borrow_mut().on_routes(&table);
+        self.refresh_cold(source);
         *self.routes.borrow_mut() = Some(Rc::new(table));
         self.store_view.borrow_mut().configuration = Some(text.clone());
         let mut introduction = self.introduction.borrow_mut();
@@ -314,8 +315,13 @@
         }
         let empty = Rc::default();
         let routes = self.routes().unwrap_or(empty);
+        let (own, now) = (self.introduction.borrow().id(), self.now());
         let mut dispatcher = self.dispatcher.borrow_mut();
         for change in changes {
+            let usable = match &change {
+                EndpointChange::Usable(entry) => Some(entry.clone()),
+                EndpointChange::Closed(_) => None,
+            };
             let fields = match &change {
                 EndpointChange::Usable(entry) => {
                     let name = Arc::clone(&entry.name);
@@ -337,8 +343,12 @@
             };
             self.log.write(Importance::Essential, "endpoint", fields);
             dispatcher.on_endpoint(change, &routes);
+            if let Some(entry) = usable {
+                dispatcher.on_entry(own, &entry, now);
+            }
         }
         drop(dispatcher);
+        self.log_cold_changes(source);
         self.pump();
     }
 
--- a/crates/daisynotch_router/src/direct/store_follower.rs
+++ b/crates/daisynotch_router/src/direct/store_follower.rs
@@ -399,6 +399,7 @@
     }
     let changes = router.endpoints.borrow_mut().replace(entries, now);
     router.on_endpoint_changes(changes, source);
+    router.on_endpoints_listed();
 }
 
 /// Maintains this router's entry in the store while it is a reader, and lists the other
