Print the evacuated zones with the operators' command

Cause: routers list the evacuated zones at GET /evacuations of their metrics address, but operators had to call and read it by hand.

It shares its HTTP client with `blocked` and `unblock`, which moves to a module of its own.

--- a/crates/daisynotch/src/args.rs
+++ b/crates/daisynotch/src/args.rs
@@ -36,6 +36,7 @@
     drain --router ADDRESS           make a router finish its requests and end
     blocked --router ADDRESS         print the prompt parts that a router refuses
     unblock PART --router ADDRESS    make all routers accept a prompt part again
+    evacuations --router ADDRESS     print the evacuated availability zones
     report burn --router ADDRESS... --key-value ADDRESS
                                      print error budgets and burn rates
     credential TOKEN                 print a token's digest for the objects
@@ -109,6 +110,9 @@
         part: String,
         router: SocketAddr,
     },
+    Evacuations {
+        router: SocketAddr,
+    },
     Standin {
         kind: StandinKind,
         listen: SocketAddr,
@@ -202,6 +206,9 @@
                 router: raw.value_from_str("--router")?,
                 part: raw.free_from_str()?,
             },
+            Some("evacuations") => Command::Evacuations {
+                router: raw.value_from_str("--router")?,
+            },
             Some("standin") => Command::Standin {
                 listen: raw.value_from_str("--listen")?,
                 kind: raw.free_from_str()?,
--- a/crates/daisynotch/src/args/tests.rs
+++ b/crates/daisynotch/src/args/tests.rs
@@ -26,6 +26,7 @@
         drain --router ADDRESS           make a router finish its requests and end
         blocked --router ADDRESS         print the prompt parts that a router refuses
         unblock PART --router ADDRESS    make all routers accept a prompt part again
+        evacuations --router ADDRESS     print the evacuated availability zones
         report burn --router ADDRESS... --key-value ADDRESS
                                          print error budgets and burn rates
         credential TOKEN                 print a token's digest for the objects
--- a/crates/daisynotch/src/commands/blocked.rs
+++ b/crates/daisynotch/src/commands/blocked.rs
@@ -6,27 +6,16 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use daisynotch_router::direct::BlockedParts;
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::{Method, Request, StatusCode};
-use hyper_util::client::legacy::Client;
-use hyper_util::rt::TokioExecutor;
+use hyper::{Method, StatusCode};
 
-use super::{CommandError, ROUTER_TIMEOUT};
+use super::CommandError;
+use super::http_call::{call_metrics, metrics_call_failed, read_metrics_list};
 use crate::printer::Printer;
 
-/// Maximum size of a router's response: many times that of its largest list.
-const RESPONSE_MAX_BYTES: usize = 1024 * 1024;
-
 /// Prints the parts that a router refuses.
 pub(crate) async fn list(router: SocketAddr, printer: &Printer) -> Result<(), CommandError> {
-    let (status, body) = call(router, Method::GET, "/blocked-parts").await?;
-    if status != StatusCode::OK {
-        return Err(failed(router, &format!("it responded with {status}")));
-    }
-    let blocked: Vec<BlockedParts> =
-        serde_json::from_slice(&body).map_err(|error| failed(router, &error))?;
+    let blocked: Vec<BlockedParts> = read_metrics_list(router, "/blocked-parts").await?;
     printer.result(to_text(&blocked).trim_end(), &blocked);
     Ok(())
 }
@@ -38,7 +27,7 @@
     printer: &Printer,
 ) -> Result<(), CommandError> {
     let path = format!("/blocked-parts/{part}");
-    let (status, _) = call(router, Method::DELETE, &path).await?;
+    let (status, _) = call_metrics(router, Method::DELETE, &path).await?;
     let problem = match status {
         StatusCode::OK => {
             let text = format!("requests with part {part} are sent again");
@@ -51,7 +40,7 @@
         StatusCode::BAD_REQUEST => format!("`{part}` is no part: write it in hexadecimal"),
         other => format!("it responded with {other}"),
     };
-    Err(failed(router, &problem))
+    Err(metrics_call_failed(router, &problem))
 }
 
 fn to_text(blocked: &[BlockedParts]) -> String {
@@ -73,36 +62,5 @@
     text
 }
 
-fn failed(router: SocketAddr, problem: &dyn std::fmt::Display) -> CommandError {
-    CommandError::Failed(format!(
-        "router at {router}: {problem}; check that this is the router's `metrics_address`"
-    ))
-}
-
-async fn call(
-    router: SocketAddr,
-    method: Method,
-    path: &str,
-) -> Result<(StatusCode, Bytes), CommandError> {
-    let request = Request::builder()
-        .method(method)
-        .uri(format!("http://{router}{path}"))
-        .body(Empty::<Bytes>::new())
-        .map_err(|error| failed(router, &error))?;
-    let client = Client::builder(TokioExecutor::new()).build_http();
-    let exchange = async {
-        let response = client
-            .request(request)
-            .await
-            .map_err(|error| failed(router, &error))?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), RESPONSE_MAX_BYTES).collect();
-        let body = body.await.map_err(|error| failed(router, &error))?;
-        Ok((status, body.to_bytes()))
-    };
-    let exchange = tokio::time::timeout(ROUTER_TIMEOUT, exchange).await;
-    exchange.unwrap_or_else(|_| Err(failed(router, &"it did not respond in time")))
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/daisynotch/src/commands/blocked/tests.rs
+++ b/crates/daisynotch/src/commands/blocked/tests.rs
@@ -19,7 +19,7 @@
 #[test]
 fn error_names_the_address_to_check() {
     insta::assert_snapshot!(
-        failed("127.0.0.1:1".parse().unwrap(), &"part 5 is not blocked"),
+        metrics_call_failed("127.0.0.1:1".parse().unwrap(), &"part 5 is not blocked"),
         @"router at 127.0.0.1:1: part 5 is not blocked; check that this is the router's `metrics_address`"
     );
 }
--- a/crates/daisynotch/src/main.rs
+++ b/crates/daisynotch/src/main.rs
@@ -56,6 +56,7 @@
         Command::Unblock { part, router } => {
             commands::blocked::unblock(&part, router, printer).await?;
         }
+        Command::Evacuations { router } => commands::evacuations::run(router, printer).await?,
         Command::Standin { kind, listen } => {
             commands::standin::run(kind, listen, printer).await?;
         }
