Check the entries of a configuration against each other

Cause: routers take any configuration that they can decode. A route that a later one hides, a service that does not exist or a key of two teams shows only when requests fail, because the table that the decoder builds has dropped the replaced entries by then.

Change: `ConfigurationEntries` keeps all entries in their order, and builds the table that routers use. `check_configuration` compares routes, services, teams and limits with each other and, if they are known, with the registered endpoints. Each finding has a severity, its object, the problem and the mend.

--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -6,6 +6,8 @@
 //! See `docs/design/direct-dispatch.md`.
 
 mod body_memory;
+mod configuration_check;
+mod configuration_entries;
 mod confirmation;
 mod crash_evidence;
 mod digest;
@@ -34,6 +36,11 @@
 mod waiting;
 
 pub use body_memory::{BodyMemory, HeldMemory, NoBodyMemory};
+pub use configuration_check::{
+    ConfigurationFinding, ConfigurationObject, EndpointCounts, Severity, check_configuration,
+    check_version, shorten_credential,
+};
+pub use configuration_entries::ConfigurationEntries;
 pub use confirmation::{Confirmation, ConfirmationSource};
 pub use crash_evidence::{
     Assessment, CrashEvidence, CrashNews, CrashReport, CrashedEndpoint, CrashedEndpoints,
