--- a/crates/daisynotch_core/src/direct/configuration_check.rs
+++ b/crates/daisynotch_core/src/direct/configuration_check.rs
@@ -34,6 +34,7 @@
 
 /// The part of a configuration that a finding or a difference concerns.
 #[daisynotch_macros::value]
+#[derive(Hash)]
 pub enum ConfigurationObject {
     /// The configuration as a whole.
     Configuration,
@@ -68,8 +69,8 @@
     pub object: ConfigurationObject,
     /// What is wrong, and what comes of it.
     pub problem: String,
-    /// How an operator mends it.
-    pub mend: String,
+    /// How an operator corrects it.
+    pub fix: String,
 }
 
 impl ConfigurationFinding {
@@ -77,13 +78,13 @@
     pub fn error(
         object: ConfigurationObject,
         problem: impl Into<String>,
-        mend: impl Into<String>,
+        fix: impl Into<String>,
     ) -> Self {
         Self {
             severity: Severity::Error,
             object,
             problem: problem.into(),
-            mend: mend.into(),
+            fix: fix.into(),
         }
     }
 
@@ -91,11 +92,11 @@
     pub fn warning(
         object: ConfigurationObject,
         problem: impl Into<String>,
-        mend: impl Into<String>,
+        fix: impl Into<String>,
     ) -> Self {
         Self {
             severity: Severity::Warning,
-            ..Self::error(object, problem, mend)
+            ..Self::error(object, problem, fix)
         }
     }
 }
--- a/crates/daisynotch_core/src/direct/configuration_check/callers.rs
+++ b/crates/daisynotch_core/src/direct/configuration_check/callers.rs
@@ -19,8 +19,8 @@
     }
     for (index, (team, credentials)) in entries.teams.iter().enumerate() {
         let object = || ConfigurationObject::Team(Arc::clone(&team.name));
-        let mut warn = |problem: String, mend: &str| {
-            findings.push(ConfigurationFinding::warning(object(), problem, mend));
+        let mut warn = |problem: String, fix: &str| {
+            findings.push(ConfigurationFinding::warning(object(), problem, fix));
         };
         let earlier = &entries.teams[..index];
         if earlier.iter().any(|(earlier, _)| earlier.name == team.name) {
@@ -87,7 +87,9 @@
     if count > 0 && !is_any_usable {
         findings.push(ConfigurationFinding::error(
             ConfigurationObject::Configuration,
-            format!("no team has a usable key, so all requests of the {count} routes that need one get 401"),
+            format!(
+                "no team has a usable key, so requests of routes that need one ({count}) get 401"
+            ),
             "add teams with keys, or make the routes anonymous",
         ));
     }
--- a/crates/daisynotch_core/src/direct/configuration_check/services.rs
+++ b/crates/daisynotch_core/src/direct/configuration_check/services.rs
@@ -19,8 +19,8 @@
         .collect();
     for (index, service) in entries.services.iter().enumerate() {
         let object = || ConfigurationObject::Service(Arc::clone(&service.name));
-        let mut warn = |problem: String, mend: &str| {
-            findings.push(ConfigurationFinding::warning(object(), problem, mend));
+        let mut warn = |problem: String, fix: &str| {
+            findings.push(ConfigurationFinding::warning(object(), problem, fix));
         };
         let later = &entries.services[index + 1..];
         if later.iter().any(|later| later.name == service.name) {
