Add `daisynotch check-config` for operators of the users' platform

Cause: the checks of a configuration had no command, so that neither operators nor their scripts could use them before they send one.

With `--store` it reads the configuration in force and the registered endpoints through the adapter's own calls. It exits with 0, 1 for warnings only, and 2 for errors or if nothing was checked. Calls that fail name their cause.

--- a/crates/daisynotch/src/args.rs
+++ b/crates/daisynotch/src/args.rs
@@ -8,6 +8,7 @@
 use daisynotch_objects::{ObjectRef, Revision};
 
 use crate::commands::apply::ApplyOptions;
+use crate::commands::check_config::{Baseline, CheckConfigOptions};
 use crate::commands::demo::DemoOptions;
 use crate::commands::edit_source::EditSource;
 use crate::commands::get::Selection;
@@ -27,6 +28,9 @@
 COMMANDS
     check FILE                       check a file's objects as a whole
     check FILE --key-value ADDRESS   check what `apply` would publish
+    check-config FILE [--in-force FILE | --store ADDRESS]
+                                     check a configuration of the users' platform
+                                     before it is sent, and print what it changes
     diff FILE --key-value ADDRESS    print what `apply` would change
     apply FILE --key-value ADDRESS   add and change the file's objects
     get [KIND[/NAME]] --key-value ADDRESS
@@ -47,6 +51,9 @@
 
 OPTIONS
     --json                           print JSON
+    --in-force FILE                  check-config: the configuration in force
+    --store ADDRESS                  check-config: the platform's store, which holds
+                                     the configuration in force and the endpoints
     --delete KIND/NAME               check, diff, apply: delete an object; may be
                                      repeated, and FILE may be left out
     --prune                          check, diff, apply: delete every object that
@@ -69,6 +76,11 @@
     2  wrong command line, or objects with errors: nothing was changed
     3  conflict: others published first, nothing was changed
     4  unknown: the change was sent and may have landed; `history` tells
+
+EXIT CODES OF check-config
+    0  the configuration is good
+    1  it has warnings, but no errors
+    2  it has errors, or could not be checked
 ";
 
 /// The default of `demo --seconds`.
@@ -84,6 +96,7 @@
         source: EditSource,
         key_value: Option<SocketAddr>,
     },
+    CheckConfig(CheckConfigOptions),
     Diff {
         source: EditSource,
         key_value: SocketAddr,
@@ -131,6 +144,17 @@
     Demo(DemoOptions),
 }
 
+impl Command {
+    /// Returns the exit code if the command fails before it starts.
+    pub(crate) fn failure_exit_code(&self) -> u8 {
+        match self {
+            // 1 means that the configuration has warnings only.
+            Self::CheckConfig(_) => EXIT_USAGE,
+            _ => 1,
+        }
+    }
+}
+
 /// The parsed command line.
 #[derive(Debug)]
 pub(crate) struct Arguments {
@@ -151,6 +175,8 @@
     UnknownReport(String),
     #[error("no router is given: pass `--router ADDRESS` once for each router")]
     NoRouter,
+    #[error("`--store` already names the configuration in force: leave out `--in-force`")]
+    TwoBaselines,
     #[error("no objects are given: name a FILE, or use `--delete KIND/NAME`")]
     NoObjects,
     #[error("`--prune` already deletes every object that FILE does not name: leave out `--delete`")]
@@ -180,6 +206,7 @@
                 key_value: raw.opt_value_from_str("--key-value")?,
                 source: parse_edit_source(&mut raw)?,
             },
+            Some("check-config") => Command::CheckConfig(parse_check_config_options(&mut raw)?),
             Some("diff") => Command::Diff {
                 key_value: raw.value_from_str("--key-value")?,
                 source: parse_edit_source(&mut raw)?,
@@ -260,6 +287,19 @@
     }
 }
 
+fn parse_check_config_options(raw: &mut RawArguments) -> Result<CheckConfigOptions, UsageError> {
+    let in_force: Option<PathBuf> = raw.opt_value_from_str("--in-force")?;
+    let store: Option<SocketAddr> = raw.opt_value_from_str("--store")?;
+    let baseline = match (in_force, store) {
+        (None, None) => Baseline::None,
+        (Some(path), None) => Baseline::File(path),
+        (None, Some(address)) => Baseline::Store(address),
+        (Some(_), Some(_)) => return Err(UsageError::TwoBaselines),
+    };
+    let file = raw.free_from_str()?;
+    Ok(CheckConfigOptions { file, baseline })
+}
+
 fn parse_apply_options(raw: &mut RawArguments) -> Result<ApplyOptions, UsageError> {
     let user_name = || std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned());
     let author: Option<String> = raw.opt_value_from_str("--author")?;
--- a/crates/daisynotch/src/args/tests.rs
+++ b/crates/daisynotch/src/args/tests.rs
@@ -17,6 +17,9 @@
     COMMANDS
         check FILE                       check a file's objects as a whole
         check FILE --key-value ADDRESS   check what `apply` would publish
+        check-config FILE [--in-force FILE | --store ADDRESS]
+                                         check a configuration of the users' platform
+                                         before it is sent, and print what it changes
         diff FILE --key-value ADDRESS    print what `apply` would change
         apply FILE --key-value ADDRESS   add and change the file's objects
         get [KIND[/NAME]] --key-value ADDRESS
@@ -37,6 +40,9 @@
 
     OPTIONS
         --json                           print JSON
+        --in-force FILE                  check-config: the configuration in force
+        --store ADDRESS                  check-config: the platform's store, which holds
+                                         the configuration in force and the endpoints
         --delete KIND/NAME               check, diff, apply: delete an object; may be
                                          repeated, and FILE may be left out
         --prune                          check, diff, apply: delete every object that
@@ -59,6 +65,11 @@
         2  wrong command line, or objects with errors: nothing was changed
         3  conflict: others published first, nothing was changed
         4  unknown: the change was sent and may have landed; `history` tells
+
+    EXIT CODES OF check-config
+        0  the configuration is good
+        1  it has warnings, but no errors
+        2  it has errors, or could not be checked
     ");
 }
 
@@ -77,6 +88,17 @@
         with_key_value(&["apply", "a.toml", "--base", "old"]),
         with_key_value(&["get", "tem"]),
         with_key_value(&["history", "now"]),
+        parse_error(&["check-config"]),
+        parse_error(&[
+            "check-config",
+            "a",
+            "--store",
+            "127.0.0.1:1",
+            "--in-force",
+            "b",
+        ]),
+        parse_error(&["check-config", "a", "--store", "b"]),
+        parse_error(&["evacuations"]),
     ];
     insta::assert_snapshot!(errors.join("\n"), @r#"
     unknown command `aply`: see `daisynotch --help`
@@ -89,5 +111,9 @@
     failed to parse 'old': invalid digit found in string: see `daisynotch --help`
     failed to parse 'tem': `tem` names no object: write KIND/NAME with share, team, pool, endpoint, route, limits or service_level as the kind: see `daisynotch --help`
     unknown arguments ["now"]: see `daisynotch --help`
+    free-standing argument is missing: see `daisynotch --help`
+    `--store` already names the configuration in force: leave out `--in-force`
+    failed to parse 'b': invalid socket address syntax: see `daisynotch --help`
+    the '--router' option must be set: see `daisynotch --help`
     "#);
 }
--- a/crates/daisynotch/src/commands.rs
+++ b/crates/daisynotch/src/commands.rs
@@ -3,6 +3,7 @@
 pub(crate) mod apply;
 pub(crate) mod blocked;
 pub(crate) mod check;
+pub(crate) mod check_config;
 pub(crate) mod credential;
 pub(crate) mod demo;
 pub(crate) mod diff;
@@ -52,6 +53,9 @@
         path: PathBuf,
         error: daisynotch_emulator::ExperimentError,
     },
+    /// A configuration of the platform could not be checked.
+    #[error("the configuration was not checked: {0}")]
+    NotChecked(String),
     /// The objects failed validation; holds one error per line.
     #[error("nothing was changed, the objects have errors:\n{0}")]
     InvalidObjects(String),
@@ -89,6 +93,7 @@
             Self::Unreadable { .. }
             | Self::Malformed { .. }
             | Self::InvalidExperiment { .. }
+            | Self::NotChecked(_)
             | Self::InvalidObjects(_)
             | Self::Edit(_) => 2,
             Self::Conflict(_) => 3,
--- a/crates/daisynotch/src/commands/http_call.rs
+++ b/crates/daisynotch/src/commands/http_call.rs
@@ -42,10 +42,8 @@
             .body(Full::new(self.body))
             .map_err(|error| error.to_string())?;
         let client = Client::builder(TokioExecutor::new()).build_http();
-        let response = client
-            .request(request)
-            .await
-            .map_err(|error| error.to_string())?;
+        let response = client.request(request).await;
+        let response = response.map_err(|error| with_causes(&error))?;
         let status = response.status();
         let body = Limited::new(response.into_body(), self.response_max_bytes).collect();
         let body = body.await.map_err(|error| error.to_string())?;
@@ -53,6 +51,13 @@
     }
 }
 
+/// Describes an error with its causes, which the HTTP library leaves out.
+fn with_causes(error: &dyn std::error::Error) -> String {
+    let causes = std::iter::successors(Some(error), |error| error.source());
+    let causes: Vec<String> = causes.map(ToString::to_string).collect();
+    causes.join(": ")
+}
+
 /// Calls a router's metrics address.
 pub(super) async fn call_metrics(
     router: SocketAddr,
--- a/crates/daisynotch/src/main.rs
+++ b/crates/daisynotch/src/main.rs
@@ -21,12 +21,12 @@
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("daisynotch: can't start the async runtime: {error}");
-            return ExitCode::FAILURE;
+            return ExitCode::from(arguments.command.failure_exit_code());
         }
     };
     let printer = Printer::new(arguments.json);
     match runtime.block_on(run(arguments.command, &printer)) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(exit_code) => exit_code,
         Err(error) => {
             eprintln!("daisynotch: {error}");
             ExitCode::from(error.exit_code())
@@ -34,12 +34,15 @@
     }
 }
 
-async fn run(command: Command, printer: &Printer) -> Result<(), commands::CommandError> {
+async fn run(command: Command, printer: &Printer) -> Result<ExitCode, commands::CommandError> {
     match command {
         Command::Help => printer.text(args::HELP),
         Command::Check { source, key_value } => {
             commands::check::run(&source, key_value, printer).await?;
         }
+        Command::CheckConfig(options) => {
+            return commands::check_config::run(&options, printer).await;
+        }
         Command::Diff { source, key_value } => {
             commands::diff::run(&source, key_value, printer).await?;
         }
@@ -67,5 +70,5 @@
         Command::Credential { token } => commands::credential::run(&token, printer),
         Command::Demo(options) => commands::demo::run(options, printer).await?,
     }
-    Ok(())
+    Ok(ExitCode::SUCCESS)
 }
--- a/crates/daisynotch_core/src/direct/configuration_check/routes.rs
+++ b/crates/daisynotch_core/src/direct/configuration_check/routes.rs
@@ -193,7 +193,7 @@
                 self.warn(
                     format!(
                         "{attempts_max} attempts are more than service {service} can serve: each \
-                         takes another endpoint, and {count} registered"
+                         takes another endpoint (registered: {count})"
                     ),
                     format!("set it to {count} or less, or start more endpoints"),
                 );
--- a/crates/daisynotch_core/src/direct/configuration_check/tests.rs
+++ b/crates/daisynotch_core/src/direct/configuration_check/tests.rs
@@ -206,8 +206,8 @@
     };
     insta::assert_snapshot!(check(&[]), @"warning: service lm: no endpoint is registered for it, so its requests get 503 until one starts -> start its endpoints before the configuration is sent, or correct the name");
     insta::assert_snapshot!(check(&[("lm", 1)]), @r"
-    warning: route chat: 2 attempts are more than service lm can serve: each takes another endpoint, and 1 registered -> set it to 1 or less, or start more endpoints
-    warning: route root: 2 attempts are more than service lm can serve: each takes another endpoint, and 1 registered -> set it to 1 or less, or start more endpoints
+    warning: route chat: 2 attempts are more than service lm can serve: each takes another endpoint (registered: 1) -> set it to 1 or less, or start more endpoints
+    warning: route root: 2 attempts are more than service lm can serve: each takes another endpoint (registered: 1) -> set it to 1 or less, or start more endpoints
     ");
     insta::assert_snapshot!(check(&[("lm", 2), ("old-b", 3), ("old-a", 1)]), @r"
     warning: service old-a: endpoints are registered for it (1), but it does not exist -> add the service, or stop its endpoints
