Test that check-config compares with the greatest version in the store

Cause: a mutation that compared with the smallest version passed all tests.

Change: the fake store holds an older configuration before and after the one in force.

--- a/crates/daisynotch/tests/platform_commands.rs
+++ b/crates/daisynotch/tests/platform_commands.rs
@@ -147,6 +147,11 @@
         &format!("{}aaa", prefixes.configuration),
         &"x".repeat(1_200_000),
     );
+    // Routers use the greatest version, wherever it is.
+    let older = read("sound.json").replace("\"version\": 7", "\"version\": 6");
+    for key in ["before", "older"] {
+        store.write(&format!("{}{key}", prefixes.configuration), &older);
+    }
     store.write(
         &format!("{}config", prefixes.configuration),
         &read("sound.json"),
