--- a/crates/daisynotch/src/commands.rs
+++ b/crates/daisynotch/src/commands.rs
@@ -3,14 +3,17 @@
 pub(crate) mod apply;
 pub(crate) mod blocked;
 pub(crate) mod check;
+pub(crate) mod check_config;
 pub(crate) mod credential;
 pub(crate) mod demo;
 pub(crate) mod diff;
 pub(crate) mod drain;
 pub(crate) mod edit_source;
+pub(crate) mod evacuations;
 pub(crate) mod experiment;
 pub(crate) mod get;
 pub(crate) mod history;
+mod http_call;
 pub(crate) mod report;
 pub(crate) mod standin;
 pub(crate) mod status;
@@ -50,6 +53,9 @@
         path: PathBuf,
         error: daisynotch_emulator::ExperimentError,
     },
+    /// A configuration of the platform could not be checked.
+    #[error("the configuration was not checked: {0}")]
+    NotChecked(String),
     /// The objects failed validation; holds one error per line.
     #[error("nothing was changed, the objects have errors:\n{0}")]
     InvalidObjects(String),
@@ -87,6 +93,7 @@
             Self::Unreadable { .. }
             | Self::Malformed { .. }
             | Self::InvalidExperiment { .. }
+            | Self::NotChecked(_)
             | Self::InvalidObjects(_)
             | Self::Edit(_) => 2,
             Self::Conflict(_) => 3,
--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -7,6 +7,8 @@
 
 mod body_memory;
 mod cold_starts;
+mod configuration_check;
+mod configuration_entries;
 mod confirmation;
 mod crash_evidence;
 mod digest;
@@ -38,6 +40,11 @@
 pub use cold_starts::{
     ColdChange, ColdNews, ColdReason, ColdSettings, FailedEndpoint, ReturnedZone,
 };
+pub use configuration_check::{
+    ConfigurationFinding, ConfigurationObject, EndpointCounts, Severity, check_configuration,
+    check_version, shorten_credential,
+};
+pub use configuration_entries::ConfigurationEntries;
 pub use confirmation::{Confirmation, ConfirmationSource};
 pub use crash_evidence::{
     Assessment, CrashEvidence, CrashNews, CrashReport, CrashedEndpoint, CrashedEndpoints,
