Keep the bound of cold endpoints through partitions, restarts and standstills

Both sides of a partition grew their parts, since each divided by its own latest demand; a router that was cut off kept a part that the others had given away; bytes and entries that waited through a standstill were taken for proof of a warm endpoint; reports of failures were dropped when all endpoints of a single zone crashed. Change: parts follow the members from before a silence while more than a tenth of the demand is stale, and parts of many silent holders stay unused. What is read after a standstill proves nothing. A router that reports most endpoints is ignored only if one of them answers here.

--- a/crates/daisynotch_core/src/direct/cold_starts.rs
+++ b/crates/daisynotch_core/src/direct/cold_starts.rs
@@ -29,6 +29,8 @@
 /// How long the end of an evacuation is remembered after the zone's endpoints are warm, so that what
 /// other routers say of it is not taken for another one.
 const RETURNED_RETENTION: Duration = Duration::from_secs(10);
+/// Pause from which a router counts as having stood still: it is active in each round of digests.
+const STANDSTILL_MIN: Duration = Duration::from_millis(500);
 /// Time for which bytes may be on their way: a request that was sent this shortly before the last
 /// byte of another one may have reached a later start.
 const IN_FLIGHT_MAX: Duration = Duration::from_millis(20);
@@ -234,6 +236,9 @@
     known: HashMap<EndpointId, KnownStart>,
     /// Whether the endpoints were listed, so that those which appear now are new.
     is_listed: bool,
+    /// When this router last did something, and when it last went on after it had stood still.
+    active_at: Timestamp,
+    resumed_at: Timestamp,
     /// Zones whose evacuation ended lately.
     returned_zones: HashMap<Arc<str>, Timestamp>,
     changes: Vec<ColdChange>,
@@ -260,8 +265,21 @@
         self.is_listed = true;
     }
 
+    /// Notes that this router is active. What it reads after it stood still may have arrived long
+    /// before.
+    fn note_active(&mut self, now: Timestamp) {
+        let is_first = self.active_at == Timestamp::default();
+        if !is_first && now.since(self.active_at) >= STANDSTILL_MIN {
+            self.resumed_at = now;
+        }
+        self.active_at = now;
+    }
+
     /// Processes an entry that is in force.
     pub(crate) fn on_entry(&mut self, entry: &EndpointEntry, now: Timestamp) {
+        self.note_active(now);
+        let may_be_old =
+            self.resumed_at != Timestamp::default() && now < self.resumed_at + ENTRY_LATENESS_MAX;
         let id = entry.id();
         let is_new = !self.known.contains_key(&id);
         let returned_at = self.returned_zones.get(&entry.zone).copied();
@@ -286,7 +304,7 @@
             let until = now + remaining;
             // The entry may have been written before the endpoint answered.
             let is_doubtful = known.stated.is_some_and(|stated| {
-                stated.is_answer && now < stated.arrived_at + ENTRY_LATENESS_MAX
+                may_be_old || stated.is_answer && now < stated.arrived_at + ENTRY_LATENESS_MAX
             });
             match &mut known.stated {
                 Some(stated) if is_doubtful => stated.until = stated.until.max(until),
@@ -341,9 +359,17 @@
 
     /// Records that a byte arrived on a request that was sent at `sent_at`.
     pub(crate) fn on_byte(&mut self, endpoint: EndpointId, sent_at: Timestamp, now: Timestamp) {
+        if self.is_off() {
+            return;
+        }
+        self.note_active(now);
         let Some(known) = self.known.get_mut(&endpoint) else {
             return;
         };
+        // Bytes of the time before may have been waiting to be read.
+        if sent_at < self.resumed_at {
+            return;
+        }
         let (from, to) = known.alive;
         let from = if sent_at + IN_FLIGHT_MAX <= to {
             from.min(sent_at)
@@ -373,6 +399,7 @@
     /// Returns the endpoints that are presumed cold, with the rate that each tolerates, and notes
     /// what changed.
     pub(crate) fn refresh(&mut self, now: Timestamp) -> HashMap<EndpointId, RequestRate> {
+        self.note_active(now);
         let mut cold_rates = HashMap::new();
         for (endpoint, known) in &mut self.known {
             let cold = self.services.get(&known.service);
--- a/crates/daisynotch_core/src/direct/cold_starts/news.rs
+++ b/crates/daisynotch_core/src/direct/cold_starts/news.rs
@@ -94,15 +94,21 @@
 
     /// Applies another router's observations.
     ///
-    /// A router that fails to reach most endpoints is itself cut off, so its report says nothing of
-    /// them. A failure is also ignored if the process answered this router before and after it.
+    /// A router that fails to reach most endpoints is itself cut off if one of them answers this
+    /// router, so its report says nothing of them. A failure is also ignored if the process answered
+    /// this router before and after it.
     pub(crate) fn on_news(&mut self, news: &ColdNews, transit: Option<Duration>, now: Timestamp) {
         let cold_services = &self.services;
         let listed = self.known.values().filter(|known| {
             cold_services.contains_key(&known.service) && now.since(known.seen_at) < LISTED_WITHIN
         });
         let failed_max = (listed.count() / 2).max(FAILED_ALWAYS_COUNTED);
-        let is_cut_off = news.failed.len() > failed_max;
+        let answers_here = |failed: &FailedEndpoint| {
+            let known = self.known.get(&failed.endpoint);
+            let at = now - Duration::from_millis(u64::from(failed.age_ms));
+            known.is_some_and(|known| known.alive.1 > at)
+        };
+        let is_cut_off = news.failed.len() > failed_max && news.failed.iter().any(answers_here);
         for failed in news.failed.iter().filter(|_| !is_cut_off) {
             let Some(known) = self.known.get_mut(&failed.endpoint) else {
                 continue;
--- a/crates/daisynotch_core/src/direct/shared_limits.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits.rs
@@ -20,7 +20,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
-use self::cold::Membership;
+use self::cold::{Membership, SettledMembers};
 use self::demand::Demand;
 pub use self::demand::DemandLevel;
 pub use self::news::{LimitNews, ServiceDemand, StatedLimit};
@@ -155,8 +155,8 @@
     /// Earlier members of services whose endpoints are ever cold, with the time at which each was
     /// replaced.
     members_before: Vec<(Timestamp, u32, Membership)>,
-    /// This router's weight when it last heard all other routers, by the hash of the service's name.
-    own_weights: HashMap<u32, f64>,
+    /// The members before any fell silent, by the hash of the service's name.
+    settled_members: HashMap<u32, SettledMembers>,
     /// This router's demand by the hash of the service's name.
     demands: HashMap<u32, Demand>,
     peers: HashMap<RouterId, PeerDemands>,
@@ -405,13 +405,15 @@
             let peers = peers.filter(move |(_, peer)| may_be_silent || is_heard(peer));
             peers.map(|(router, peer)| (*router, peer.level(service)))
         };
-        let heard = weigh(own, own_level, levels(!hears_any));
-        let known = if self.cold_services.contains(&service) {
-            weigh(own, own_level, levels(true))
-        } else {
-            Vec::new()
+        let mut members = Membership {
+            heard: weigh(own, own_level, levels(!hears_any)),
+            ..Membership::default()
         };
-        self.bound_own_weight(own, service, Membership { heard, known })
+        if self.cold_services.contains(&service) {
+            members.present = weigh(own, own_level, levels(false));
+            members.settled = self.settle_members(own, service, &members.present, now);
+        }
+        members
     }
 
     /// Returns the number of endpoints that state a limit.
--- a/crates/daisynotch_core/src/direct/shared_limits/cold.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/cold.rs
@@ -12,7 +12,7 @@
 
 use super::pace::RAISE_DELAY;
 use super::parts::{Budget, Member, Part, cold_part_of, part_of};
-use super::{START_TIME, SharedLimits, service_hash};
+use super::{PEER_SILENCE_MAX, PeerDemands, START_TIME, SharedLimits, service_hash};
 use crate::seeded_fault::{SeededFault, is_seeded};
 use crate::time::Timestamp;
 
@@ -20,13 +20,24 @@
 /// not it. Digests reach all routers of the largest fleets within it.
 const JOIN_TIME: Duration = Duration::from_secs(1);
 
+/// Silence after which what another router reported of its demand may be outdated: digests of the
+/// largest fleets arrive more often.
+const FRESH_MAX: Duration = Duration::from_secs(1);
+/// Time in which the demand that routers report after a start comes close to what it is.
+const DEMAND_SETTLES: Duration = Duration::from_secs(3);
+/// Fraction of the demand that may be outdated while limits are divided by it.
+const STALE_FRACTION_MAX: f64 = 0.1;
+
 /// The routers among which the limits of a service's endpoints are divided.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(super) struct Membership {
-    /// Routers that were heard lately.
+    /// Routers that were heard lately, or all if none was.
     pub(super) heard: Vec<Member>,
-    /// The same and those that fell silent, for services whose endpoints are ever cold.
-    pub(super) known: Vec<Member>,
+    /// Routers that were heard lately. Empty for services whose endpoints are never cold, like the
+    /// last list.
+    pub(super) present: Vec<Member>,
+    /// The same or, if some routers fell silent lately, those of the time before.
+    pub(super) settled: Vec<Member>,
 }
 
 impl SharedLimits {
@@ -88,7 +99,7 @@
         if !self.may_hold_cold(now) {
             return Part::default();
         }
-        cold_part_of(own, endpoint, budget, &members.heard, &members.known)
+        cold_part_of(own, endpoint, budget, &members.present, &members.settled)
     }
 
     /// Returns whether this router may hold parts of cold endpoints' limits: it knows the others
@@ -116,7 +127,7 @@
         let before = self.members_before.iter();
         let before = before.filter(|(_, other, _)| *other == service);
         let parts = before.map(|(_, _, members)| {
-            cold_part_of(own, endpoint, budget, &members.heard, &members.known)
+            cold_part_of(own, endpoint, budget, &members.present, &members.settled)
         });
         parts.fold(due, |least, part| {
             if part.per_s < least.per_s {
@@ -142,26 +153,56 @@
         }
     }
 
-    /// Keeps this router's weight among routers of which some are silent at what it was before:
-    /// they don't hear that it grew.
-    pub(super) fn bound_own_weight(
+    /// Returns the members of the time before some fell silent; those `present` if few did.
+    ///
+    /// Both sides of a partition must divide limits alike, and neither hears how the demand of the
+    /// other one changes.
+    pub(super) fn settle_members(
         &mut self,
         own: RouterId,
         service: u32,
-        mut members: Membership,
-    ) -> Membership {
-        let hears_all = members.known.len() == members.heard.len();
-        let mut known = members.known.iter_mut();
-        let Some(known_own) = known.find(|member| member.router == own) else {
-            return members;
-        };
-        if hears_all {
-            let weight = known_own.weight;
-            self.own_weights.insert(service, weight);
-        } else if let Some(weight) = self.own_weights.get(&service) {
-            known_own.weight = known_own.weight.min(*weight);
+        present: &[Member],
+        now: Timestamp,
+    ) -> Vec<Member> {
+        let is_fresh = |peer: &PeerDemands| now.since(peer.heard_at) < FRESH_MAX;
+        let peers = self.peers.iter().filter(|(router, _)| **router != own);
+        // One that reported no demand yet may have some by now.
+        let weights =
+            peers.map(|(_, peer)| (is_fresh(peer), peer.level(service).weight().max(1.0)));
+        let (fresh, stale) = weights.fold((0.0, 0.0), |(fresh, stale), (is_fresh, weight)| {
+            if is_fresh {
+                (fresh + weight, stale)
+            } else {
+                (fresh, stale + weight)
+            }
+        });
+        let has_settled = self.may_hold_cold(now - DEMAND_SETTLES);
+        let settled = self.settled_members.entry(service).or_default();
+        if stale > STALE_FRACTION_MAX * (fresh + stale) {
+            return settled.before.clone();
+        }
+        if has_settled {
+            settled.on_fresh(present, now);
+        }
+        present.to_vec()
+    }
+}
+
+/// Members of a time before any of them fell silent, as far as that can be known by now.
+#[derive(Debug, Default)]
+pub(super) struct SettledMembers {
+    before: Vec<Member>,
+    candidate: Vec<Member>,
+    candidate_at: Timestamp,
+}
+
+impl SettledMembers {
+    /// Notes the members while nearly all of them were heard within [`FRESH_MAX`].
+    fn on_fresh(&mut self, members: &[Member], now: Timestamp) {
+        if now.since(self.candidate_at) >= PEER_SILENCE_MAX {
+            self.before = std::mem::replace(&mut self.candidate, members.to_vec());
+            self.candidate_at = now;
         }
-        members
     }
 }
 
--- a/crates/daisynotch_core/src/direct/shared_limits/news.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/news.rs
@@ -116,7 +116,10 @@
         now: Timestamp,
     ) -> Vec<LimitChange> {
         if let Some(sender) = sender {
-            self.first_heard_at.get_or_insert(now);
+            if self.first_heard_at.is_none() {
+                self.first_heard_at = Some(now);
+                self.settled_members.clear();
+            }
             let levels = news.demands.iter();
             let levels = levels.map(|demand| (demand.service, demand.level));
             let demands = PeerDemands {
--- a/crates/daisynotch_core/src/direct/shared_limits/parts.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/parts.rs
@@ -97,28 +97,34 @@
     part_among(own, budget, &holders(endpoint, budget, members))
 }
 
-/// Returns the part of `own` in a cold endpoint's limit. `known` are all routers that were heard
-/// within a longer time than `heard`.
+/// Returns the part of `own` in a cold endpoint's limit. `settled` are the members before some of them
+/// fell silent; `present` are those that are not.
 ///
 /// Many silent holders are more likely cut off than dead, and use their parts on. Only the parts of
-/// few are given to others.
+/// few are given to others. A router that does not know what was before holds nothing until the
+/// silent ones are forgotten.
 pub(super) fn cold_part_of(
     own: RouterId,
     endpoint: EndpointId,
     budget: Budget,
-    heard: &[Member],
-    known: &[Member],
+    present: &[Member],
+    settled: &[Member],
 ) -> Part {
-    if known.len() > heard.len() {
-        let holders = holders(endpoint, budget, known);
-        let is_silent = |member: &Member| heard.iter().all(|other| other.router != member.router);
+    if settled != present {
+        let holders = holders(endpoint, budget, settled);
+        let is_silent = |member: &Member| present.iter().all(|other| other.router != member.router);
         let silent = holders.iter().filter(|(_, member)| is_silent(member));
         let silent: f64 = silent.map(|(_, member)| member.weight).sum();
-        if silent > SILENT_FRACTION_MAX * weight_of(&holders) {
-            return part_among(own, budget, &holders);
+        if silent >= SILENT_FRACTION_MAX * weight_of(&holders) {
+            // The others may have given it away if it was less than this.
+            let part = part_among(own, budget, &holders);
+            return Part {
+                per_s: part.per_s.min(SILENT_FRACTION_MAX * budget.per_s),
+                ..part
+            };
         }
     }
-    part_of(own, endpoint, budget, heard)
+    part_of(own, endpoint, budget, present)
 }
 
 type Holders = SmallVec<[(f64, Member); HOLDERS_MAX + 1]>;
--- a/crates/daisynotch_router/src/direct/news/tests.rs
+++ b/crates/daisynotch_router/src/direct/news/tests.rs
@@ -1,5 +1,5 @@
 use daisynotch_core::Timestamp;
-use daisynotch_core::direct::{CrashedEndpoint, MessageTiming};
+use daisynotch_core::direct::{CrashedEndpoint, FailedEndpoint, MessageTiming};
 use daisynotch_objects::EndpointId;
 
 use super::*;
@@ -37,3 +37,23 @@
     assert!(news.crashes.is_empty() && news.limits.is_empty());
     assert_eq!(postcard::from_bytes::<MessageTiming>(rest), Ok(timing));
 }
+
+/// Routers of an earlier version end the fleet news with the evacuations.
+#[test]
+fn signs_of_cold_endpoints_follow_the_evacuations() {
+    let evacuations = EvacuationNews::default();
+    let earlier = postcard::to_stdvec(&evacuations).unwrap();
+    assert!(FleetNews::decode(&earlier).unwrap().cold.is_empty());
+    assert!(FleetNews::decode(&[]).unwrap().cold.is_empty());
+    let cold = ColdNews {
+        failed: vec![FailedEndpoint {
+            endpoint: EndpointId(7),
+            age_ms: 5,
+        }],
+        returned: Vec::new(),
+    };
+    let encoded = postcard::to_stdvec(&(&evacuations, &cold)).unwrap();
+    assert_eq!(FleetNews::decode(&encoded).unwrap().cold, cold);
+    let (read, _): (EvacuationNews, _) = postcard::take_from_bytes(&encoded).unwrap();
+    assert_eq!(read, evacuations);
+}
--- a/crates/daisynotch_router/src/direct/settings/tests.rs
+++ b/crates/daisynotch_router/src/direct/settings/tests.rs
@@ -61,3 +61,27 @@
     assert!(error("seeds", "sedes").contains("unknown field `sedes`"));
     assert!(error("share_window_s = 4", "").contains("missing field `share_window_s`"));
 }
+
+/// Settings files of deployments without cold endpoints have no such table.
+#[test]
+fn bounds_of_cold_endpoints_are_optional() {
+    let cold = |text: &str| DirectSettings::parse(text).map(|settings| settings.dispatcher().cold);
+    assert_eq!(cold(TEXT).unwrap(), ColdSettings::default());
+    let both = format!("cold.overrun = 1.2\ncold.tolerance = 3\n{TEXT}");
+    let expected = ColdSettings {
+        overrun: 1.2,
+        tolerance: 3.0,
+    };
+    assert_eq!(cold(&both).unwrap(), expected);
+    let table = format!("{TEXT}\n[cold]\ntolerance = 4\n");
+    assert_eq!(cold(&table).unwrap().tolerance, 4.0);
+    assert_eq!(cold(&table).unwrap().overrun, 1.5);
+    for odd in [
+        "overrun = -1",
+        "tolerance = nan",
+        "overrun = inf",
+        "over = 1",
+    ] {
+        assert!(cold(&format!("{TEXT}\n[cold]\n{odd}\n")).is_err(), "{odd}");
+    }
+}
