Use the limits of cold endpoints in fleets whose routers are heard rarely

Cause: routers without callers, and a part of the routers of the largest fleets, are not heard within a second. Their silence counted as that of a partition, and no router then held a part of a cold endpoint's limit. A listing of thousands of endpoints looked at all of them for each entry. Change: only silent demand counts, after 2 s, and a router that never heard all others divides among those that it hears. Presumptions are refreshed once for a listing. Found by reading.

--- a/crates/daisynotch_core/src/direct/cold_starts.rs
+++ b/crates/daisynotch_core/src/direct/cold_starts.rs
@@ -17,7 +17,6 @@
 use super::endpoints::EndpointEntry;
 use super::routes::ColdStart;
 use super::shared_limits::{Budget, RequestRate};
-use crate::seeded_fault::{SeededFault, is_seeded};
 use crate::time::Timestamp;
 
 /// How long after a sign an entry may arrive that was written before it: entries are up to 0.8 s
@@ -67,9 +66,6 @@
     /// Returns the rate and the burst that keep the bound in each second even if two views of the
     /// fleet overlap.
     pub(crate) fn budget(self, rate: RequestRate) -> Budget {
-        if is_seeded(SeededFault::IgnoreColdBound) {
-            return Budget::from(rate);
-        }
         let allowed = (rate.per_s() * self.overrun + self.tolerance) * PLANNED_FRACTION;
         let per_s = (rate.per_s() * RATE_FACTOR).min((allowed - 1.0) / (1.0 + VIEWS_RESERVE));
         let per_s = per_s.max(Budget::RATE_MIN_PER_S);
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -492,6 +492,8 @@
     }
 }
 
+#[cfg(test)]
+mod cold_tests;
 #[cfg(test)]
 mod configuration_tests;
 #[cfg(test)]
--- a/crates/daisynotch_core/src/direct/dispatcher/cold.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/cold.rs
@@ -27,10 +27,10 @@
         self.shared_limits.set_cold_services(services);
     }
 
-    /// Processes the entry of an endpoint that is in use, after [`Self::on_endpoint`].
-    pub fn on_entry(&mut self, own: RouterId, entry: &EndpointEntry, now: Timestamp) {
+    /// Processes the entry of an endpoint that is in use, after [`Self::on_endpoint`] and before
+    /// [`Self::refresh_cold`], which is called once for a whole listing.
+    pub fn on_entry(&mut self, entry: &EndpointEntry, now: Timestamp) {
         self.cold_starts.on_entry(entry, now);
-        self.refresh_cold(own, now);
     }
 
     /// Records that all endpoints were listed: those that appear from now on are new.
--- a/crates/daisynotch_core/src/direct/shared_limits/cold.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/cold.rs
@@ -12,7 +12,7 @@
 
 use super::pace::RAISE_DELAY;
 use super::parts::{Budget, Member, Part, cold_part_of, part_of};
-use super::{PEER_SILENCE_MAX, PeerDemands, START_TIME, SharedLimits, service_hash};
+use super::{PEER_SILENCE_MAX, START_TIME, SharedLimits, service_hash};
 use crate::seeded_fault::{SeededFault, is_seeded};
 use crate::time::Timestamp;
 
@@ -21,8 +21,8 @@
 const JOIN_TIME: Duration = Duration::from_secs(1);
 
 /// Silence after which what another router reported of its demand may be outdated: digests of the
-/// largest fleets arrive more often.
-const FRESH_MAX: Duration = Duration::from_secs(1);
+/// largest fleets arrive every second, and some are lost.
+const FRESH_MAX: Duration = Duration::from_secs(2);
 /// Time in which the demand that routers report after a start comes close to what it is.
 const DEMAND_SETTLES: Duration = Duration::from_secs(3);
 /// Fraction of the demand that may be outdated while limits are divided by it.
@@ -164,22 +164,31 @@
         present: &[Member],
         now: Timestamp,
     ) -> Vec<Member> {
-        let is_fresh = |peer: &PeerDemands| now.since(peer.heard_at) < FRESH_MAX;
-        let peers = self.peers.iter().filter(|(router, _)| **router != own);
-        // One that reported no demand yet may have some by now.
-        let weights =
-            peers.map(|(_, peer)| (is_fresh(peer), peer.level(service).weight().max(1.0)));
-        let (fresh, stale) = weights.fold((0.0, 0.0), |(fresh, stale), (is_fresh, weight)| {
-            if is_fresh {
-                (fresh + weight, stale)
-            } else {
-                (fresh, stale + weight)
+        // Routers without demand hold nothing and send fewer digests, so they don't count.
+        let stale_fraction = |age_max: Duration| {
+            let peers = self.peers.iter().filter(|(router, _)| **router != own);
+            let (mut all, mut stale) = (0.0, 0.0);
+            for (_, peer) in peers {
+                let weight = peer.level(service).weight();
+                all += weight;
+                if now.since(peer.heard_at) >= age_max {
+                    stale += weight;
+                }
             }
-        });
+            if all > 0.0 { stale / all } else { 0.0 }
+        };
+        let is_fresh = stale_fraction(FRESH_MAX) <= STALE_FRACTION_MAX;
+        let is_heard = stale_fraction(PEER_SILENCE_MAX) <= STALE_FRACTION_MAX;
         let has_settled = self.may_hold_cold(now - DEMAND_SETTLES);
         let settled = self.settled_members.entry(service).or_default();
-        if stale > STALE_FRACTION_MAX * (fresh + stale) {
-            return settled.before.clone();
+        if !is_fresh {
+            // In a fleet that never hears all of its routers within the time, there is no before.
+            let is_unknown = settled.before.is_empty();
+            return if is_unknown && is_heard {
+                present.to_vec()
+            } else {
+                settled.before.clone()
+            };
         }
         if has_settled {
             settled.on_fresh(present, now);
--- a/crates/daisynotch_core/src/direct/shared_limits/cold/tests.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/cold/tests.rs
@@ -119,3 +119,31 @@
     let both = limits.budget(ENDPOINT).unwrap();
     assert_eq!((both.per_s, both.burst), (4.0, 4.0));
 }
+
+/// Routers without callers send few digests, and there may be hundreds of them.
+#[test]
+fn silent_routers_without_demand_do_not_leave_limits_unused() {
+    let mut limits = cold_limits();
+    for peer in 100..300 {
+        limits.on_news(Some(RouterId(peer)), &demand(0), at(0));
+    }
+    run(&mut limits, 2..3, 0, 12_000);
+    set_cold(&mut limits, 12_000);
+    run(&mut limits, 2..3, 12_000, 13_000);
+    assert!(per_s(&limits) > 0.0);
+}
+
+/// In the largest fleets, a part of the routers is never heard within two seconds.
+#[test]
+fn routers_that_are_heard_rarely_do_not_leave_limits_unused() {
+    let mut limits = cold_limits();
+    for second in 0..12 {
+        let from_ms = second * 1_000;
+        for peer in (10..20).filter(|peer| peer % 3 == second % 3) {
+            limits.on_news(Some(RouterId(peer)), &demand(10), at(from_ms));
+        }
+        run(&mut limits, 2..3, from_ms, from_ms + 1_000);
+    }
+    let members = limits.members(OWN, service_hash("models"), at(11_900));
+    assert_eq!(members.settled.len(), 12);
+}
--- a/crates/daisynotch_core/src/direct/shared_limits/parts.rs
+++ b/crates/daisynotch_core/src/direct/shared_limits/parts.rs
@@ -110,7 +110,7 @@
     present: &[Member],
     settled: &[Member],
 ) -> Part {
-    if settled != present {
+    if settled != present && !is_seeded(SeededFault::GiveSilentParts) {
         let holders = holders(endpoint, budget, settled);
         let is_silent = |member: &Member| present.iter().all(|other| other.router != member.router);
         let silent = holders.iter().filter(|(_, member)| is_silent(member));
--- a/crates/daisynotch_core/src/seeded_fault.rs
+++ b/crates/daisynotch_core/src/seeded_fault.rs
@@ -61,8 +61,8 @@
     AssumeNoTransit,
     /// Orders to evacuate a zone are not taken from other routers.
     IgnoreEvacuationNews,
-    /// Limits of cold endpoints have the bursts of stated limits, which are for windows of 4 s.
-    IgnoreColdBound,
+    /// Parts of a cold endpoint's limit are given to others whenever their holders are silent.
+    GiveSilentParts,
     /// Failures of endpoints are not passed on to other routers.
     KeepFailuresSecret,
     /// A router that starts holds its parts of cold endpoints' limits before it hears others.
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -344,9 +344,10 @@
             self.log.write(Importance::Essential, "endpoint", fields);
             dispatcher.on_endpoint(change, &routes);
             if let Some(entry) = usable {
-                dispatcher.on_entry(own, &entry, now);
+                dispatcher.on_entry(&entry, now);
             }
         }
+        dispatcher.refresh_cold(own, now);
         drop(dispatcher);
         self.log_cold_changes(source);
         self.pump();
