--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -22,23 +22,19 @@
         ..CallerLimits::default()
     };
     let mut table = RouteTable::new(1, limits);
-    table.add_service(ServiceView {
-        name: Arc::from("models"),
-        connections_max: 100,
-        status_path: Arc::from("/status"),
-        engine: Some(EngineLimits {
-            slots: 64,
-            memory_tokens: 400_000,
-        }),
-        cold_start: None,
-    });
-    table.add_service(ServiceView {
-        name: Arc::from("orders"),
-        connections_max: 100,
-        status_path: Arc::from("/status"),
-        engine: None,
-        cold_start: None,
-    });
+    let engine = EngineLimits {
+        slots: 64,
+        memory_tokens: 400_000,
+    };
+    for (name, engine) in [("models", Some(engine)), ("orders", None)] {
+        table.add_service(ServiceView {
+            name: Arc::from(name),
+            connections_max: 100,
+            status_path: Arc::from("/status"),
+            engine,
+            cold_start: None,
+        });
+    }
     table
 }
 
