Bound what slow callers hold, and close their streams first

Cause: a stream could keep 16 chunks for its caller, each up to 256 KB, which no memory counted, and the kernel took another 2 MB for a caller that did not read (measured: 1,998,848 bytes). An endpoint that cut a response because the caller left it unread counted as broken, so that it was avoided. The chunks of a stream that had ended waited for their caller without a time limit.

Change: the chunks wait in a queue of the router (caller_queue.rs) and count toward the memory for responses: 256 KB for one caller, and half of the memory for all of them; a caller that reads normally gets chunk after chunk in any case. When other responses need the memory, the stream whose bytes times their waiting time is largest is closed, with a reset, if its bytes have waited for 1 s. What is left of a stream that has ended waits for 10 s at most. The kernel holds 128 KB unsent for a connection. The relay notes for how long it left an endpoint's bytes unread; a cut after 1 s of it ends the run as cancelled, unless the endpoint turns out to have crashed, and the stream is not continued elsewhere. The body of a request that may not be repeated is dropped when its response begins to stream. Metrics: caller_unread_bytes, slow_callers_closed_total; log line: slow_caller.

--- a/crates/daisynotch_core/src/direct/body_memory.rs
+++ b/crates/daisynotch_core/src/direct/body_memory.rs
@@ -4,6 +4,10 @@
 //! is bounded, but their sum is more memory than a small host has. A body may therefore hold as much
 //! as is left for others, so the bound shrinks as memory fills, and the largest bodies reach it first.
 //! Something is always left, which the small bodies of other requests need.
+//!
+//! Chunks of streams that wait for their callers share the memory of responses. They may grow in one
+//! half of it only, so that slow callers leave the other half to bodies.
+//! See `docs/design/slow-readers.md`.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -46,6 +50,11 @@
     pub fn used_bytes(&self) -> usize {
         self.used_bytes.load(Ordering::Relaxed)
     }
+
+    /// Returns whether more memory is taken than there is, which [`HeldMemory::set`] may cause.
+    pub fn is_exceeded(&self) -> bool {
+        self.used_bytes() > self.max_bytes
+    }
 }
 
 /// The memory that one body takes, which is free again when this is dropped.
@@ -59,11 +68,21 @@
     /// Changes the size of the body. A larger size is refused if the body would take more than it
     /// leaves to others; the size stays as it was then.
     pub fn resize(&mut self, bytes: usize) -> Result<(), NoBodyMemory> {
-        let others_bytes = self.memory.used_bytes().saturating_sub(self.bytes);
-        let left_bytes = self.memory.max_bytes.saturating_sub(others_bytes);
-        if bytes > self.bytes && bytes > left_bytes / 2 {
+        if bytes > self.bytes && bytes > self.left_of(self.memory.max_bytes) / 2 {
             return Err(NoBodyMemory { bytes });
         }
+        self.set(bytes);
+        Ok(())
+    }
+
+    /// Returns whether chunks that wait for a caller may grow to this size: they may take as much
+    /// of one half of the memory as they leave of it.
+    pub fn may_wait(&self, bytes: usize) -> bool {
+        bytes <= self.left_of(self.memory.max_bytes / 2) / 2
+    }
+
+    /// Changes the size without regard to others, for bytes that must be passed on.
+    pub fn set(&mut self, bytes: usize) {
         let used_bytes = &self.memory.used_bytes;
         if bytes >= self.bytes {
             used_bytes.fetch_add(bytes - self.bytes, Ordering::Relaxed);
@@ -71,7 +90,17 @@
             used_bytes.fetch_sub(self.bytes - bytes, Ordering::Relaxed);
         }
         self.bytes = bytes;
-        Ok(())
+    }
+
+    /// Returns the size.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns what others leave of `max_bytes`.
+    fn left_of(&self, max_bytes: usize) -> usize {
+        let others_bytes = self.memory.used_bytes().saturating_sub(self.bytes);
+        max_bytes.saturating_sub(others_bytes)
     }
 }
 
--- a/crates/daisynotch_core/src/direct/body_memory/tests.rs
+++ b/crates/daisynotch_core/src/direct/body_memory/tests.rs
@@ -55,3 +55,37 @@
     assert_eq!(memory.used_bytes(), 0);
     assert_eq!(memory.hold().resize(MAX_BYTES / 2), Ok(()));
 }
+
+/// Guards against slow callers whose chunks take the memory that the responses of others need.
+#[test]
+fn waiting_chunks_leave_half_of_the_memory_to_bodies() {
+    for callers in [1, 10, 100, 1_000] {
+        let memory = BodyMemory::new(MAX_BYTES);
+        let mut waiting: Vec<HeldMemory> = (0..callers).map(|_| memory.hold()).collect();
+        for step in 1..=1_000 {
+            for chunks in &mut waiting {
+                if chunks.may_wait(step * 10_000) {
+                    chunks.set(step * 10_000);
+                }
+            }
+        }
+        assert!(memory.used_bytes() <= MAX_BYTES / 2, "{callers}");
+        assert_eq!(memory.hold().resize(MAX_BYTES / 4), Ok(()), "{callers}");
+    }
+}
+
+/// Guards against a stream that stands still because the memory is taken: what must be passed on is
+/// counted, and the excess shows.
+#[test]
+fn chunk_that_must_be_passed_on_is_counted_beyond_the_maximum() {
+    let memory = BodyMemory::new(MAX_BYTES);
+    let mut chunk = memory.hold();
+    chunk.set(MAX_BYTES);
+    assert!(!memory.is_exceeded());
+    chunk.set(MAX_BYTES + 1);
+    assert!(memory.is_exceeded());
+    assert_eq!(chunk.bytes(), MAX_BYTES + 1);
+    assert!(memory.hold().resize(1).is_err());
+    chunk.set(0);
+    assert_eq!(memory.used_bytes(), 0);
+}
--- a/crates/daisynotch_router/src/caller_stream.rs
+++ b/crates/daisynotch_router/src/caller_stream.rs
@@ -25,6 +25,11 @@
         self.0.store(!knows_chunks, Ordering::Relaxed);
     }
 
+    /// Has the connection reset when it is dropped, whatever the version of the request.
+    pub(crate) fn reset_incomplete(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
     fn get(&self) -> bool {
         self.0.load(Ordering::Relaxed)
     }
--- a/crates/daisynotch_router/src/direct.rs
+++ b/crates/daisynotch_router/src/direct.rs
@@ -7,6 +7,7 @@
 mod admin;
 mod arrivals;
 mod body;
+mod caller_queue;
 mod connections;
 mod crash_check;
 mod daemon;
--- a/crates/daisynotch_router/src/direct/activity.rs
+++ b/crates/daisynotch_router/src/direct/activity.rs
@@ -1,10 +1,11 @@
 //! Whether a caller's connection is idle, and since when.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,6 +24,10 @@
     head_began_at: Cell<Option<Instant>>,
     /// Requests whose responses have not ended.
     open_requests: Cell<u32>,
+    /// Whether the connection is to be closed although a response on it is not complete.
+    is_cut: Cell<bool>,
+    /// Wakes the task that serves the connection.
+    cut_waker: RefCell<Option<Waker>>,
 }
 
 impl Activity {
@@ -31,6 +36,8 @@
             last_at: Cell::new(Instant::now()),
             head_began_at: Cell::new(None),
             open_requests: Cell::new(0),
+            is_cut: Cell::new(false),
+            cut_waker: RefCell::default(),
         })
     }
 
@@ -55,6 +62,30 @@
         OpenRequest(Rc::clone(self))
     }
 
+    /// Has the connection closed at once.
+    pub(super) fn cut(&self) {
+        self.is_cut.set(true);
+        if let Some(waker) = self.cut_waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits until the connection is to be closed at once.
+    pub(super) async fn until_cut(&self) {
+        poll_fn(|context| {
+            if self.is_cut.get() {
+                return Poll::Ready(());
+            }
+            let mut waker = self.cut_waker.borrow_mut();
+            match &mut *waker {
+                Some(waker) => waker.clone_from(context.waker()),
+                None => *waker = Some(context.waker().clone()),
+            }
+            Poll::Pending
+        })
+        .await;
+    }
+
     fn on_read(&self) {
         let now = Instant::now();
         self.last_at.set(now);
@@ -84,6 +115,9 @@
 
 impl TrackedBody {
     pub(super) fn new(body: ResponseBody, request: OpenRequest) -> Self {
+        if let ResponseBody::Stream(chunks) = &body {
+            chunks.set_connection(Rc::clone(&request.0));
+        }
         Self {
             body,
             _request: request,
--- a/crates/daisynotch_router/src/direct/body.rs
+++ b/crates/daisynotch_router/src/direct/body.rs
@@ -41,11 +41,27 @@
     })
 }
 
-/// Reads a body to its end.
+/// Changes the size of a body. If memory is short, `make_room` frees some, until it returns that
+/// there is nothing to free.
+pub(super) fn resize(
+    held: &mut HeldMemory,
+    bytes: usize,
+    make_room: impl Fn() -> bool,
+) -> Result<(), NoBodyMemory> {
+    loop {
+        match held.resize(bytes) {
+            Err(_) if make_room() => {}
+            resized => return resized,
+        }
+    }
+}
+
+/// Reads a body to its end. `make_room` frees memory, and returns whether it did.
 pub(super) async fn read(
     body: &mut Incoming,
     max_bytes: usize,
     memory: &BodyMemory,
+    make_room: impl Fn() -> bool,
 ) -> Result<Bytes, ReadBodyError> {
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(ReadBodyError::TooLong(max_bytes));
@@ -61,7 +77,7 @@
         if length > max_bytes {
             return Err(ReadBodyError::TooLong(max_bytes));
         }
-        held.resize(length)?;
+        resize(&mut held, length, &make_room)?;
         chunks.push(chunk);
     }
     let whole = match chunks.len() {
--- a/crates/daisynotch_router/src/direct/daemon.rs
+++ b/crates/daisynotch_router/src/direct/daemon.rs
@@ -341,6 +341,7 @@
         router.expire_evacuations();
         router.log_evidence_changes("expiry");
         router.connections.expire(now);
+        router.close_left_unread();
         router.log.flush();
     }
 }
--- a/crates/daisynotch_router/src/direct/directory.rs
+++ b/crates/daisynotch_router/src/direct/directory.rs
@@ -91,6 +91,8 @@
     for (gauge, memory) in bodies {
         gauge.set(memory.used_bytes() as i64);
     }
+    let unread_bytes = router.caller_queues.unread_bytes();
+    router.metrics.caller_unread_bytes.set(unread_bytes as i64);
     match router.metrics.to_text() {
         Ok(text) => with_content_type(Bytes::from(text), "text/plain; version=0.0.4"),
         Err(error) => {
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -260,7 +260,8 @@
     let deadline = marks.deadline.unwrap_or(DEADLINE_DEFAULT);
     let give_up = deadline.min(route.timeout);
     let limits = routes.limits;
-    let read = body::read(&mut body, limits.body_max_bytes, &router.request_memory);
+    let memory = &router.request_memory;
+    let read = body::read(&mut body, limits.body_max_bytes, memory, || false);
     let body = match tokio::time::timeout(give_up.min(limits.idle_timeout), read).await {
         Ok(Ok(body)) => body,
         Ok(Err(ReadBodyError::TooLong(_))) => {
--- a/crates/daisynotch_router/src/direct/full_relay.rs
+++ b/crates/daisynotch_router/src/direct/full_relay.rs
@@ -91,8 +91,11 @@
 }
 
 async fn read_body(call: &Call, started: &mut StartedResponse) -> BodyEnd {
-    let memory = &call.router.response_memory;
-    let read = body::read(&mut started.incoming, FULL_RESPONSE_MAX_BYTES, memory);
+    let router = &call.router;
+    let memory = &router.response_memory;
+    let make_room = || router.close_slow_stream();
+    let incoming = &mut started.incoming;
+    let read = body::read(incoming, FULL_RESPONSE_MAX_BYTES, memory, make_room);
     let read = Witness::observe(&mut started.witness, read);
     match tokio::time::timeout_at(call.give_up_at, read).await {
         Ok(Ok(body)) => match call.judge_end(started, BodyContent::Opaque).await {
--- a/crates/daisynotch_router/src/direct/ingress.rs
+++ b/crates/daisynotch_router/src/direct/ingress.rs
@@ -186,7 +186,7 @@
             }
         })
     };
-    let stream = CallerStream::new(stream, closes_end_responses);
+    let stream = CallerStream::new(stream, closes_end_responses.clone());
     let stream = StallGuard::new(stream, WRITE_STALL_TIMEOUT);
     let stream = TrackedStream::new(stream, Rc::clone(&activity));
     let mut connection = http1::Builder::new()
@@ -196,6 +196,11 @@
         .serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
         ended = &mut connection => Some(ended),
+        () = activity.until_cut() => {
+            // A reset also frees what the kernel holds for a caller that does not read.
+            closes_end_responses.reset_incomplete();
+            return;
+        }
         () = wait_until_idle_limit(&router, connected_at, &activity) => {
             if activity.has_begun_head() {
                 let stream = connection.into_parts().io.into_inner();
--- a/crates/daisynotch_router/src/direct/listener.rs
+++ b/crates/daisynotch_router/src/direct/listener.rs
@@ -13,6 +13,9 @@
 /// Maximum number of connections that are taken from the kernel's accept queue at once; the
 /// queue usually holds half as many.
 const PENDING_MAX: usize = 256;
+/// Maximum number of bytes that the kernel holds unsent for one connection, up to one write. Without
+/// it, the kernel takes 2 MB for a caller that does not read.
+const UNSENT_MAX_BYTES: u32 = 128 * 1024;
 /// How long a handshake that has begun may take to complete: many round trips in a zone.
 const HANDSHAKE_TIME: Duration = Duration::from_millis(5);
 /// Filter that drops segments that open a connection, in the kernel's classic BPF. Such a filter
@@ -48,6 +51,9 @@
     pub(crate) fn new(socket: TcpListener) -> std::io::Result<Self> {
         let address = socket.local_addr()?;
         set_socket_options(&socket)?;
+        if let Err(error) = SockRef::from(&socket).set_tcp_notsent_lowat(UNSENT_MAX_BYTES) {
+            log::warn!("can't bound what the kernel holds for callers who read slowly: {error}");
+        }
         Ok(Self {
             socket,
             address,
--- a/crates/daisynotch_router/src/direct/metrics.rs
+++ b/crates/daisynotch_router/src/direct/metrics.rs
@@ -39,6 +39,10 @@
     pub(crate) request_body_bytes: IntGauge,
     /// Bytes of the bodies of responses that are in memory.
     pub(crate) response_body_bytes: IntGauge,
+    /// Bytes of streams that wait for callers, which are also counted as bytes of responses.
+    pub(crate) caller_unread_bytes: IntGauge,
+    /// Streams that ended because their callers read slowly, by cause.
+    pub(crate) slow_callers_closed: IntCounterVec,
     /// Calls to the store by use and result.
     pub(crate) store_calls: IntCounterVec,
     /// Digests by direction.
@@ -108,6 +112,15 @@
                 "daisynotch_response_body_bytes",
                 "Bytes of the bodies of responses in memory.",
             )?,
+            caller_unread_bytes: IntGauge::new(
+                "daisynotch_caller_unread_bytes",
+                "Bytes of streams that wait for callers.",
+            )?,
+            slow_callers_closed: counters(
+                "slow_callers_closed_total",
+                "Streams that ended because their callers read slowly.",
+                &["cause"],
+            )?,
             store_calls: counters(
                 "store_calls_total",
                 "Calls to the store.",
@@ -165,7 +178,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 22] = [
+        let collectors: [Box<dyn Collector>; 24] = [
             Box::new(self.requests.clone()),
             Box::new(self.sends.clone()),
             Box::new(self.response_ends.clone()),
@@ -176,6 +189,8 @@
             Box::new(self.running.clone()),
             Box::new(self.request_body_bytes.clone()),
             Box::new(self.response_body_bytes.clone()),
+            Box::new(self.caller_unread_bytes.clone()),
+            Box::new(self.slow_callers_closed.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.digests.clone()),
             Box::new(self.digest_sent_bytes.clone()),
--- a/crates/daisynotch_router/src/direct/response.rs
+++ b/crates/daisynotch_router/src/direct/response.rs
@@ -8,7 +8,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
-use tokio::sync::mpsc;
+
+use super::caller_queue::ChunkReceiver;
 
 /// Hop-by-hop headers, which apply to a single connection and are not forwarded.
 const CONNECTION_HEADERS: [HeaderName; 10] = [
@@ -34,7 +35,7 @@
     /// The complete body.
     Full(Option<Bytes>),
     /// Chunks that are sent as they arrive.
-    Stream(mpsc::Receiver<Result<Bytes, TruncatedResponse>>),
+    Stream(ChunkReceiver),
 }
 
 impl Body for ResponseBody {
@@ -48,7 +49,7 @@
         match &mut *self {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Stream(chunks) => chunks
-                .poll_recv(context)
+                .poll_next(context)
                 .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
         }
     }
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -19,6 +19,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::arrivals::ArrivalRate;
+use super::caller_queue::CallerQueues;
 use super::connections::ConnectionPool;
 use super::crash_check::CrashCheck;
 use super::event_log::{EventLog, Importance};
@@ -67,8 +68,10 @@
     pub(crate) connections: ConnectionPool,
     /// Memory for the bodies of callers' requests.
     pub(crate) request_memory: BodyMemory,
-    /// Memory for the bodies of responses.
+    /// Memory for the bodies of responses and for the chunks that wait for callers.
     pub(crate) response_memory: BodyMemory,
+    /// Chunks of streams that wait for callers.
+    pub(crate) caller_queues: CallerQueues,
     pub(crate) introduction: RefCell<HostIntroduction>,
     pub(crate) routes: RefCell<Option<Rc<RouteTable>>>,
     /// Idle limits of callers' connections.
@@ -140,6 +143,7 @@
             connections: ConnectionPool::default(),
             request_memory: BodyMemory::new(body_memory_bytes),
             response_memory: BodyMemory::new(body_memory_bytes),
+            caller_queues: CallerQueues::default(),
             introduction: RefCell::new(introduction),
             routes: RefCell::new(None),
             idle_limits: RefCell::default(),
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -3,27 +3,27 @@
 
 use bytes::Bytes;
 use daisynotch_core::BodyContent;
-use daisynotch_core::direct::{EventFramer, RunOutcome};
+use daisynotch_core::direct::{EventFramer, RunOutcome, UnreadTime};
 use http_body_util::BodyExt;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::http::response::Parts as ResponseHead;
 use hyper::{Response, StatusCode};
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use super::body;
+use super::caller_queue::ChunkSender;
 use super::forward::{Call, to_caller_response};
 use super::moves::{MoveOutcome, WaitsFor};
-use super::response::{ResponseBody, TruncatedResponse};
+use super::response::ResponseBody;
 use super::send::{Attempt, StartedResponse};
 use super::witness::Witness;
 
-/// Maximum number of chunks queued for a caller that reads slowly.
-const QUEUED_CHUNKS_MAX: usize = 16;
 /// Maximum size of an event, which is buffered until it is complete.
 const EVENT_MAX_BYTES: usize = 256 * 1024;
 /// Size up to which the buffered part of an event is not counted: nearly all events are smaller.
 const UNCOUNTED_EVENT_BYTES: usize = 4 * 1024;
-type ChunkSender = mpsc::Sender<Result<Bytes, TruncatedResponse>>;
+/// Outcome of requests whose streams were closed because their callers read slowly.
+const SLOW_CALLER: &str = "slow_caller";
 
 /// How relaying the stream of one endpoint ended.
 enum StreamEnd {
@@ -31,6 +31,8 @@
     Complete,
     /// The connection broke or the stream was invalid.
     Broken(String),
+    /// The same, after the endpoint's bytes had stayed unread since the caller did not read.
+    CutUnread(String),
     /// The endpoint went silent, and another one has taken the request.
     Moved(Box<Attempt>),
     /// The caller closed its connection.
@@ -40,8 +42,14 @@
 }
 
 /// Starts a task that relays a stream, and returns the response with its head.
-pub(super) fn start(call: Call, started: StartedResponse) -> Response<ResponseBody> {
-    let (chunks, receiver) = mpsc::channel(QUEUED_CHUNKS_MAX);
+pub(super) fn start(mut call: Call, started: StartedResponse) -> Response<ResponseBody> {
+    if !call.route.kind.may_repeat() {
+        // No endpoint gets the request again, so others can use the memory of its body.
+        call.body = Bytes::new();
+    }
+    let memory = &call.router.response_memory;
+    let queues = &call.router.caller_queues;
+    let (chunks, receiver) = queues.open(memory, call.attempt_id.clone());
     let head = started.head.clone();
     tokio::task::spawn_local(relay(call, started, chunks));
     to_caller_response(head, ResponseBody::Stream(receiver))
@@ -62,16 +70,33 @@
                     connections.put(started.grant.endpoint, started.connection, now);
                 }
                 call.log_end("done", StatusCode::OK);
+                chunks.complete();
                 return;
             }
             StreamEnd::CallerLeft => {
                 started.guard.end(RunOutcome::Cancelled);
-                call.log_end("caller_left", StatusCode::OK);
+                log_caller_left(&call, &chunks);
                 return;
             }
             StreamEnd::TimedOut => {
                 started.guard.end(RunOutcome::Cancelled);
-                truncate(&call, &chunks, "timed_out").await;
+                truncate(&call, &chunks, "timed_out");
+                return;
+            }
+            StreamEnd::CutUnread(reason) => {
+                call.history.failures.push(reason);
+                let open_run = started.guard.open_run();
+                // Reports a crash, which may come at any time.
+                call.may_go_elsewhere(&started.grant, open_run).await;
+                let endpoint = started.grant.endpoint;
+                let has_crashed = call.router.dispatcher.borrow().has_crashed(endpoint);
+                started.guard.end(if has_crashed {
+                    RunOutcome::Broken
+                } else {
+                    RunOutcome::Cancelled
+                });
+                call.router.on_endpoint_cut(&chunks);
+                truncate(&call, &chunks, SLOW_CALLER);
                 return;
             }
             StreamEnd::Broken(reason) => {
@@ -89,22 +114,22 @@
         started.guard.end(RunOutcome::Broken);
         drop(started.connection);
         if !may_continue {
-            truncate(&call, &chunks, "broke_off").await;
+            truncate(&call, &chunks, "broke_off");
             return;
         }
         framer.resume();
         let resume_after = framer.last_id().map(str::to_owned);
         let next = tokio::select! {
             next = Box::pin(resume(&mut call, moved, &first_head, resume_after.as_deref())) => next,
-            () = chunks.closed() => {
-                call.log_end("caller_left", StatusCode::OK);
+            () = chunks.until_closed() => {
+                log_caller_left(&call, &chunks);
                 return;
             }
         };
         started = match next {
             Ok(next) => next,
             Err(outcome) => {
-                truncate(&call, &chunks, outcome).await;
+                truncate(&call, &chunks, outcome);
                 return;
             }
         };
@@ -160,10 +185,19 @@
         .to_owned()
 }
 
-async fn truncate(call: &Call, chunks: &ChunkSender, outcome: &str) {
+fn truncate(call: &Call, chunks: &ChunkSender, outcome: &str) {
+    call.log_end(outcome, StatusCode::OK);
+    chunks.truncate();
+}
+
+/// Logs the end of a request whose response is no longer sent.
+fn log_caller_left(call: &Call, chunks: &ChunkSender) {
+    let outcome = if chunks.is_cut() {
+        SLOW_CALLER
+    } else {
+        "caller_left"
+    };
     call.log_end(outcome, StatusCode::OK);
-    // Sending fails if the caller has left, which needs no handling.
-    let _ = chunks.send(Err(TruncatedResponse)).await;
 }
 
 async fn relay_from_endpoint(
@@ -174,13 +208,14 @@
 ) -> StreamEnd {
     let mut last_bytes_at = Instant::now();
     let mut event_memory = call.router.response_memory.hold();
+    let mut unread_time = UnreadTime::default();
     loop {
         let waits_for = WaitsFor::Bytes {
             last_at: last_bytes_at,
         };
         let frame = tokio::select! {
             biased;
-            () = chunks.closed() => return StreamEnd::CallerLeft,
+            () = chunks.until_closed() => return StreamEnd::CallerLeft,
             () = tokio::time::sleep_until(call.give_up_at) => return StreamEnd::TimedOut,
             frame = Witness::observe(&mut started.witness, started.incoming.frame()) => frame,
             place = call.until_place_elsewhere(&started.grant, &started.guard, waits_for) => {
@@ -191,7 +226,7 @@
                         frame = Witness::observe(&mut started.witness, started.incoming.frame()) => {
                             frame
                         }
-                        () = chunks.closed() => return None,
+                        () = chunks.until_closed() => return None,
                     };
                     if let Some(Err(error)) = frame {
                         failure = Some(error);
@@ -217,11 +252,21 @@
                 }
             }
         };
+        let arrived_at = Instant::now();
+        let pause = arrived_at - last_bytes_at;
+        unread_time.on_waited(pause);
+        let broken = |reason: String| {
+            if unread_time.explains_cut() {
+                StreamEnd::CutUnread(format!("{reason}, after the caller left it unread"))
+            } else {
+                StreamEnd::Broken(reason)
+            }
+        };
         let bytes = match frame {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             Some(Err(error)) => {
                 call.report_broken(started);
-                return StreamEnd::Broken(format!("the stream failed: {error}"));
+                return broken(format!("the stream failed: {error}"));
             }
             // Whether anything is left of the stream is not known without an event.
             None if framer.is_resuming() => {
@@ -232,11 +277,11 @@
                 let content = body_content(call, framer);
                 let judged = tokio::select! {
                     judged = call.judge_end(started, content) => judged,
-                    () = chunks.closed() => return StreamEnd::CallerLeft,
+                    () = chunks.until_closed() => return StreamEnd::CallerLeft,
                 };
                 return match judged {
                     Ok(()) => StreamEnd::Complete,
-                    Err(reason) => StreamEnd::Broken(format!("the stream was cut: {reason}")),
+                    Err(reason) => broken(format!("the stream was cut: {reason}")),
                 };
             }
         };
@@ -244,10 +289,9 @@
             continue;
         }
         if framer.events() > 0 {
-            let pause = last_bytes_at.elapsed();
             call.history.pause_max = call.history.pause_max.max(pause);
         }
-        last_bytes_at = Instant::now();
+        last_bytes_at = arrived_at;
         started.guard.on_bytes();
         let complete_events = framer.push(&bytes);
         if framer.events() > call.history.events {
@@ -258,22 +302,27 @@
             return StreamEnd::Broken(format!("an event exceeds {EVENT_MAX_BYTES} bytes"));
         }
         let counted_bytes = framer.partial_len().saturating_sub(UNCOUNTED_EVENT_BYTES);
-        if let Err(error) = event_memory.resize(counted_bytes) {
+        let make_room = || call.router.close_slow_stream();
+        if let Err(error) = body::resize(&mut event_memory, counted_bytes, make_room) {
             return StreamEnd::Broken(format!("an event does not end: {error}"));
         }
         if !complete_events.is_empty() {
-            let sent = tokio::select! {
-                sent = chunks.send(Ok(complete_events)) => sent,
-                () = tokio::time::sleep_until(call.give_up_at) => return StreamEnd::TimedOut,
-            };
-            if sent.is_err() {
-                return StreamEnd::CallerLeft;
-            }
+            chunks.push(complete_events, arrived_at);
+            call.router.fit_responses();
         }
         if let Some(error) = framer.error() {
             call.report_broken(started);
             return StreamEnd::Broken(format!("the stream is invalid: {error}"));
         }
+        if !chunks.has_room() {
+            tokio::select! {
+                () = chunks.until_room() => {}
+                () = tokio::time::sleep_until(call.give_up_at) => return StreamEnd::TimedOut,
+            }
+            // The endpoint is not silent while nothing is read from it.
+            last_bytes_at = Instant::now();
+            unread_time.on_blocked(last_bytes_at - arrived_at);
+        }
     }
 }
 
