Keep no unused part of an event's buffer for slow callers

Cause: the buffer of a long event doubles while the event arrives, and the chunk that waits for the caller kept all of it: 64 KB for an event of 33 KB. Counted memory was 8 MB where the process grew by 25 MB.

Change: a chunk whose buffer has 8 KB or more to spare is copied into one of its own size. Shorter events, which nearly all are, are passed on without a copy as before.

The test of the framer fails without the change.

--- a/crates/daisynotch_core/src/direct/event_framer.rs
+++ b/crates/daisynotch_core/src/direct/event_framer.rs
@@ -8,6 +8,9 @@
 
 use super::event_order::{EventError, EventOrder};
 
+/// Maximum size of the unused part of a buffer that events keep in memory.
+const UNUSED_MAX_BYTES: usize = 8 * 1024;
+
 /// Buffers an incomplete event until the rest of it arrives.
 #[derive(Debug, Default)]
 pub struct EventFramer {
@@ -37,12 +40,25 @@
         let Some(end) = last_event_end(&self.partial, search_start) else {
             return Bytes::new();
         };
-        let mut complete = self.partial.split_to(end).freeze();
+        let mut complete = self.split_complete(end);
         let accepted = self.accept_events(&complete);
         complete.truncate(accepted);
         complete
     }
 
+    /// Splits off the complete events, which end at `end`.
+    fn split_complete(&mut self, end: usize) -> Bytes {
+        let unused_bytes = self.partial.capacity() - self.partial.len();
+        if unused_bytes < UNUSED_MAX_BYTES {
+            return self.partial.split_to(end).freeze();
+        }
+        // The buffer doubles as a long event grows, and its unused part would stay in memory for as
+        // long as the caller does not read.
+        let complete = Bytes::copy_from_slice(&self.partial[..end]);
+        self.partial = BytesMut::from(&self.partial[end..]);
+        complete
+    }
+
     /// Returns why the bytes after the last returned event are not part of the stream.
     pub fn error(&self) -> Option<EventError> {
         self.error
--- a/crates/daisynotch_core/src/direct/event_framer/tests.rs
+++ b/crates/daisynotch_core/src/direct/event_framer/tests.rs
@@ -61,3 +61,21 @@
         assert_eq!((framer.last_id(), framer.error()), (Some("2"), None));
     }
 }
+
+/// Guards against twice the memory of a long event that waits for a slow caller: its buffer doubles
+/// while it arrives in pieces.
+#[test]
+fn long_event_leaves_no_unused_buffer_in_memory() {
+    let event = format!("data: {}\n\n", "x".repeat(32 * 1024));
+    let (first, rest) = event.as_bytes().split_at(32 * 1024);
+    let mut framer = EventFramer::default();
+    assert!(framer.push(&Bytes::copy_from_slice(first)).is_empty());
+    let rest = [rest, b"data: next"].concat();
+    let complete = framer.push(&Bytes::from(rest));
+    assert_eq!(complete, event);
+    let buffer = complete
+        .try_into_mut()
+        .expect("nothing else uses the buffer");
+    assert!(buffer.capacity() < event.len() + UNUSED_MAX_BYTES);
+    assert_eq!(framer.push(&Bytes::from_static(b"\n\n")), "data: next\n\n");
+}
