--- a/crates/daisynotch_router/src/direct/activity.rs
+++ b/crates/daisynotch_router/src/direct/activity.rs
@@ -115,7 +115,7 @@
 
 impl TrackedBody {
     pub(super) fn new(body: ResponseBody, request: OpenRequest) -> Self {
-        if let ResponseBody::Stream(chunks) = &body {
+        if let ResponseBody::Stream(chunks) | ResponseBody::Large(chunks) = &body {
             chunks.set_connection(Rc::clone(&request.0));
         }
         Self {
--- a/crates/daisynotch_router/src/direct/body.rs
+++ b/crates/daisynotch_router/src/direct/body.rs
@@ -33,12 +33,23 @@
     }
 }
 
-/// Returns bytes that hold `memory` until their last clone is dropped.
-fn with_memory(bytes: Bytes, memory: HeldMemory) -> Bytes {
-    Bytes::from_owner(HeldBody {
-        bytes,
-        _memory: memory,
-    })
+/// A body that was read to its end, and the memory that it takes.
+pub(super) struct WholeBody {
+    pub(super) bytes: Bytes,
+    pub(super) memory: HeldMemory,
+}
+
+impl WholeBody {
+    /// Returns bytes that hold the memory until their last clone is dropped.
+    pub(super) fn into_bytes(self) -> Bytes {
+        if self.bytes.is_empty() {
+            return Bytes::new();
+        }
+        Bytes::from_owner(HeldBody {
+            bytes: self.bytes,
+            _memory: self.memory,
+        })
+    }
 }
 
 /// Changes the size of a body. If memory is short, `make_room` frees some, until it returns that
@@ -62,7 +73,7 @@
     max_bytes: usize,
     memory: &BodyMemory,
     make_room: impl Fn() -> bool,
-) -> Result<Bytes, ReadBodyError> {
+) -> Result<WholeBody, ReadBodyError> {
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(ReadBodyError::TooLong(max_bytes));
     }
@@ -81,7 +92,7 @@
         chunks.push(chunk);
     }
     let whole = match chunks.len() {
-        0 => return Ok(Bytes::new()),
+        0 => Bytes::new(),
         1 => chunks.remove(0),
         _ => {
             let mut whole = BytesMut::with_capacity(length);
@@ -91,5 +102,8 @@
             whole.freeze()
         }
     };
-    Ok(with_memory(whole, held))
+    Ok(WholeBody {
+        bytes: whole,
+        memory: held,
+    })
 }
--- a/crates/daisynotch_router/src/direct/caller_queue.rs
+++ b/crates/daisynotch_router/src/direct/caller_queue.rs
@@ -1,4 +1,4 @@
-//! Chunks of streams that wait for their callers, in memory that all responses share.
+//! Chunks of streams, and large bodies, that wait for their callers, in memory that all responses share.
 //!
 //! A caller that reads normally takes each chunk before the next one arrives. The chunks of a slow
 //! one wait here, up to a bound for one caller, and its stream is closed when others need the memory.
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use super::activity::Activity;
+use super::body::WholeBody;
 use super::event_log::Importance;
 use super::response::TruncatedResponse;
 use super::state::Router;
@@ -27,9 +28,13 @@
 const WAITING_MAX_BYTES: usize = 256 * 1024;
 /// Memory that a chunk takes beside its bytes: its entry in the queue and its allocation.
 const CHUNK_OVERHEAD_BYTES: usize = 128;
-/// How long the chunks of a stream that has ended may wait for its caller, which has as long to
-/// accept a byte of a response.
-const LEFT_UNREAD_MAX: Duration = Duration::from_secs(10);
+/// Size of the pieces of a large body: several writes' worth, and little beside the body.
+const PIECE_BYTES: usize = 64 * 1024;
+/// Interval at which a slow stream is looked for while chunks exceed the memory.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+/// How long the chunks of a response that has ended may wait for its caller: the longest deadline
+/// that callers use.
+const LEFT_UNREAD_MAX: Duration = Duration::from_secs(30);
 
 /// Why a stream was closed whose caller reads slowly.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -63,12 +68,8 @@
 struct Chunk {
     bytes: Bytes,
     arrived_at: Instant,
-}
-
-impl Chunk {
-    fn memory_bytes(&self) -> usize {
-        self.bytes.len() + CHUNK_OVERHEAD_BYTES
-    }
+    /// Memory that is free once the next chunk is taken.
+    memory_bytes: usize,
 }
 
 #[derive(Debug)]
@@ -174,6 +175,8 @@
 pub(crate) struct CallerQueues {
     open: OpenQueues,
     next_id: Cell<u64>,
+    /// When no slow stream was found last.
+    searched_at: Cell<Option<Instant>>,
 }
 
 impl CallerQueues {
@@ -183,12 +186,38 @@
         memory: &BodyMemory,
         request: HeaderValue,
     ) -> (ChunkSender, ChunkReceiver) {
+        let queue = self.add(memory.hold(), request);
+        (ChunkSender(Rc::clone(&queue)), ChunkReceiver(queue))
+    }
+
+    /// Creates the queue of a body that has arrived, whose memory is free when all of it is sent.
+    pub(super) fn open_whole(&self, body: WholeBody, request: HeaderValue) -> ChunkReceiver {
+        let mut left = body.bytes;
+        let memory_bytes = body.memory.bytes();
+        let queue = self.add(body.memory, request);
+        let mut state = queue.state.borrow_mut();
+        let arrived_at = Instant::now();
+        while !left.is_empty() {
+            let bytes = left.split_to(left.len().min(PIECE_BYTES));
+            let is_last = left.is_empty();
+            state.chunks.push_back(Chunk {
+                bytes,
+                arrived_at,
+                memory_bytes: if is_last { memory_bytes } else { 0 },
+            });
+        }
+        state.end = Some(End::Complete);
+        drop(state);
+        ChunkReceiver(queue)
+    }
+
+    fn add(&self, memory: HeldMemory, request: HeaderValue) -> Rc<Queue> {
         let id = self.next_id.replace(self.next_id.get() + 1);
         let queue = Rc::new(Queue {
             state: RefCell::new(State {
                 chunks: VecDeque::new(),
                 taken: None,
-                memory: memory.hold(),
+                memory,
                 end: None,
                 is_closed: false,
                 is_cut: false,
@@ -202,7 +231,7 @@
             open: Rc::clone(&self.open),
         });
         self.open.borrow_mut().insert(id, Rc::downgrade(&queue));
-        (ChunkSender(Rc::clone(&queue)), ChunkReceiver(queue))
+        queue
     }
 
     /// Returns the memory that waiting chunks take.
@@ -251,10 +280,11 @@
             return;
         }
         let chunk = Chunk {
+            memory_bytes: bytes.len() + CHUNK_OVERHEAD_BYTES,
             bytes,
             arrived_at: now,
         };
-        let memory_bytes = state.memory.bytes() + chunk.memory_bytes();
+        let memory_bytes = state.memory.bytes() + chunk.memory_bytes;
         state.memory.set(memory_bytes);
         state.chunks.push_back(chunk);
         wake(&mut state.reader);
@@ -326,6 +356,16 @@
 pub(crate) struct ChunkReceiver(Rc<Queue>);
 
 impl ChunkReceiver {
+    /// Returns the length of the chunks that wait.
+    pub(super) fn len(&self) -> u64 {
+        let state = self.0.state.borrow();
+        state
+            .chunks
+            .iter()
+            .map(|chunk| chunk.bytes.len() as u64)
+            .sum()
+    }
+
     /// Sets the connection that is closed with the stream.
     pub(super) fn set_connection(&self, connection: Rc<Activity>) {
         self.0.state.borrow_mut().connection = Some(connection);
@@ -343,7 +383,7 @@
             wake(&mut state.room_waker);
         }
         if let Some(chunk) = state.chunks.pop_front() {
-            state.taken = Some((chunk.memory_bytes(), chunk.arrived_at));
+            state.taken = Some((chunk.memory_bytes, chunk.arrived_at));
             return Poll::Ready(Some(Ok(chunk.bytes)));
         }
         match state.end {
@@ -380,7 +420,16 @@
 
     /// Closes slow streams until the responses fit their memory.
     pub(super) fn fit_responses(&self) {
-        while self.response_memory.is_exceeded() && self.close_slow_stream() {}
+        while self.response_memory.is_exceeded() {
+            let searched_at = &self.caller_queues.searched_at;
+            let was_just_searched = |at: Instant| at.elapsed() < SEARCH_INTERVAL;
+            if searched_at.get().is_some_and(was_just_searched) {
+                return;
+            }
+            if !self.close_slow_stream() {
+                searched_at.set(Some(Instant::now()));
+            }
+        }
     }
 
     /// Closes the stream of a caller that did not read, after its endpoint has cut it.
--- a/crates/daisynotch_router/src/direct/caller_queue/tests.rs
+++ b/crates/daisynotch_router/src/direct/caller_queue/tests.rs
@@ -168,3 +168,30 @@
         .collect();
     assert_eq!(left, [ended.0.id]);
 }
+
+/// Guards against plain responses whose slow callers keep the memory that others need.
+#[tokio::test]
+async fn large_body_keeps_its_memory_until_it_is_sent_or_cut() {
+    let (queues, memory) = (CallerQueues::default(), BodyMemory::new(MEMORY_BYTES));
+    let request = HeaderValue::from_static("request");
+    let open = || {
+        let mut held = memory.hold();
+        held.set(1_000_000);
+        let body = WholeBody {
+            bytes: chunk(1_000_000),
+            memory: held,
+        };
+        queues.open_whole(body, request.clone())
+    };
+    let mut sent = open();
+    assert_eq!(sent.len(), 1_000_000);
+    assert!(poll(&mut sent).is_ready());
+    assert_eq!(queues.unread_bytes(), 1_000_000);
+    assert_eq!(read_all(&mut sent), (1_000_000 - PIECE_BYTES, None));
+    assert_eq!(memory.used_bytes(), 0);
+    let mut cut = open();
+    assert!(poll(&mut cut).is_ready());
+    cut.0.cut();
+    assert_eq!(memory.used_bytes(), 0);
+    assert_eq!(read_all(&mut cut), (0, Some(TruncatedResponse)));
+}
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -263,7 +263,7 @@
     let memory = &router.request_memory;
     let read = body::read(&mut body, limits.body_max_bytes, memory, || false);
     let body = match tokio::time::timeout(give_up.min(limits.idle_timeout), read).await {
-        Ok(Ok(body)) => body,
+        Ok(Ok(body)) => body.into_bytes(),
         Ok(Err(ReadBodyError::TooLong(_))) => {
             return Err(reject(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
         }
--- a/crates/daisynotch_router/src/direct/full_relay.rs
+++ b/crates/daisynotch_router/src/direct/full_relay.rs
@@ -1,11 +1,10 @@
 //! Reads a response that is not a stream to its end, then passes it on.
 
-use bytes::Bytes;
 use daisynotch_core::BodyContent;
 use daisynotch_core::direct::RunOutcome;
 use hyper::{Response, StatusCode};
 
-use super::body::{self, ReadBodyError};
+use super::body::{self, ReadBodyError, WholeBody};
 use super::forward::{Call, to_caller_response};
 use super::response::{LocalResponse, ResponseBody};
 use super::send::StartedResponse;
@@ -15,10 +14,14 @@
 /// 88 MB.
 const FULL_RESPONSE_MAX_BYTES: usize = 1024 * 1024;
 
+/// Size above which the body of a response may wait for a slow caller, whose connection is then closed
+/// when others need the memory: what the kernel takes for a connection at once.
+const LARGE_BODY_BYTES: usize = 128 * 1024;
+
 /// How reading the body of a response ended.
 enum BodyEnd {
     /// The body is complete.
-    Whole(Bytes),
+    Whole(WholeBody),
     /// The connection broke.
     Broken(String),
     /// The body is too long to be held in memory, alone or beside others.
@@ -64,7 +67,13 @@
                 "endpoint_error"
             };
             call.log_end(outcome, status);
-            let response = to_caller_response(started.head, ResponseBody::Full(Some(body)));
+            let body = if body.bytes.len() > LARGE_BODY_BYTES {
+                let queues = &call.router.caller_queues;
+                ResponseBody::Large(queues.open_whole(body, call.attempt_id.clone()))
+            } else {
+                ResponseBody::Full(Some(body.into_bytes()))
+            };
+            let response = to_caller_response(started.head, body);
             return FullRelayOutcome::Response(response);
         }
         BodyEnd::TooLong(problem) => {
--- a/crates/daisynotch_router/src/direct/response.rs
+++ b/crates/daisynotch_router/src/direct/response.rs
@@ -36,6 +36,8 @@
     Full(Option<Bytes>),
     /// Chunks that are sent as they arrive.
     Stream(ChunkReceiver),
+    /// A large complete body, which is sent piece by piece.
+    Large(ChunkReceiver),
 }
 
 impl Body for ResponseBody {
@@ -48,7 +50,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
         match &mut *self {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream(chunks) => chunks
+            Self::Stream(chunks) | Self::Large(chunks) => chunks
                 .poll_next(context)
                 .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
         }
@@ -57,7 +59,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Full(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
-            Self::Stream(_) => false,
+            Self::Stream(_) | Self::Large(_) => false,
         }
     }
 
@@ -67,6 +69,7 @@
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
             Self::Stream(_) => SizeHint::default(),
+            Self::Large(chunks) => SizeHint::with_exact(chunks.len()),
         }
     }
 }
