Learn the speed of engines quickly and share it between routers

Cause: the slowdown of an engine was learned from the ratio of an answer's time to an expectation that the slowdown had already scaled, so it converged to the root of the truth, with a weight of 0.12 for each answer. The base time was not scaled at all. A router that started took all engines for equal, and nothing told a slow moment but the next answers.

Change: answers are compared with what an engine of average speed takes; the first ones count most. The pauses between the events of streams tell a slow moment and its end. Routers report the speeds that they observed, four in each digest in turns and all in a store view, after the existing fleet news; a report counts until the router has an answer of its own.

Four speeds take at most 40 bytes of a digest. Routers of an earlier version ignore what follows the evacuations.

--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -30,6 +30,7 @@
 mod routes;
 mod shared_limits;
 mod shares;
+mod speed_news;
 mod store_order;
 mod waiting;
 
@@ -65,4 +66,5 @@
     DemandLevel, LimitChange, LimitNews, RequestRate, ServiceDemand, StatedLimit,
 };
 pub use shares::{ShareSettings, TeamShares};
+pub use speed_news::{EndpointSpeed, SpeedNews};
 pub use store_order::{ConfigurationStamp, StoreOrderError, StorePosition};
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -5,6 +5,7 @@
 mod evacuations;
 mod limits;
 mod moves;
+mod speeds;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 use super::routes::{EngineLimits, RouteTable};
 use super::shared_limits::SharedLimits;
 use super::shares::TeamShares;
+use super::speed_news::SpeedExchange;
 use super::waiting::{Rank, Waiting};
 use crate::time::Timestamp;
 
@@ -42,7 +44,8 @@
     /// Prompt tokens to prefill until the first token, at the time of sending: those queued at
     /// the engine and this request's own.
     tokens_to_read: f64,
-    expected_ms: f64,
+    /// The time until the answer begins that is expected of an engine of average speed.
+    average_ms: f64,
     rounds: f64,
     sent_at: Timestamp,
     due_at: Timestamp,
@@ -51,6 +54,8 @@
     shared_parts: PartIds,
     /// Whether an event of the answer, or all of it, has arrived.
     has_event: bool,
+    /// When the latest event of a stream arrived, unless the engine prefilled prompts then.
+    last_event_at: Option<Timestamp>,
     /// Whether the run is a trial of a part that may crash endpoints.
     is_trial: bool,
 }
@@ -80,6 +85,7 @@
     placed: Vec<PlacedParts>,
     pushbacks: Pushbacks,
     shared_limits: SharedLimits,
+    speeds: SpeedExchange,
     crash_evidence: CrashEvidence,
     /// The endpoints listed in the latest digest of each other router.
     endpoints_by_peer: HashMap<RouterId, Vec<EndpointId>>,
@@ -104,6 +110,7 @@
             placed: Vec::new(),
             pushbacks: Pushbacks::default(),
             shared_limits: SharedLimits::default(),
+            speeds: SpeedExchange::default(),
             crash_evidence: CrashEvidence::default(),
             endpoints_by_peer: HashMap::new(),
             next_id: 0,
@@ -248,14 +255,14 @@
         let taken_ms = taken.as_secs_f64() * 1e3;
         let latency = self.latencies.entry(Arc::clone(&run.service)).or_default();
         if load.engine.is_some() {
-            load.slowdown.observe(taken_ms, run.expected_ms);
+            load.slowdown.observe_answer(taken_ms, run.average_ms, now);
             latency.first_token.observe(run.tokens_to_read, taken);
         } else {
             // Compare with the service's average: the expectation from before the service's
             // first answer is a guess, so a deviation from it says nothing about this endpoint.
             let round_ms = taken_ms / run.rounds;
             let usual_ms = latency.plain_unqueued_ms.get_or_insert(round_ms);
-            load.slowdown.observe(round_ms, *usual_ms);
+            load.slowdown.observe_plain(round_ms, *usual_ms);
             *usual_ms += PLAIN_SMOOTHING * (round_ms - *usual_ms);
         }
         let endpoint = run.endpoint;
@@ -340,6 +347,7 @@
         }
         self.pushbacks.expire(now);
         self.shared_limits.expire(now);
+        self.speeds.expire(now);
         self.crash_evidence.expire(now);
     }
 
@@ -378,7 +386,11 @@
         if !self.evacuated_zones.contains(&entry.zone) {
             of_service.push(id);
         }
-        self.endpoints.insert(id, EndpointLoad::new(entry, engine));
+        let mut load = EndpointLoad::new(entry, engine);
+        if let Some(slowdown) = self.speeds.heard(id).filter(|_| engine.is_some()) {
+            load.slowdown.on_peer(slowdown);
+        }
+        self.endpoints.insert(id, load);
         self.crash_evidence.set_engines(self.endpoints.len());
     }
 
@@ -426,13 +438,14 @@
             unread_tokens,
             memory_tokens,
             tokens_to_read: (choice.tokens_ahead + unread_tokens) as f64,
-            expected_ms: choice.expected_ms,
+            average_ms: choice.average_ms,
             rounds: choice.rounds,
             sent_at: now,
             due_at: now + expected.mul_f64(1.5),
             has_answer_begun: false,
             shared_parts: shared_part_ids(&spec.parts),
             has_event: false,
+            last_event_at: None,
             is_trial,
         };
         if !spec.parts.is_empty() {
@@ -488,4 +501,6 @@
 #[cfg(test)]
 mod overload_tests;
 #[cfg(test)]
+mod speed_tests;
+#[cfg(test)]
 mod tests;
--- a/crates/daisynotch_core/src/direct/dispatcher/crash_tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/crash_tests.rs
@@ -65,7 +65,7 @@
     // The part that all requests share is proven, so these are no trials themselves.
     let proof = spec(2, 1, 400, at(115));
     let proof = expect_grant(decide_new(&mut routers[1], proof, at(115)));
-    routers[1].on_event(proof.run, at(116));
+    routers[1].on_event(proof.run, 1, at(116));
     exchange(&mut routers, at(117));
     for router in &mut routers {
         for session in 100..130 {
@@ -82,7 +82,7 @@
     let mut routers = routers();
     let shared = spec(2, 1, 400, at(0));
     let shared = expect_grant(decide_new(&mut routers[0], shared, at(0)));
-    routers[0].on_event(shared.run, at(1));
+    routers[0].on_event(shared.run, 1, at(1));
     for round in 0..4 {
         crash_an_engine(&mut routers[0], at(100 + round * 200));
         exchange(&mut routers, at(180 + round * 200));
--- a/crates/daisynotch_core/src/direct/dispatcher/crashes.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/crashes.rs
@@ -21,13 +21,30 @@
 impl Dispatcher {
     /// Records that an event of a streamed answer, or a whole answer, arrived. It proves that the
     /// parts of the prompt crash no endpoint.
-    pub fn on_event(&mut self, run: RunId, now: Timestamp) {
-        if let Some(run) = self.runs.get_mut(&run)
-            && !run.has_event
-        {
+    ///
+    /// `events` is the number of events of a stream that arrived; 0 for a whole answer.
+    pub fn on_event(&mut self, run: RunId, events: u64, now: Timestamp) {
+        let Some(run) = self.runs.get_mut(&run) else {
+            return;
+        };
+        if !run.has_event {
             run.has_event = true;
             self.crash_evidence.on_proof(&run.shared_parts, now);
         }
+        if events == 0 {
+            return;
+        }
+        let Some(load) = self.endpoints.get_mut(&run.endpoint) else {
+            return;
+        };
+        let is_prefilling = load.total().unread_tokens > 0;
+        if let Some(before) = run.last_event_at
+            && !is_prefilling
+        {
+            let events = u32::try_from(events).unwrap_or(u32::MAX);
+            load.slowdown.observe_pause(now.since(before) / events, now);
+        }
+        run.last_event_at = (!is_prefilling).then_some(now);
     }
 
     /// Returns what is needed to report a crash of a run's endpoint; `None` if its prompt has no
@@ -150,6 +167,6 @@
         });
         let (_, _, id) = candidates.max()?;
         let has_limit = self.shared_limits.limit(id).is_some();
-        evaluate_endpoint(id, self.endpoints.get(&id)?, has_limit, spec, latency)
+        evaluate_endpoint(id, self.endpoints.get(&id)?, has_limit, spec, latency, now)
     }
 }
--- a/crates/daisynotch_core/src/direct/dispatcher/decision.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/decision.rs
@@ -334,7 +334,8 @@
                 continue;
             }
             let has_limit = self.shared_limits.limit(*id).is_some();
-            let Some(mut candidate) = evaluate_endpoint(*id, load, has_limit, spec, latency) else {
+            let Some(mut candidate) = evaluate_endpoint(*id, load, has_limit, spec, latency, now)
+            else {
                 continue;
             };
             candidate.cost_ms += tie_break_ms(*id, load, session, now);
--- a/crates/daisynotch_core/src/direct/pace.rs
+++ b/crates/daisynotch_core/src/direct/pace.rs
@@ -5,12 +5,37 @@
 
 use std::time::Duration;
 
+use crate::time::Timestamp;
+
 /// Decay of the weight of earlier samples with each new one: an effective window of about 200.
 const SAMPLE_DECAY: f64 = 0.995;
-/// Smoothing factor of the moving average of an endpoint's slowdown.
-const SLOWDOWN_SMOOTHING: f64 = 0.12;
+/// Smoothing factor of the slowdown of an endpoint of a plain service.
+const PLAIN_SMOOTHING: f64 = 0.12;
 /// Bounds of a sample of an endpoint's slowdown.
-const SLOWDOWN_RANGE: (f64, f64) = (0.5, 8.0);
+const SLOWDOWN_RANGE: (f64, f64) = (0.25, 8.0);
+/// Lowest weight of an answer in an engine's usual slowdown: a memory of about 25 answers.
+const USUAL_SMOOTHING_MIN: f64 = 0.04;
+/// Number of answers that the initial value of that slowdown counts for.
+const INITIAL_WEIGHT: f64 = 1.0;
+/// Number of answers after which one can't differ much from the usual slowdown any more.
+const FIRST_ANSWERS: u32 = 4;
+/// Largest factor by which a later answer counts as different from it, so that a slow moment, which
+/// is 2.5 times as slow, changes it little.
+const USUAL_STEP_MAX: f64 = 1.6;
+/// Weight of an answer in the slowdown of the moment.
+const MOMENT_SMOOTHING: f64 = 0.5;
+/// Deviation from the usual slowdown below which an engine counts as at its usual speed: waits of
+/// other causes reach it.
+const MOMENT_MIN: f64 = 1.5;
+/// Time after its last sample at which a slow moment is taken to be over: such moments last 0.6 s.
+const MOMENT_MAX_AGE: Duration = Duration::from_millis(600);
+/// Time constants of the averages of the pauses between the events of an engine's streams: of the
+/// moment and of its usual ones.
+const PAUSE_MOMENT: Duration = Duration::from_millis(60);
+const PAUSE_USUAL: Duration = Duration::from_secs(3);
+/// Age of the latest pause up to which the pauses decide whether an engine has a slow moment. They
+/// tell its end, which the next answer tells later.
+const PAUSE_MAX_AGE: Duration = Duration::from_millis(150);
 /// Bounds of the prefill time per token: 10 to 500 tokens per millisecond.
 const TOKEN_MS_RANGE: (f64, f64) = (0.002, 0.1);
 /// Bounds of the part of the time to first token that does not depend on the prompt's length.
@@ -105,21 +130,121 @@
 }
 
 /// How many times as long one endpoint takes as its service on average.
+///
+/// Load pattern: engines differ in speed for good, a router gets a few answers a second from each,
+/// and an engine becomes slow for some tenths of a second. The usual slowdown is learned from the
+/// first answers. The one of the moment is learned from answers and, faster, from the pauses
+/// between the events of the streams that run there.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Slowdown {
+    usual: f64,
+    /// Number of answers that this router observed.
+    answers: u32,
+    observed_at: Timestamp,
+    /// The deviation of the moment from the usual slowdown.
+    moment: f64,
+    moment_at: Timestamp,
+    pauses: Option<Pauses>,
+}
+
+/// Averages of the pauses between the events of an engine's streams.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Slowdown(pub(crate) f64);
+struct Pauses {
+    moment_ms: f64,
+    usual_ms: f64,
+    at: Timestamp,
+}
 
 impl Default for Slowdown {
     fn default() -> Self {
-        Self(1.0)
+        Self {
+            usual: 1.0,
+            answers: 0,
+            observed_at: Timestamp::default(),
+            moment: 1.0,
+            moment_at: Timestamp::default(),
+            pauses: None,
+        }
     }
 }
 
 impl Slowdown {
-    /// Updates the average with the time that an answer took and the time expected for it.
-    pub(crate) fn observe(&mut self, taken_ms: f64, expected_ms: f64) {
-        let ratio = taken_ms / expected_ms.max(1.0);
+    /// Returns the slowdown at `now`.
+    pub(crate) fn factor(&self, now: Timestamp) -> f64 {
+        if self.moment < MOMENT_MIN {
+            return self.usual;
+        }
+        let age = now.since(self.moment_at);
+        let left = 1.0 - age.as_secs_f64() / MOMENT_MAX_AGE.as_secs_f64();
+        self.usual * (1.0 + (self.moment - 1.0) * left.max(0.0))
+    }
+
+    /// Returns the slowdown apart from slow moments, and when this router last observed it; `None`
+    /// without observations of its own.
+    pub(crate) fn learned(&self) -> Option<(f64, Timestamp)> {
+        (self.answers > 0).then_some((self.usual, self.observed_at))
+    }
+
+    /// Takes over the slowdown that another router learned, unless this one has observed any.
+    pub(crate) fn on_peer(&mut self, factor: f64) {
+        if self.answers == 0 {
+            self.usual = factor.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
+        }
+    }
+
+    /// Updates the average of an endpoint of a plain service with the time that an answer took and
+    /// the average time of the service.
+    pub(crate) fn observe_plain(&mut self, taken_ms: f64, service_ms: f64) {
+        let ratio = taken_ms / service_ms.max(1.0);
+        let ratio = ratio.clamp(0.5, SLOWDOWN_RANGE.1);
+        self.usual += PLAIN_SMOOTHING * (ratio - self.usual);
+    }
+
+    /// Learns from the time until an engine's answer began and the time that an engine of average
+    /// speed takes.
+    pub(crate) fn observe_answer(&mut self, taken_ms: f64, average_ms: f64, now: Timestamp) {
+        let ratio = taken_ms / average_ms.max(1.0);
         let ratio = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
-        self.0 += SLOWDOWN_SMOOTHING * (ratio - self.0);
+        let deviation = ratio / self.usual;
+        let weight = 1.0 / (f64::from(self.answers) + 1.0 + INITIAL_WEIGHT);
+        let step = if self.answers < FIRST_ANSWERS {
+            deviation
+        } else {
+            deviation.clamp(1.0 / USUAL_STEP_MAX, USUAL_STEP_MAX)
+        };
+        self.usual *= step.powf(weight.max(USUAL_SMOOTHING_MIN));
+        self.answers = self.answers.saturating_add(1);
+        self.observed_at = now;
+        let has_pauses = self
+            .pauses
+            .is_some_and(|pauses| now.since(pauses.at) < PAUSE_MAX_AGE);
+        if !has_pauses {
+            self.moment += MOMENT_SMOOTHING * (deviation - self.moment);
+            self.moment_at = now;
+        }
+    }
+
+    /// Learns from the pause between two events of a stream while the engine prefilled no prompt.
+    pub(crate) fn observe_pause(&mut self, pause: Duration, now: Timestamp) {
+        let pause_ms = pause.as_secs_f64() * 1e3;
+        let Some(pauses) = &mut self.pauses else {
+            self.pauses = Some(Pauses {
+                moment_ms: pause_ms,
+                usual_ms: pause_ms,
+                at: now,
+            });
+            return;
+        };
+        // Streams of one engine get their events at the same time, so the weight of a pause is
+        // that of the time since the one before.
+        let elapsed = now.since(pauses.at).min(pause).as_secs_f64();
+        let weight = |constant: Duration| elapsed / (elapsed + constant.as_secs_f64());
+        let usual_max_ms = pauses.usual_ms * USUAL_STEP_MAX;
+        pauses.moment_ms += weight(PAUSE_MOMENT) * (pause_ms - pauses.moment_ms);
+        pauses.usual_ms += weight(PAUSE_USUAL) * (pause_ms.min(usual_max_ms) - pauses.usual_ms);
+        pauses.at = now;
+        self.moment = (pauses.moment_ms / pauses.usual_ms.max(0.1)).min(SLOWDOWN_RANGE.1);
+        self.moment_at = now;
     }
 }
 
--- a/crates/daisynotch_core/src/direct/placement.rs
+++ b/crates/daisynotch_core/src/direct/placement.rs
@@ -54,6 +54,8 @@
     /// What the prefill of the request costs at an endpoint that is shared with many others.
     pub(crate) prefill_cost_ms: f64,
     pub(crate) expected_ms: f64,
+    /// What would be expected of an engine of average speed; 0 for plain services.
+    pub(crate) average_ms: f64,
     pub(crate) cached_tokens: u32,
     pub(crate) tokens_ahead: u64,
     /// Queueing rounds until a plain request's answer begins, its own included; 1 for engines.
@@ -93,9 +95,10 @@
     has_limit: bool,
     spec: &RequestSpec,
     latency: &ServiceLatency,
+    now: Timestamp,
 ) -> Option<Candidate> {
     let total = load.total();
-    let slowdown = load.slowdown.0;
+    let slowdown = load.slowdown.factor(now);
     let failure_ms = FAILURE_COST_MS * load.health.failure_rate();
     let Some(engine) = load.engine else {
         let usual_ms = latency.plain_unqueued_ms.unwrap_or(PLAIN_INITIAL_MS) * slowdown;
@@ -109,6 +112,7 @@
             admission_ms: backlog_ms,
             prefill_cost_ms: 0.0,
             expected_ms: usual_ms * (1.0 + busy.floor()),
+            average_ms: 0.0,
             cached_tokens: 0,
             tokens_ahead: 0,
             rounds: 1.0 + busy.floor(),
@@ -124,9 +128,12 @@
     }
     let cached_tokens = load.cache.cached_tokens(&spec.parts);
     let unread = f64::from(spec.prompt_tokens.saturating_sub(cached_tokens));
-    let backlog_ms = latency.first_token.prefill_ms(total.unread_tokens as f64) * slowdown;
-    let own_ms = latency.first_token.prefill_ms(unread) * slowdown;
-    let base_ms = latency.first_token.base_ms();
+    let average_backlog_ms = latency.first_token.prefill_ms(total.unread_tokens as f64);
+    let average_own_ms = latency.first_token.prefill_ms(unread);
+    let average_ms = average_backlog_ms + average_own_ms + latency.first_token.base_ms();
+    let backlog_ms = average_backlog_ms * slowdown;
+    let own_ms = average_own_ms * slowdown;
+    let base_ms = latency.first_token.base_ms() * slowdown;
     let weight = if has_limit {
         1.0
     } else {
@@ -134,11 +141,12 @@
     };
     Some(Candidate {
         endpoint: id,
-        cost_ms: backlog_ms + weight * own_ms + base_ms * slowdown + failure_ms,
+        cost_ms: backlog_ms + weight * own_ms + base_ms + failure_ms,
         backlog_ms,
         admission_ms: backlog_ms,
         prefill_cost_ms: PREFILL_WEIGHT * own_ms,
         expected_ms: backlog_ms + own_ms + base_ms,
+        average_ms,
         cached_tokens,
         tokens_ahead: total.unread_tokens,
         rounds: 1.0,
--- a/crates/daisynotch_core/tests/crash_histories.rs
+++ b/crates/daisynotch_core/tests/crash_histories.rs
@@ -247,7 +247,7 @@
                     if run.is_fatal {
                         crashing.push(index);
                     } else {
-                        router.on_event(run.id, now);
+                        router.on_event(run.id, 1, now);
                     }
                 }
                 if self.now_ms >= run.ends_at_ms {
--- a/crates/daisynotch_emulator/src/emulation.rs
+++ b/crates/daisynotch_emulator/src/emulation.rs
@@ -520,7 +520,7 @@
         let now = self.now();
         if let (Router::Direct(dispatcher), Some(run)) = (&mut self.routers[router], run) {
             dispatcher.on_bytes(run, now);
-            dispatcher.on_event(run, now);
+            dispatcher.on_event(run, 1, now);
         }
         if is_last {
             self.outcomes[request].is_complete = true;
--- a/crates/daisynotch_router/src/direct/full_relay.rs
+++ b/crates/daisynotch_router/src/direct/full_relay.rs
@@ -45,7 +45,7 @@
             let ended = if is_error {
                 RunOutcome::ErrorAnswer
             } else {
-                started.guard.on_event();
+                started.guard.on_event(0);
                 RunOutcome::Done
             };
             started.guard.end(ended);
--- a/crates/daisynotch_router/src/direct/news.rs
+++ b/crates/daisynotch_router/src/direct/news.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use daisynotch_core::direct::{CrashNews, EvacuationNews, LimitNews};
+use daisynotch_core::direct::{CrashNews, EvacuationNews, LimitNews, SpeedNews};
 use daisynotch_objects::RouterId;
 use serde_json::json;
 
@@ -17,6 +17,11 @@
 const CRASH_REPORTS_MAX: usize = 16;
 /// Maximum number of limits in a digest.
 const LIMITS_MAX: usize = 256;
+/// Maximum number of engine speeds in a digest, of up to 7 bytes each. Digests are most of the
+/// traffic between zones; 90 engines are reported within 2 s.
+pub(super) const SPEEDS_MAX: usize = 4;
+/// Maximum number of engine speeds for a router that fetches the store's state.
+pub(super) const VIEW_SPEEDS_MAX: usize = 1_024;
 
 /// What a router says of crashes and limits.
 #[derive(Debug, Default)]
@@ -94,12 +99,16 @@
 #[derive(Debug, Default)]
 pub(super) struct FleetNews {
     evacuations: EvacuationNews,
+    speeds: SpeedNews,
 }
 
-/// Encodes the fleet news.
-pub(super) fn encode_fleet(router: &Router) -> Vec<u8> {
+/// Encodes the fleet news, with at most `speeds_max` speeds of engines.
+pub(super) fn encode_fleet(router: &Router, speeds_max: usize) -> Vec<u8> {
     let evacuations = router.evacuations.borrow().to_news();
-    postcard::to_stdvec(&evacuations).unwrap_or_else(|error| {
+    let mut dispatcher = router.dispatcher.borrow_mut();
+    let speeds = dispatcher.speed_news(speeds_max, router.now());
+    drop(dispatcher);
+    postcard::to_stdvec(&(evacuations, speeds)).unwrap_or_else(|error| {
         let fields = json!({"error": error.to_string()});
         router
             .log
@@ -109,11 +118,15 @@
 }
 
 impl FleetNews {
-    /// Decodes fleet news; routers of an earlier version send none.
+    /// Decodes fleet news; routers of an earlier version leave out the last parts or all.
     pub(super) fn decode(encoded: &[u8]) -> Result<Self, postcard::Error> {
         let mut news = Self::default();
-        if !encoded.is_empty() {
-            (news.evacuations, _) = postcard::take_from_bytes(encoded)?;
+        let mut rest = encoded;
+        if !rest.is_empty() {
+            (news.evacuations, rest) = postcard::take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            (news.speeds, _) = postcard::take_from_bytes(rest)?;
         }
         Ok(news)
     }
@@ -121,6 +134,8 @@
     /// Applies the news.
     pub(super) fn apply(self, router: &Router, source: &str) {
         router.on_evacuation_news(self.evacuations, source);
+        let mut dispatcher = router.dispatcher.borrow_mut();
+        dispatcher.on_speed_news(&self.speeds, router.now());
     }
 }
 
--- a/crates/daisynotch_router/src/direct/news/tests.rs
+++ b/crates/daisynotch_router/src/direct/news/tests.rs
@@ -1,5 +1,5 @@
 use daisynotch_core::Timestamp;
-use daisynotch_core::direct::{CrashedEndpoint, MessageTiming};
+use daisynotch_core::direct::{CrashedEndpoint, EndpointSpeed, MessageTiming, StorePosition};
 use daisynotch_objects::EndpointId;
 
 use super::*;
@@ -37,3 +37,47 @@
     assert!(news.crashes.is_empty() && news.limits.is_empty());
     assert_eq!(postcard::from_bytes::<MessageTiming>(rest), Ok(timing));
 }
+
+/// Routers of an earlier version send no speeds, or no fleet news at all, and ignore what follows the
+/// parts that they know.
+#[test]
+fn fleet_news_of_an_earlier_version_are_decoded() {
+    assert_eq!(FleetNews::decode(&[]).unwrap().speeds, SpeedNews::default());
+    let evacuations = EvacuationNews {
+        at: StorePosition::default(),
+        orders: Vec::new(),
+    };
+    let encoded = postcard::to_stdvec(&evacuations).unwrap();
+    let earlier = FleetNews::decode(&encoded).unwrap();
+    assert_eq!(
+        (earlier.evacuations, earlier.speeds),
+        (evacuations.clone(), SpeedNews::default())
+    );
+    let speeds = SpeedNews {
+        speeds: vec![EndpointSpeed {
+            endpoint: EndpointId(u32::MAX),
+            slowdown_log2_16: -12,
+            age_ds: 3,
+        }],
+    };
+    let mut encoded = postcard::to_stdvec(&(&evacuations, &speeds)).unwrap();
+    let (known, _) = postcard::take_from_bytes::<EvacuationNews>(&encoded).unwrap();
+    assert_eq!(known, evacuations);
+    encoded.push(7);
+    assert_eq!(FleetNews::decode(&encoded).unwrap().speeds, speeds);
+}
+
+/// Digests are most of the traffic between zones.
+#[test]
+fn speeds_take_few_bytes_of_a_digest() {
+    let speed = EndpointSpeed {
+        endpoint: EndpointId(u32::MAX),
+        slowdown_log2_16: i8::MIN,
+        age_ds: u8::MAX,
+    };
+    let news = SpeedNews {
+        speeds: vec![speed; SPEEDS_MAX],
+    };
+    let encoded = postcard::to_stdvec(&news).unwrap();
+    assert!(encoded.len() <= 40, "{}", encoded.len());
+}
--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -173,7 +173,12 @@
     addresses: &[SocketAddr],
     written_at: Timestamp,
 ) {
-    let fleet_news = news::encode_fleet(router);
+    let speeds_max = if datagram.digest.is_brief {
+        0
+    } else {
+        news::SPEEDS_MAX
+    };
+    let fleet_news = news::encode_fleet(router, speeds_max);
     let encoded = postcard::to_stdvec(datagram).map(|mut bytes| {
         bytes.extend_from_slice(news);
         bytes
@@ -567,7 +572,7 @@
     match postcard::to_stdvec(&message) {
         Ok(mut body) => {
             body.extend_from_slice(&news::encode_all(router));
-            body.extend_from_slice(&news::encode_fleet(router));
+            body.extend_from_slice(&news::encode_fleet(router, news::VIEW_SPEEDS_MAX));
             Response::new(ResponseBody::Full(Some(Bytes::from(body))))
         }
         Err(error) => {
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -492,11 +492,11 @@
         }
     }
 
-    /// Records that an event of the response, or all of it, arrived.
-    pub(crate) fn on_event(&self) {
+    /// Records that events of a stream arrived, or, with `events` 0, a whole response.
+    pub(crate) fn on_event(&self, events: u64) {
         if let Some(run) = self.run {
             let mut dispatcher = self.router.dispatcher.borrow_mut();
-            dispatcher.on_event(run, self.router.now());
+            dispatcher.on_event(run, events, self.router.now());
         }
     }
 
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -251,8 +251,9 @@
         started.guard.on_bytes();
         let complete_events = framer.push(&bytes);
         if framer.events() > call.history.events {
+            let events = framer.events() - call.history.events;
             call.history.events = framer.events();
-            started.guard.on_event();
+            started.guard.on_event(events);
         }
         if framer.partial_len() > EVENT_MAX_BYTES {
             return StreamEnd::Broken(format!("an event exceeds {EVENT_MAX_BYTES} bytes"));
