Learn the length of answers and charge shares for what was generated

Cause: the expected length of an answer was the caller's hint, or half of the maximum, however wrong hints proved, and a team's share was charged for the hint.

Change: answer_length.rs learns the logarithm of the length, in events, by route, by route and team, and by route and shared part, and joins it with the hint by inverse variance, corrected by how far hints of the route and the team were off. When a run ends, its team's share is charged for what was generated; excess is paid back for complete answers only and within the window. A histogram and the request's log line tell the error of the estimate.

Without observations the estimate is as before.

Tests: RequestSpec has new fields, so its users fill them in. Emulated engines take their index, and the emulator's figures the counters of each engine.

--- a/crates/daisynotch_core/benches/direct_decision.rs
+++ b/crates/daisynotch_core/benches/direct_decision.rs
@@ -37,14 +37,16 @@
         if number % 500 == 0 {
             dispatcher.on_digest(&digest(teams, number), now);
         }
-        let spec = spec(number, teams, now);
+        let mut spec = spec(number, teams, now);
         let began_at = Instant::now();
+        dispatcher.estimate_answer(&mut spec, now);
         dispatcher.on_request(&spec, now);
         dispatcher.submit(spec);
         let verdicts = dispatcher.decide_waiting(now);
         for (_, verdict) in verdicts {
             if let Verdict::Send(grant) = verdict {
                 dispatcher.on_bytes(grant.run, now);
+                dispatcher.on_event(grant.run, 12, now);
                 dispatcher.on_ended(grant.run, RunOutcome::Done, now);
             }
         }
@@ -62,6 +64,7 @@
     let session = (number % 64) as u32;
     RequestSpec {
         service: Arc::from("models"),
+        route: Arc::from("chat"),
         team: Some((number % u64::from(teams)) as u32),
         priority: 1,
         parts: [
@@ -72,7 +75,11 @@
         .into_iter()
         .collect(),
         prompt_tokens: 6_800,
+        answer_hint_tokens: Some(50),
+        answer_max_tokens: 100,
         answer_tokens: 50,
+        answer_upper_tokens: 50,
+        answer_events: 12,
         body_bytes: 1_000,
         arrived_at: now,
         objective: Duration::from_millis(500),
--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -5,6 +5,7 @@
 //! may be lost, late or duplicated; the next one replaces it.
 //! See `docs/design/direct-dispatch.md`.
 
+mod answer_length;
 mod body_memory;
 mod confirmation;
 mod crash_evidence;
@@ -65,6 +66,6 @@
 pub use shared_limits::{
     DemandLevel, LimitChange, LimitNews, RequestRate, ServiceDemand, StatedLimit,
 };
-pub use shares::{ShareSettings, TeamShares};
+pub use shares::{Charge, ShareSettings, TeamShares};
 pub use speed_news::{EndpointSpeed, SpeedNews};
 pub use store_order::{ConfigurationStamp, StoreOrderError, StorePosition};
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -5,6 +5,7 @@
 mod evacuations;
 mod limits;
 mod moves;
+mod settlement;
 mod speeds;
 
 use std::collections::HashMap;
@@ -14,6 +15,7 @@
 use daisynotch_objects::{EndpointId, RouterId};
 use smallvec::SmallVec;
 
+use super::answer_length::{AnswerKeys, AnswerLengths};
 use super::crash_evidence::{CrashEvidence, PartIds, shared_part_ids};
 use super::digest::{Digest, EndpointDigest, PlacedParts, TeamDigest};
 use super::endpoints::{EndpointChange, EndpointEntry};
@@ -24,7 +26,7 @@
 use super::retry_budget::RetryBudget;
 use super::routes::{EngineLimits, RouteTable};
 use super::shared_limits::SharedLimits;
-use super::shares::TeamShares;
+use super::shares::{Charge, TeamShares};
 use super::speed_news::SpeedExchange;
 use super::waiting::{Rank, Waiting};
 use crate::time::Timestamp;
@@ -56,6 +58,12 @@
     has_event: bool,
     /// When the latest event of a stream arrived, unless the engine prefilled prompts then.
     last_event_at: Option<Timestamp>,
+    /// The number of events of a stream that arrived.
+    events: u64,
+    answer: AnswerKeys,
+    answer_max_tokens: u32,
+    /// What was charged to the team's share; `None` for requests that were sent before.
+    charge: Option<Charge>,
     /// Whether the run is a trial of a part that may crash endpoints.
     is_trial: bool,
 }
@@ -86,6 +94,7 @@
     pushbacks: Pushbacks,
     shared_limits: SharedLimits,
     speeds: SpeedExchange,
+    answer_lengths: AnswerLengths,
     crash_evidence: CrashEvidence,
     /// The endpoints listed in the latest digest of each other router.
     endpoints_by_peer: HashMap<RouterId, Vec<EndpointId>>,
@@ -111,6 +120,7 @@
             pushbacks: Pushbacks::default(),
             shared_limits: SharedLimits::default(),
             speeds: SpeedExchange::default(),
+            answer_lengths: AnswerLengths::default(),
             crash_evidence: CrashEvidence::default(),
             endpoints_by_peer: HashMap::new(),
             next_id: 0,
@@ -286,6 +296,7 @@
                 RunOutcome::Cancelled | RunOutcome::PushedBack => {}
             }
         }
+        self.settle(&run, ended, now);
         self.refresh_due(run.endpoint);
     }
 
@@ -446,6 +457,15 @@
             shared_parts: shared_part_ids(&spec.parts),
             has_event: false,
             last_event_at: None,
+            events: 0,
+            answer: AnswerKeys::new(spec),
+            answer_max_tokens: spec.answer_max_tokens,
+            charge: (!spec.is_repeat()).then(|| Charge {
+                prompt_tokens: spec.prompt_tokens.into(),
+                tokens: spec.weighted_tokens(),
+                asked_at: spec.arrived_at,
+                begun_at: now,
+            }),
             is_trial,
         };
         if !spec.parts.is_empty() {
@@ -501,6 +521,8 @@
 #[cfg(test)]
 mod overload_tests;
 #[cfg(test)]
+mod settlement_tests;
+#[cfg(test)]
 mod speed_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/daisynotch_core/src/direct/dispatcher/crashes.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/crashes.rs
@@ -34,6 +34,7 @@
         if events == 0 {
             return;
         }
+        run.events += events;
         let Some(load) = self.endpoints.get_mut(&run.endpoint) else {
             return;
         };
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -1,7 +1,5 @@
 //! Each test applies the load that motivates the decision under test.
 
-use smallvec::SmallVec;
-
 use super::decision::UNPLACED_MAX;
 use super::*;
 use crate::direct::{
@@ -89,11 +87,12 @@
         parts: Parts::from_slice(&parts),
         prompt_tokens,
         answer_tokens: 50,
+        answer_upper_tokens: 50,
         body_bytes: 1_000,
         arrived_at: now,
         objective: Duration::from_millis(500),
         give_up_at: now + Duration::from_secs(5),
-        tried: SmallVec::new(),
+        ..RequestSpec::default()
     }
 }
 
@@ -104,6 +103,7 @@
         parts: Parts::new(),
         prompt_tokens: 0,
         answer_tokens: 0,
+        answer_upper_tokens: 0,
         ..spec(0, 0, 0, now)
     }
 }
--- a/crates/daisynotch_core/src/direct/request.rs
+++ b/crates/daisynotch_core/src/direct/request.rs
@@ -21,10 +21,12 @@
 pub struct RunId(pub u64);
 
 /// The properties of a request that decisions depend on.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct RequestSpec {
     /// The service whose endpoints may run the request.
     pub service: Arc<str>,
+    /// The name of the route that the request came by.
+    pub route: Arc<str>,
     /// The hash of the team's name; `None` on anonymous routes.
     pub team: Option<u32>,
     /// The priority; 0 is the most urgent.
@@ -33,8 +35,17 @@
     pub parts: Parts,
     /// The prompt's length in tokens.
     pub prompt_tokens: u32,
-    /// The expected length of the answer in tokens.
+    /// The caller's hint of the length of the answer in tokens.
+    pub answer_hint_tokens: Option<u32>,
+    /// The largest length of the answer in tokens; 0 if it is not stated.
+    pub answer_max_tokens: u32,
+    /// The expected length of the answer in tokens; see
+    /// [`Dispatcher::estimate_answer`](super::Dispatcher::estimate_answer).
     pub answer_tokens: u32,
+    /// The length in tokens that few answers like this one exceed.
+    pub answer_upper_tokens: u32,
+    /// The expected number of events of a streamed answer.
+    pub answer_events: u32,
     /// The size of the body in bytes.
     pub body_bytes: usize,
     /// When the request arrived at this router.
--- a/crates/daisynotch_core/src/direct/shares.rs
+++ b/crates/daisynotch_core/src/direct/shares.rs
@@ -41,6 +41,19 @@
     pub window: Duration,
 }
 
+/// What was charged to a team's share for a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Charge {
+    /// Tokens of the prompt, which are part of `tokens`.
+    pub prompt_tokens: u64,
+    /// All tokens.
+    pub tokens: u64,
+    /// When they were added to the team's demand.
+    pub asked_at: Timestamp,
+    /// When they were added to its usage.
+    pub begun_at: Timestamp,
+}
+
 /// A map keyed by the hash of a team's name, which needs no strong second hash.
 type TeamMap<V> = HashMap<u32, V, BuildHasherDefault<TeamHasher>>;
 
@@ -158,6 +171,34 @@
         self.own.entry(team).or_default().begun[bucket] += tokens;
     }
 
+    /// Replaces what was charged for a request by the `tokens` that it really took.
+    ///
+    /// Missing tokens are charged now. Excess ones are taken from the time at which they were
+    /// charged and, once that has left the window, not at all: they would reduce what other
+    /// requests were charged.
+    pub fn settle(&mut self, team: u32, charge: &Charge, tokens: u64, now: Timestamp) {
+        let bucket = self.advance(now);
+        let bucket_us = self.bucket_us();
+        let newest = self.bucket_index;
+        let own = self.own.entry(team).or_default();
+        for (sums, at) in [
+            (&mut own.asked, charge.asked_at),
+            (&mut own.begun, charge.begun_at),
+        ] {
+            let charged_in = at.0 / bucket_us;
+            if tokens >= charge.tokens {
+                sums[bucket] += tokens - charge.tokens;
+            } else if newest.saturating_sub(charged_in) < BUCKETS as u64 {
+                let sum = &mut sums[(charged_in % BUCKETS as u64) as usize];
+                *sum = sum.saturating_sub(charge.tokens - tokens);
+            }
+        }
+    }
+
+    fn bucket_us(&self) -> u64 {
+        (self.settings.window.as_micros() as u64 / BUCKETS as u64).max(1)
+    }
+
     /// Replaces another router's sums.
     pub fn on_peer(&mut self, router: RouterId, teams: &[TeamDigest], now: Timestamp) {
         let teams = teams.to_vec();
@@ -298,7 +339,7 @@
 
     /// Clears the buckets that have left the window and returns the index of the current one.
     fn advance(&mut self, now: Timestamp) -> usize {
-        let bucket_us = (self.settings.window.as_micros() as u64 / BUCKETS as u64).max(1);
+        let bucket_us = self.bucket_us();
         let index = now.0 / bucket_us;
         let elapsed_buckets = (index - self.bucket_index.min(index)).min(BUCKETS as u64);
         for step in 1..=elapsed_buckets {
--- a/crates/daisynotch_core/src/direct/shares/tests.rs
+++ b/crates/daisynotch_core/src/direct/shares/tests.rs
@@ -139,3 +139,42 @@
     let hot = shares.lead(HOT, 0, at(200));
     assert!(hot <= 1.0, "{hot}");
 }
+
+fn charge(tokens: u64, at: Timestamp) -> Charge {
+    Charge {
+        prompt_tokens: 100,
+        tokens,
+        asked_at: at,
+        begun_at: at,
+    }
+}
+
+/// Returns what a team asked for and began at this router.
+fn sums(shares: &mut TeamShares, now: Timestamp) -> Option<(u32, u32)> {
+    let sums = shares.own_sums(now).into_iter().next()?;
+    Some((sums.asked_tokens, sums.begun_tokens))
+}
+
+/// Guards against a team that hints high, or whose answers take longer than the window, and that
+/// is paid back out of what its other requests were charged.
+#[test]
+fn a_charge_is_replaced_by_what_was_generated() {
+    let mut shares = shares();
+    for ms in [0, 3_000] {
+        shares.on_asked(HOT, 1_000, at(ms));
+        shares.on_begun(HOT, 1_000, at(ms));
+    }
+    shares.settle(HOT, &charge(1_000, at(0)), 300, at(3_000));
+    assert_eq!(sums(&mut shares, at(3_000)), Some((1_300, 1_300)));
+    shares.settle(HOT, &charge(1_000, at(3_000)), 1_200, at(3_100));
+    assert_eq!(sums(&mut shares, at(3_100)), Some((1_500, 1_500)));
+    // Once a charge has left the window, nothing is paid back.
+    let late = at(5_000);
+    assert_eq!(sums(&mut shares, late), Some((1_200, 1_200)));
+    shares.settle(HOT, &charge(1_000, at(0)), 0, late);
+    assert_eq!(sums(&mut shares, late), Some((1_200, 1_200)));
+    // Sums never fall below zero.
+    shares.settle(HOT, &charge(u64::MAX, at(3_000)), 0, late);
+    shares.on_asked(HOT, 1, late);
+    assert!(sums(&mut shares, late).is_some());
+}
--- a/crates/daisynotch_core/tests/crash_histories.rs
+++ b/crates/daisynotch_core/tests/crash_histories.rs
@@ -17,7 +17,6 @@
 use daisynotch_objects::EndpointId;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use smallvec::SmallVec;
 
 const HISTORIES: u64 = 1_000;
 const TICK_MS: u64 = 10;
@@ -288,11 +287,12 @@
             prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
             parts,
             answer_tokens: 50,
+            answer_upper_tokens: 50,
             body_bytes: 1_000,
             arrived_at: now,
             objective: Duration::from_millis(500),
             give_up_at: now + Duration::from_secs(5),
-            tried: SmallVec::new(),
+            ..RequestSpec::default()
         };
         let router = self.rng.random_range(0..self.routers.len());
         self.routers[router].on_request(&spec, now);
--- a/crates/daisynotch_core/tests/limit_histories.rs
+++ b/crates/daisynotch_core/tests/limit_histories.rs
@@ -19,7 +19,6 @@
 use daisynotch_objects::{EndpointId, RouterId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use smallvec::SmallVec;
 
 const HISTORIES: u64 = 1_000;
 /// Threads that play histories.
@@ -398,11 +397,12 @@
         parts: Parts::new(),
         prompt_tokens: 10,
         answer_tokens: 10,
+        answer_upper_tokens: 10,
         body_bytes: 100,
         arrived_at: now,
         objective: Duration::from_millis(500),
         give_up_at: now + Duration::from_secs(5),
-        tried: SmallVec::new(),
+        ..RequestSpec::default()
     }
 }
 
--- a/crates/daisynotch_emulator/src/emulation.rs
+++ b/crates/daisynotch_emulator/src/emulation.rs
@@ -9,7 +9,7 @@
 use daisynotch_core::Timestamp;
 use daisynotch_core::direct::{
     CrashNews, Digest, Dispatcher, EndpointEntry, QueueId, RefuseReason, RequestSpec, RunId,
-    RunOutcome, Verdict,
+    RunOutcome, SpeedNews, Verdict,
 };
 use daisynotch_objects::EndpointId;
 use rand::rngs::StdRng;
@@ -18,7 +18,7 @@
 
 pub(crate) use crashes::Crashes;
 
-use crate::engine::{Engine, EngineCounters, Sequence, StepOutput};
+use crate::engine::{Engine, Sequence, StepOutput};
 use crate::experiment::Experiment;
 use crate::figures::{Figures, Outcome, Report, figures};
 use crate::fleet::{SERVICE, dispatcher, endpoint_entry};
@@ -33,6 +33,8 @@
 const RETRY_AFTER_MAX_FRACTION: f64 = 1.0 / 3.0;
 /// The number of times that a request is tried, at most.
 const TRIES_MAX: u32 = 2;
+/// The largest length of a response that callers state, as a multiple of the mean.
+const ANSWER_MAX_TIMES: u32 = 5;
 /// The start of simulated time, above zero so that no age comes out negative.
 const START_US: u64 = 100_000_000;
 
@@ -87,7 +89,7 @@
     },
     ReceiveDigest {
         router: usize,
-        digest: Rc<(Digest, CrashNews)>,
+        digest: Rc<(Digest, CrashNews, SpeedNews)>,
     },
     /// The engine crashes because it begins to answer a fatal request.
     Crash {
@@ -98,6 +100,8 @@
     Restart {
         engine: usize,
     },
+    /// Other engines become slow.
+    SlowMoment,
     StartFault {
         fault: usize,
     },
@@ -139,6 +143,7 @@
     seed: u64,
     requests: &'a [Request],
     rng: StdRng,
+    fault_rng: StdRng,
     now_us: u64,
     next_event_id: u64,
     /// The times and ids of the scheduled events, the earliest first.
@@ -188,6 +193,7 @@
             seed,
             requests,
             rng: StdRng::seed_from_u64(seed ^ 0x5eed),
+            fault_rng: StdRng::seed_from_u64(seed ^ 0x510),
             now_us: START_US,
             next_event_id: 0,
             event_queue: BinaryHeap::new(),
@@ -195,7 +201,7 @@
             routers: (0..routers).map(|_| new_router()).collect(),
             queued: HashMap::new(),
             engines: (0..engines)
-                .map(|_| Engine::new(&experiment.engines))
+                .map(|index| Engine::new(&experiment.engines, index))
                 .collect(),
             is_stepping: vec![false; engines],
             engine_by_endpoint: by_id.map(|(index, id)| (*id, index)).collect(),
@@ -224,6 +230,9 @@
             let ends_us = ((fault_spec.at_s + fault_spec.for_s) * 1e6) as u64;
             self.schedule(ends_us, Event::EndFault { fault });
         }
+        if self.experiment.engines.slow_moments.is_some() {
+            self.schedule(0, Event::SlowMoment);
+        }
         if self.policy.has_dispatcher() {
             for router in 0..self.routers.len() {
                 // Random offsets keep the routers' timers from firing in lockstep.
@@ -256,15 +265,10 @@
                 .expect("each event is scheduled once");
             self.on_event(event);
         }
-        let counters = self
-            .engines
-            .iter()
-            .fold(EngineCounters::default(), |sum, engine| EngineCounters {
-                read_tokens: sum.read_tokens + engine.counters.read_tokens,
-                read_again_tokens: sum.read_again_tokens + engine.counters.read_again_tokens,
-                cached_tokens: sum.cached_tokens + engine.counters.cached_tokens,
-                preemptions: sum.preemptions + engine.counters.preemptions,
-            });
+        let engines = self.engines.iter();
+        let counters: Vec<_> = engines
+            .map(|engine| (engine.speed, engine.counters))
+            .collect();
         let (policy, seed) = (self.policy, self.seed);
         figures(
             self.experiment,
@@ -272,7 +276,7 @@
             seed,
             self.requests,
             &self.outcomes,
-            counters,
+            &counters,
             &self.crashes,
         )
     }
@@ -318,6 +322,7 @@
                 if let Router::Direct(dispatcher) = &mut self.routers[router] {
                     dispatcher.on_digest(&digest.0, now);
                     dispatcher.on_crash_news(&digest.1, now);
+                    dispatcher.on_speed_news(&digest.2, now);
                 }
             }
             Event::Crash {
@@ -325,6 +330,7 @@
                 incarnation,
             } => self.crash_by_part(engine, incarnation),
             Event::Restart { engine } => self.restart(engine),
+            Event::SlowMoment => self.next_slow_moment(),
             Event::StartFault { fault } => self.set_fault_active(fault, true),
             Event::EndFault { fault } => self.set_fault_active(fault, false),
         }
@@ -336,14 +342,15 @@
         }
         self.callers[request].tries += 1;
         let router = self.requests[request].router;
-        let (spec, now) = (self.spec(request, SmallVec::new()), self.now());
+        let (mut spec, now) = (self.spec(request, SmallVec::new()), self.now());
         if let Router::Direct(dispatcher) = &mut self.routers[router] {
+            dispatcher.estimate_answer(&mut spec, now);
             dispatcher.on_request(&spec, now);
         }
         self.submit(request, spec);
     }
 
-    fn submit(&mut self, request: usize, spec: RequestSpec) {
+    fn submit(&mut self, request: usize, mut spec: RequestSpec) {
         let router = self.requests[request].router;
         if self.is_blocked_by_count(request) {
             self.refuse_blocked(request);
@@ -351,6 +358,7 @@
         }
         match &mut self.routers[router] {
             Router::Direct(dispatcher) => {
+                dispatcher.estimate_answer(&mut spec, Timestamp(self.now_us));
                 let id = dispatcher.submit(spec);
                 self.queued.insert((router, id), request);
                 self.callers[request].queue_id = Some(id);
@@ -374,12 +382,15 @@
             priority: demand.priority,
             prompt_tokens: caller_request.parts.iter().map(|part| part.tokens).sum(),
             parts: caller_request.parts.iter().copied().collect(),
-            answer_tokens: demand.events * demand.tokens_per_event,
+            route: Arc::from(demand.name.as_str()),
+            answer_hint_tokens: Some(caller_request.hint_tokens),
+            answer_max_tokens: demand.events * demand.tokens_per_event * ANSWER_MAX_TIMES,
             body_bytes: 1_000,
             arrived_at: self.now(),
             objective: Duration::from_millis(demand.objective_ms),
             give_up_at: Timestamp(gives_up_us),
             tried,
+            ..RequestSpec::default()
         }
     }
 
@@ -443,7 +454,7 @@
         }
         let caller_request = &self.requests[request];
         let demand = &self.experiment.demand[caller_request.demand];
-        let answer_tokens = u64::from(demand.events * demand.tokens_per_event);
+        let answer_tokens = u64::from(caller_request.events * demand.tokens_per_event);
         let tokens_per_event = u64::from(demand.tokens_per_event);
         let sequence = Sequence::new(
             attempt,
--- a/crates/daisynotch_emulator/src/emulation/digest.rs
+++ b/crates/daisynotch_emulator/src/emulation/digest.rs
@@ -11,6 +11,8 @@
 const FANOUT_MAX: usize = 24;
 /// Reports on crashes in a digest, as in production.
 const CRASH_REPORTS_MAX: usize = 16;
+/// Speeds of engines in a digest, as in production.
+const SPEEDS_MAX: usize = 4;
 
 impl Emulation<'_> {
     pub(super) fn send_digest(&mut self, router: usize) {
@@ -23,6 +25,7 @@
         dispatcher.expire(now);
         let news = dispatcher.crash_news(CRASH_REPORTS_MAX, now);
         dispatcher.take_evidence_changes();
+        let speeds = dispatcher.speed_news(SPEEDS_MAX, now);
         let (endpoints, teams, placed) = dispatcher.to_digest(now);
         let digest = Digest {
             host: host_introduction(router),
@@ -41,7 +44,7 @@
             heartbeats: Vec::new(),
             introduced: Vec::new(),
         };
-        let digest = Rc::new((digest, news));
+        let digest = Rc::new((digest, news, speeds));
         let routers = self.routers.len();
         let fanout = FANOUT_MAX.min(routers - 1);
         for _ in 0..fanout {
--- a/crates/daisynotch_emulator/src/engine.rs
+++ b/crates/daisynotch_emulator/src/engine.rs
@@ -64,6 +64,10 @@
     /// Prompt tokens that were found in the prefix cache.
     pub(crate) cached_tokens: u64,
     pub(crate) preemptions: u64,
+    /// Generated tokens.
+    pub(crate) generated_tokens: u64,
+    /// The most tokens that the engine held, of running and of queued requests.
+    pub(crate) held_tokens_max: u64,
 }
 
 /// A cached prompt part, which only a prompt with the same preceding parts can use.
@@ -85,6 +89,8 @@
     evicted: std::collections::HashSet<u64>,
     tick: u64,
     pub(crate) counters: EngineCounters,
+    /// The speed relative to the limits.
+    pub(crate) speed: f64,
     /// The factor by which steps take longer than usual.
     pub(crate) slowdown: f64,
     /// The number of crashes so far; a step that was scheduled before a crash is stale.
@@ -95,7 +101,10 @@
 }
 
 impl Engine {
-    pub(crate) fn new(limits: &Engines) -> Self {
+    /// Creates the engine with an index, which decides on its speed.
+    pub(crate) fn new(limits: &Engines, index: usize) -> Self {
+        let speeds = &limits.speeds;
+        let speed = speeds.get(index % speeds.len().max(1)).copied();
         Self {
             limits: limits.clone(),
             waiting: VecDeque::new(),
@@ -104,6 +113,7 @@
             evicted: std::collections::HashSet::new(),
             tick: 0,
             counters: EngineCounters::default(),
+            speed: speed.unwrap_or(1.0),
             slowdown: 1.0,
             incarnation: 0,
             error_fraction: 0.0,
@@ -137,6 +147,9 @@
     /// Runs one step and returns its outputs and its duration in microseconds.
     pub(crate) fn step(&mut self) -> (Vec<StepOutput>, u64) {
         self.admit();
+        let waiting = self.waiting.iter().map(Sequence::memory_tokens);
+        let held_tokens = self.running_tokens() + waiting.sum::<u64>();
+        self.counters.held_tokens_max = self.counters.held_tokens_max.max(held_tokens);
         let mut outputs = Vec::new();
         let mut chunk = self.limits.chunk_tokens;
         for sequence in &mut self.running {
@@ -148,6 +161,7 @@
             }
             if sequence.read_tokens == sequence.prompt_tokens {
                 sequence.generated_tokens += 1;
+                self.counters.generated_tokens += 1;
                 if sequence.generated_tokens == sequence.answer_tokens {
                     outputs.push(StepOutput::LastEvent(sequence.attempt));
                 } else if sequence.generated_tokens % sequence.tokens_per_event == 0 {
@@ -169,7 +183,7 @@
             self.cache_prompt(&sequence);
         }
         self.preempt();
-        (outputs, (step_ms * self.slowdown * 1e3) as u64)
+        (outputs, (step_ms * self.slowdown / self.speed * 1e3) as u64)
     }
 
     fn running_tokens(&self) -> u64 {
--- a/crates/daisynotch_emulator/src/engine/tests.rs
+++ b/crates/daisynotch_emulator/src/engine/tests.rs
@@ -9,6 +9,8 @@
         step_ms_per_request: 0.0,
         read_tokens_per_ms: 100.0,
         chunk_tokens: 200,
+        speeds: Vec::new(),
+        slow_moments: None,
     }
 }
 
@@ -36,7 +38,7 @@
 
 #[test]
 fn chunked_prefill_delays_all_running_requests() {
-    let mut engine = Engine::new(&limits());
+    let mut engine = Engine::new(&limits(), 0);
     engine.push(sequence(0, &[(1, 10)], 4));
     engine.push(sequence(1, &[(2, 500)], 2));
     // Both prompts, 10 and 500 tokens, take chunks of 200, 200 and 110: 7 ms, 7 ms and 6.1 ms.
@@ -56,7 +58,7 @@
 
 #[test]
 fn cached_parts_are_not_prefilled_again() {
-    let mut engine = Engine::new(&limits());
+    let mut engine = Engine::new(&limits(), 0);
     engine.push(sequence(0, &[(1, 300), (2, 50)], 2));
     run(&mut engine);
     engine.push(sequence(1, &[(1, 300), (3, 50)], 2));
@@ -68,7 +70,7 @@
 
 #[test]
 fn a_cached_part_is_reused_only_after_the_same_preceding_parts() {
-    let mut engine = Engine::new(&limits());
+    let mut engine = Engine::new(&limits(), 0);
     engine.push(sequence(0, &[(1, 100), (2, 100)], 2));
     run(&mut engine);
     engine.push(sequence(1, &[(9, 100), (2, 100)], 2));
@@ -78,7 +80,7 @@
 
 #[test]
 fn the_least_recently_used_part_is_evicted() {
-    let mut engine = Engine::new(&limits());
+    let mut engine = Engine::new(&limits(), 0);
     for (attempt, part) in [1, 2, 1, 3].into_iter().enumerate() {
         engine.push(sequence(attempt, &[(part, 400)], 2));
         run(&mut engine);
@@ -91,7 +93,7 @@
 
 #[test]
 fn the_newest_request_is_preempted_when_memory_runs_out() {
-    let mut engine = Engine::new(&limits());
+    let mut engine = Engine::new(&limits(), 0);
     engine.push(sequence(0, &[(1, 480)], 60));
     engine.push(sequence(1, &[(2, 480)], 60));
     let outputs = run(&mut engine);
@@ -108,7 +110,7 @@
 
 #[test]
 fn requests_start_in_arrival_order() {
-    let mut engine = Engine::new(&limits());
+    let mut engine = Engine::new(&limits(), 0);
     for attempt in 0..4 {
         engine.push(sequence(attempt, &[(attempt as u32, 10)], 2));
     }
@@ -119,7 +121,7 @@
 
 #[test]
 fn a_crash_loses_running_requests_and_the_prefix_cache() {
-    let mut engine = Engine::new(&limits());
+    let mut engine = Engine::new(&limits(), 0);
     engine.push(sequence(0, &[(1, 300)], 2));
     run(&mut engine);
     engine.push(sequence(1, &[(1, 300)], 2));
--- a/crates/daisynotch_emulator/src/experiment.rs
+++ b/crates/daisynotch_emulator/src/experiment.rs
@@ -61,7 +61,7 @@
     pub pinned_teams_part: f64,
 }
 
-/// The engines, which are identical.
+/// The engines.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Engines {
@@ -79,6 +79,24 @@
     pub read_tokens_per_ms: f64,
     /// The largest number of prompt tokens that are prefilled in one step.
     pub chunk_tokens: u64,
+    /// The speeds of the engines, in turns; all have the speed 1 if there are none.
+    #[serde(default)]
+    pub speeds: Vec<f64>,
+    /// The slow moments of engines.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slow_moments: Option<SlowMoments>,
+}
+
+/// Moments in which some engines are slow; others take their place after each.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SlowMoments {
+    /// The fraction of the engines that is slow.
+    pub part: f64,
+    /// The factor by which their steps take longer.
+    pub times: f64,
+    /// The duration of a moment, in milliseconds.
+    pub for_ms: u64,
 }
 
 /// The capacity that teams share, and how their demand is distributed.
@@ -115,6 +133,18 @@
     pub own_tokens: u32,
     /// The number of events in a response.
     pub events: u32,
+    /// The standard deviation of the logarithm of the number of events, whose mean is `events`.
+    #[serde(default)]
+    pub events_deviation: f64,
+    /// The standard deviation of the logarithm of what callers' hints are off by.
+    #[serde(default)]
+    pub hint_deviation: f64,
+    /// When these requests begin to arrive, in seconds.
+    #[serde(default)]
+    pub from_s: f64,
+    /// When they cease to arrive, in seconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub until_s: Option<f64>,
     /// The number of tokens in each event.
     pub tokens_per_event: u32,
     /// The latency objective: the time within which the first event should arrive, in milliseconds.
@@ -242,6 +272,13 @@
         require(link >= 0.0, "fleet.link_ms", &link, "0 or more")?;
         require(engines.count > 0, "engines.count", &engines.count, count)?;
         require(engines.slots > 0, "engines.slots", &engines.slots, count)?;
+        for speed in &engines.speeds {
+            require(*speed > 0.0, "engines.speeds", speed, positive)?;
+        }
+        if let Some(moments) = engines.slow_moments {
+            let key = "engines.slow_moments.for_ms";
+            require(moments.for_ms > 0, key, &moments.for_ms, count)?;
+        }
         let chunk = engines.chunk_tokens;
         require(chunk > 0, "engines.chunk_tokens", &chunk, count)?;
         let step = engines.step_ms;
--- a/crates/daisynotch_emulator/src/figures.rs
+++ b/crates/daisynotch_emulator/src/figures.rs
@@ -66,6 +66,12 @@
     pub read_tokens: u64,
     /// The number of times a running request was preempted because memory was short.
     pub preemptions: u64,
+    /// The work of the busiest engine in proportion to its speed, over that of all engines; a
+    /// generated token is twice the work of a prompt token.
+    pub busiest: f64,
+    /// The most tokens that an engine held, of running and queued requests, as a fraction of its
+    /// memory.
+    pub memory_peak: f64,
     /// The number of refusals; a request that is refused twice counts twice.
     pub refusals: u64,
     /// The fraction of the refused requests that were completed by a retry.
@@ -111,7 +117,7 @@
             }
         }
         let mut lines = vec![format!(
-            "{:26}{:>9}{:>9}{:>9}{:>9}{:>10}{:>12}{:>10}{:>9}{:>10}{:>9}{:>9}",
+            "{:26}{:>9}{:>9}{:>9}{:>9}{:>10}{:>12}{:>10}{:>9}{:>10}{:>9}{:>9}{:>9}{:>8}",
             "policy",
             "goodput",
             "teams",
@@ -123,12 +129,14 @@
             "refused",
             "came back",
             "crashes",
-            "blocked"
+            "blocked",
+            "busiest",
+            "memory"
         )];
         for policy in policies {
             let mean = |figure: fn(&Figures) -> f64| self.mean(policy, figure);
             lines.push(format!(
-                "{:26}{:>9.3}{:>9.3}{:>9.3}{:>9.3}{:>10.0}{:>12.0}{:>10.0}{:>9.0}{:>10.2}{:>9.1}{:>9.1}",
+                "{:26}{:>9.3}{:>9.3}{:>9.3}{:>9.3}{:>10.0}{:>12.0}{:>10.0}{:>9.0}{:>10.2}{:>9.1}{:>9.1}{:>9.2}{:>8.2}",
                 policy.as_str(),
                 mean(|run| run.goodput),
                 mean(|run| run.worst_teams),
@@ -141,6 +149,8 @@
                 mean(|run| run.returned_part),
                 mean(|run| run.part_crashes as f64),
                 mean(|run| run.blocked_sound as f64),
+                mean(|run| run.busiest),
+                mean(|run| run.memory_peak),
             ));
         }
         lines.join("\n")
@@ -154,7 +164,7 @@
     seed: u64,
     requests: &[Request],
     outcomes: &[Outcome],
-    counters: EngineCounters,
+    engines: &[(f64, EngineCounters)],
     crashes: &Crashes,
 ) -> Figures {
     let owed_fractions = owed_fractions(experiment, requests);
@@ -219,6 +229,11 @@
     let p95 = first_event_times_us
         .get(first_event_times_us.len() * 95 / 100)
         .copied();
+    let sum = |figure: fn(&EngineCounters) -> u64| {
+        engines.iter().map(|(_, counters)| figure(counters)).sum()
+    };
+    let held_tokens = engines.iter().map(|(_, counters)| counters.held_tokens_max);
+    let held_tokens_max = held_tokens.max().unwrap_or(0);
     Figures {
         policy,
         seed,
@@ -228,9 +243,11 @@
         worst_kind: by_kind.values().copied().map(fraction).fold(1.0, f64::min),
         worst_seconds,
         first_token_p95_ms: p95.unwrap_or(0) as f64 / 1e3,
-        read_again_tokens: counters.read_again_tokens,
-        read_tokens: counters.read_tokens,
-        preemptions: counters.preemptions,
+        read_again_tokens: sum(|counters| counters.read_again_tokens),
+        read_tokens: sum(|counters| counters.read_tokens),
+        preemptions: sum(|counters| counters.preemptions),
+        busiest: busiest(engines),
+        memory_peak: held_tokens_max as f64 / experiment.engines.memory_tokens as f64,
         refusals: outcomes
             .iter()
             .map(|outcome| u64::from(outcome.refusals))
@@ -246,6 +263,17 @@
     }
 }
 
+/// Returns the work of the busiest engine in proportion to its speed, over that of all engines.
+fn busiest(engines: &[(f64, EngineCounters)]) -> f64 {
+    let work =
+        |counters: &EngineCounters| (counters.read_tokens + 2 * counters.generated_tokens) as f64;
+    let total: f64 = engines.iter().map(|(_, counters)| work(counters)).sum();
+    let speeds: f64 = engines.iter().map(|(speed, _)| speed).sum();
+    let relative = engines.iter();
+    let relative = relative.map(|(speed, counters)| work(counters) / speed);
+    relative.fold(0.0, f64::max) * speeds / total.max(1.0)
+}
+
 /// Returns the fraction of each team's requests that is owed: its max-min fair share of the tokens
 /// over the whole run, relative to its demand.
 fn owed_fractions(experiment: &Experiment, requests: &[Request]) -> HashMap<u32, f64> {
@@ -253,7 +281,7 @@
     for request in requests {
         let demand = &experiment.demand[request.demand];
         let prompt: u32 = request.parts.iter().map(|part| part.tokens).sum();
-        let tokens = prompt + 2 * demand.events * demand.tokens_per_event;
+        let tokens = prompt + 2 * request.events * demand.tokens_per_event;
         *demand_by_team.entry(request.team).or_default() += f64::from(tokens);
     }
     let mut sorted_demands: Vec<f64> = demand_by_team.values().copied().collect();
--- a/crates/daisynotch_emulator/src/figures/tests.rs
+++ b/crates/daisynotch_emulator/src/figures/tests.rs
@@ -17,6 +17,8 @@
         team,
         router: 0,
         parts: vec![Part { id: 1, tokens }],
+        events: 17,
+        hint_tokens: 51,
         is_fatal: false,
     }
 }
@@ -71,7 +73,7 @@
         1,
         &requests,
         &outcomes,
-        EngineCounters::default(),
+        &[],
         &Crashes::default(),
     );
     assert!((figures.goodput - (3.3 + 1.0 + 1.0) / (4.0 * 3.3)).abs() < 1e-9);
--- a/crates/daisynotch_emulator/src/load.rs
+++ b/crates/daisynotch_emulator/src/load.rs
@@ -4,7 +4,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::experiment::{Experiment, FaultKind};
+use crate::experiment::{Demand, Experiment, FaultKind};
 
 // The ids of the three kinds of prompt parts come from disjoint ranges, so that different kinds of
 // requests and different sessions share no part by accident.
@@ -25,6 +25,10 @@
     pub(crate) team: u32,
     pub(crate) router: usize,
     pub(crate) parts: Vec<Part>,
+    /// The number of events in the response.
+    pub(crate) events: u32,
+    /// The caller's hint of the number of tokens in it.
+    pub(crate) hint_tokens: u32,
     /// Whether a part of the prompt crashes the engine that begins to answer it.
     pub(crate) is_fatal: bool,
 }
@@ -45,6 +49,8 @@
             is_pinned.then(|| rng.random_range(0..routers))
         })
         .collect();
+    // Lengths are drawn apart, so that the arrivals don't depend on them.
+    let mut length_rng = StdRng::seed_from_u64(seed ^ 0x1e46);
     let mut requests = Vec::new();
     for (index, demand) in experiment.demand.iter().enumerate() {
         for (team, weight) in (0_u32..).zip(&weights) {
@@ -67,9 +73,12 @@
                 let fatal_fraction = fatal_fraction(experiment, at_s);
                 let is_fatal =
                     index == 0 && fatal_fraction > 0.0 && rng.random::<f64>() < fatal_fraction;
-                if is_rejected {
+                let is_due =
+                    demand.from_s <= at_s && demand.until_s.is_none_or(|until| at_s < until);
+                if is_rejected || !is_due {
                     continue;
                 }
+                let (events, hint_tokens) = answer_length(demand, &mut length_rng);
                 let kind = index as u32;
                 let session_id =
                     SESSION_PART_ID_STRIDE * (kind + 1) + team * demand.sessions + session;
@@ -90,6 +99,8 @@
                     team,
                     router,
                     parts: parts.map(|(id, tokens)| Part { id, tokens }).collect(),
+                    events,
+                    hint_tokens,
                     is_fatal,
                 });
             }
@@ -99,6 +110,22 @@
     requests
 }
 
+/// Draws the number of events of a response and the caller's hint of its tokens.
+fn answer_length(demand: &Demand, rng: &mut StdRng) -> (u32, u32) {
+    let deviation = demand.events_deviation;
+    let length = deviation * normal(rng) - deviation * deviation / 2.0;
+    let events = (f64::from(demand.events) * length.exp()).round().max(1.0);
+    let hint = events * f64::from(demand.tokens_per_event);
+    let hint = hint * (demand.hint_deviation * normal(rng)).exp();
+    (events as u32, hint.round() as u32)
+}
+
+/// Draws a normally distributed number by the method of Box and Muller.
+fn normal(rng: &mut StdRng) -> f64 {
+    let radius = (-2.0 * rng.random::<f64>().max(1e-12).ln()).sqrt();
+    radius * (std::f64::consts::TAU * rng.random::<f64>()).cos()
+}
+
 /// Returns the fraction of the first kind of request that has the fatal part at that time.
 fn fatal_fraction(experiment: &Experiment, at_s: f64) -> f64 {
     let active = experiment.faults.iter().filter(|fault| {
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -43,9 +43,6 @@
 const CRASHING_PART_STATUS: StatusCode = StatusCode::BAD_REQUEST;
 /// Outcome of requests for which a leaving router has no time left.
 const ROUTER_ENDING: &str = "router_ending";
-/// Expected length of a response as a fraction of its maximum, for callers that send no length
-/// hint.
-const EXPECTED_LENGTH_FRACTION: f64 = 0.5;
 
 /// A caller's request and its state while the router handles it.
 pub(super) struct Call {
@@ -279,30 +276,31 @@
         }
         Err(_) => return Err(reject(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
     };
-    let answer_tokens = marks.answer_hint_tokens.map_or_else(
-        || (f64::from(marks.answer_max_tokens) * EXPECTED_LENGTH_FRACTION) as u32,
-        |hint| hint.min(marks.answer_max_tokens),
-    );
     let priority = team.as_ref().and_then(|team| team.priority);
-    let spec = RequestSpec {
+    let mut spec = RequestSpec {
         service: Arc::clone(service),
+        route: Arc::clone(&route.name),
         team: team
             .as_ref()
             .map(|team| xxh3_64(team.name.as_bytes()) as u32),
         priority: priority.unwrap_or(route.priority),
         parts: marks.parts.clone(),
         prompt_tokens: marks.prompt_tokens,
-        answer_tokens,
+        answer_hint_tokens: marks.answer_hint_tokens,
+        answer_max_tokens: marks.answer_max_tokens,
+        answer_tokens: 0,
+        answer_upper_tokens: 0,
+        answer_events: 0,
         body_bytes: body.len(),
         arrived_at: now,
         objective: route.objective,
         give_up_at: now + give_up,
         tried: smallvec::SmallVec::new(),
     };
-    router
-        .dispatcher
-        .borrow_mut()
-        .on_request(&spec, router.now());
+    let mut dispatcher = router.dispatcher.borrow_mut();
+    dispatcher.estimate_answer(&mut spec, now);
+    dispatcher.on_request(&spec, router.now());
+    drop(dispatcher);
     Ok(Call {
         router: Rc::clone(router),
         route,
@@ -540,6 +538,10 @@
                 .with_label_values(&[kind])
                 .observe(start.as_secs_f64());
         }
+        if outcome == "done" && history.events > 0 && self.spec.answer_events > 0 {
+            let ratio = history.events as f64 / f64::from(self.spec.answer_events);
+            router.metrics.answer_length_ratio.observe(ratio);
+        }
         let importance = if outcome == "done" {
             Importance::Success
         } else {
@@ -574,6 +576,7 @@
             "relay": history.relay_mode.map(RelayMode::as_str),
             "pause_max_ms": ms(history.pause_max),
             "events": history.events,
+            "expected_events": self.spec.answer_events,
             "parts": parts,
             "total_ms": ms(self.arrived_at.elapsed()),
             "share_used_percent": history.refusal_basis.map(|(percent, _)| percent),
--- a/crates/daisynotch_router/src/direct/metrics.rs
+++ b/crates/daisynotch_router/src/direct/metrics.rs
@@ -15,6 +15,9 @@
     0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.4, 0.5, 0.75, 1.0, 2.5, 10.0,
 ];
 
+/// Upper bounds of the histogram of length ratios.
+const LENGTH_RATIO_BUCKETS: [f64; 10] = [0.1, 0.25, 0.5, 0.7, 0.9, 1.1, 1.4, 2.0, 4.0, 10.0];
+
 /// All metrics of one router.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -29,6 +32,8 @@
     pub(crate) unconfirmed_ends: IntCounterVec,
     /// Time from the arrival of a request to the start of its response, by kind of route.
     pub(crate) answer_start: HistogramVec,
+    /// Events of complete streams over the number that was expected.
+    pub(crate) answer_length_ratio: Histogram,
     /// Time that requests waited for an endpoint.
     pub(crate) wait: Histogram,
     /// Requests that wait for an endpoint.
@@ -97,6 +102,13 @@
                 ),
                 &["kind"],
             )?,
+            answer_length_ratio: Histogram::with_opts(
+                HistogramOpts::new(
+                    "daisynotch_answer_length_ratio",
+                    "Length of complete streams over the expected length.",
+                )
+                .buckets(LENGTH_RATIO_BUCKETS.to_vec()),
+            )?,
             wait: Histogram::with_opts(latency("wait_seconds", "Wait for a place."))?,
             waiting: IntGauge::new("daisynotch_waiting", "Requests that wait for a place.")?,
             running: IntGauge::new("daisynotch_running", "Requests at endpoints.")?,
@@ -165,12 +177,13 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 22] = [
+        let collectors: [Box<dyn Collector>; 23] = [
             Box::new(self.requests.clone()),
             Box::new(self.sends.clone()),
             Box::new(self.response_ends.clone()),
             Box::new(self.unconfirmed_ends.clone()),
             Box::new(self.answer_start.clone()),
+            Box::new(self.answer_length_ratio.clone()),
             Box::new(self.wait.clone()),
             Box::new(self.waiting.clone()),
             Box::new(self.running.clone()),
