--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -34,6 +34,7 @@
 mod routes;
 mod shared_limits;
 mod shares;
+mod slow_readers;
 mod speed_news;
 mod store_order;
 mod waiting;
@@ -78,5 +79,6 @@
     DemandLevel, LimitChange, LimitNews, RequestRate, ServiceDemand, StatedLimit,
 };
 pub use shares::{Charge, ShareSettings, TeamShares};
+pub use slow_readers::{UnreadStream, UnreadTime, stream_to_close};
 pub use speed_news::{EndpointSpeed, SpeedNews};
 pub use store_order::{ConfigurationStamp, StoreOrderError, StorePosition};
--- a/crates/daisynotch_router/src/direct/body.rs
+++ b/crates/daisynotch_router/src/direct/body.rs
@@ -33,20 +33,47 @@
     }
 }
 
-/// Returns bytes that hold `memory` until their last clone is dropped.
-fn with_memory(bytes: Bytes, memory: HeldMemory) -> Bytes {
-    Bytes::from_owner(HeldBody {
-        bytes,
-        _memory: memory,
-    })
+/// A body that was read to its end, and the memory that it takes.
+pub(super) struct WholeBody {
+    pub(super) bytes: Bytes,
+    pub(super) memory: HeldMemory,
+}
+
+impl WholeBody {
+    /// Returns bytes that hold the memory until their last clone is dropped.
+    pub(super) fn into_bytes(self) -> Bytes {
+        if self.bytes.is_empty() {
+            return Bytes::new();
+        }
+        Bytes::from_owner(HeldBody {
+            bytes: self.bytes,
+            _memory: self.memory,
+        })
+    }
 }
 
-/// Reads a body to its end.
+/// Changes the size of a body. If memory is short, `make_room` frees some, until it returns that
+/// there is nothing to free.
+pub(super) fn resize(
+    held: &mut HeldMemory,
+    bytes: usize,
+    make_room: impl Fn() -> bool,
+) -> Result<(), NoBodyMemory> {
+    loop {
+        match held.resize(bytes) {
+            Err(_) if make_room() => {}
+            resized => return resized,
+        }
+    }
+}
+
+/// Reads a body to its end. `make_room` frees memory, and returns whether it did.
 pub(super) async fn read(
     body: &mut Incoming,
     max_bytes: usize,
     memory: &BodyMemory,
-) -> Result<Bytes, ReadBodyError> {
+    make_room: impl Fn() -> bool,
+) -> Result<WholeBody, ReadBodyError> {
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(ReadBodyError::TooLong(max_bytes));
     }
@@ -61,11 +88,11 @@
         if length > max_bytes {
             return Err(ReadBodyError::TooLong(max_bytes));
         }
-        held.resize(length)?;
+        resize(&mut held, length, &make_room)?;
         chunks.push(chunk);
     }
     let whole = match chunks.len() {
-        0 => return Ok(Bytes::new()),
+        0 => Bytes::new(),
         1 => chunks.remove(0),
         _ => {
             let mut whole = BytesMut::with_capacity(length);
@@ -75,5 +102,8 @@
             whole.freeze()
         }
     };
-    Ok(with_memory(whole, held))
+    Ok(WholeBody {
+        bytes: whole,
+        memory: held,
+    })
 }
--- a/crates/daisynotch_router/src/direct/news/tests.rs
+++ b/crates/daisynotch_router/src/direct/news/tests.rs
@@ -1,5 +1,7 @@
 use daisynotch_core::Timestamp;
-use daisynotch_core::direct::{CrashedEndpoint, EndpointSpeed, MessageTiming, StorePosition};
+use daisynotch_core::direct::{
+    CrashedEndpoint, EndpointSpeed, FailedEndpoint, MessageTiming, StorePosition,
+};
 use daisynotch_objects::EndpointId;
 
 use super::*;
@@ -81,3 +83,23 @@
     let encoded = postcard::to_stdvec(&news).unwrap();
     assert!(encoded.len() <= 40, "{}", encoded.len());
 }
+
+/// Routers of an earlier version end the fleet news with the evacuations.
+#[test]
+fn signs_of_cold_endpoints_follow_the_evacuations() {
+    let evacuations = EvacuationNews::default();
+    let earlier = postcard::to_stdvec(&evacuations).unwrap();
+    assert!(FleetNews::decode(&earlier).unwrap().cold.is_empty());
+    assert!(FleetNews::decode(&[]).unwrap().cold.is_empty());
+    let cold = ColdNews {
+        failed: vec![FailedEndpoint {
+            endpoint: EndpointId(7),
+            age_ms: 5,
+        }],
+        returned: Vec::new(),
+    };
+    let encoded = postcard::to_stdvec(&(&evacuations, &cold)).unwrap();
+    assert_eq!(FleetNews::decode(&encoded).unwrap().cold, cold);
+    let (read, _): (EvacuationNews, _) = postcard::take_from_bytes(&encoded).unwrap();
+    assert_eq!(read, evacuations);
+}
