Place requests by the work that endpoints have left

Cause: placement knew what an engine has to prefill, but not what it has to generate, so slow engines got as many long answers as fast ones. Memory was reserved for what callers hinted, and several routers filled the same engine at once. A request waited for the engine that keeps its prompt even if it would begin late there.

Change: remaining_work.rs keeps the events that the answers at an endpoint are expected to lack; routers report them after the speeds, in the order of the digest's endpoints. The time that they take at the engine's speed adds to the cost. Memory is reserved for the upper estimate, and as much is kept free as other routers brought there within 150 ms lately. A request that would begin late on its best endpoint goes to one that is in time, for a bounded cost.

Both tests fail on the code before all three changes.

--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -25,6 +25,7 @@
 mod placement;
 mod pressure;
 mod pushback;
+mod remaining_work;
 mod request;
 mod retry_budget;
 mod round_trips;
@@ -67,5 +68,5 @@
     DemandLevel, LimitChange, LimitNews, RequestRate, ServiceDemand, StatedLimit,
 };
 pub use shares::{Charge, ShareSettings, TeamShares};
-pub use speed_news::{EndpointSpeed, SpeedNews};
+pub use speed_news::{EndpointSpeed, SpeedNews, WorkNews};
 pub use store_order::{ConfigurationStamp, StoreOrderError, StorePosition};
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -9,6 +9,7 @@
 mod speeds;
 
 use std::collections::HashMap;
+use std::hash::BuildHasherDefault;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,11 +23,12 @@
 use super::engine::EndpointLoad;
 use super::placement::{Candidate, ServiceLatency};
 use super::pushback::Pushbacks;
+use super::remaining_work::{EVENTS_LEFT_MIN, Load};
 use super::request::{DispatcherSettings, Grant, QueueId, RequestSpec, RunId, RunOutcome, Verdict};
 use super::retry_budget::RetryBudget;
 use super::routes::{EngineLimits, RouteTable};
 use super::shared_limits::SharedLimits;
-use super::shares::{Charge, TeamShares};
+use super::shares::{Charge, IdHasher, TeamShares};
 use super::speed_news::SpeedExchange;
 use super::waiting::{Rank, Waiting};
 use crate::time::Timestamp;
@@ -43,6 +45,9 @@
     service: Arc<str>,
     unread_tokens: u64,
     memory_tokens: u64,
+    prompt_tokens: u64,
+    /// The number of events that the answer is expected to lack.
+    events_left: u64,
     /// Prompt tokens to prefill until the first token, at the time of sending: those queued at
     /// the engine and this request's own.
     tokens_to_read: f64,
@@ -80,7 +85,7 @@
 pub struct Dispatcher {
     own_zone: Arc<str>,
     engine_limits: HashMap<Arc<str>, Option<EngineLimits>>,
-    endpoints: HashMap<EndpointId, EndpointLoad>,
+    endpoints: HashMap<EndpointId, EndpointLoad, BuildHasherDefault<IdHasher>>,
     /// The endpoints to which requests may be sent: those outside evacuated zones.
     endpoints_by_service: HashMap<Arc<str>, Vec<EndpointId>>,
     evacuated_zones: SmallVec<[Arc<str>; 2]>,
@@ -108,7 +113,7 @@
         Self {
             own_zone,
             engine_limits: HashMap::new(),
-            endpoints: HashMap::new(),
+            endpoints: HashMap::default(),
             endpoints_by_service: HashMap::new(),
             evacuated_zones: SmallVec::new(),
             latencies: HashMap::new(),
@@ -285,9 +290,12 @@
             return;
         };
         if let Some(load) = self.endpoints.get_mut(&run.endpoint) {
-            load.own.running = load.own.running.saturating_sub(1);
-            load.own.unread_tokens = load.own.unread_tokens.saturating_sub(run.unread_tokens);
-            load.own.memory_tokens = load.own.memory_tokens.saturating_sub(run.memory_tokens);
+            load.own = load.own.minus(Load {
+                unread_tokens: run.unread_tokens,
+                running: 1,
+                memory_tokens: run.memory_tokens,
+                events_left: run.events_left,
+            });
             match ended {
                 RunOutcome::Done => load.health.on_success(),
                 RunOutcome::ErrorAnswer | RunOutcome::Refused => load.health.on_error_answer(now),
@@ -438,16 +446,20 @@
             .get_mut(&choice.endpoint)
             .expect("a chosen endpoint is in `endpoints`");
         let unread_tokens = u64::from(spec.prompt_tokens.saturating_sub(choice.cached_tokens));
-        let memory_tokens = u64::from(spec.prompt_tokens) + u64::from(spec.answer_tokens);
+        let memory_tokens = spec.memory_tokens();
+        let events_left = u64::from(spec.answer_events).max(EVENTS_LEFT_MIN);
         load.own.running += 1;
         load.own.unread_tokens += unread_tokens;
         load.own.memory_tokens += memory_tokens;
+        load.own.events_left += events_left;
         let expected = Duration::from_secs_f64(choice.expected_ms / 1e3);
         let run = Run {
             endpoint: choice.endpoint,
             service: Arc::clone(&spec.service),
             unread_tokens,
             memory_tokens,
+            prompt_tokens: spec.prompt_tokens.into(),
+            events_left,
             tokens_to_read: (choice.tokens_ahead + unread_tokens) as f64,
             average_ms: choice.average_ms,
             rounds: choice.rounds,
@@ -461,7 +473,6 @@
             answer: AnswerKeys::new(spec),
             answer_max_tokens: spec.answer_max_tokens,
             charge: (!spec.is_repeat()).then(|| Charge {
-                prompt_tokens: spec.prompt_tokens.into(),
                 tokens: spec.weighted_tokens(),
                 asked_at: spec.arrived_at,
                 begun_at: now,
@@ -526,3 +537,5 @@
 mod speed_tests;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod work_tests;
--- a/crates/daisynotch_core/src/direct/dispatcher/crashes.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/crashes.rs
@@ -9,6 +9,7 @@
 use super::Dispatcher;
 use crate::direct::crash_evidence::{CrashNews, EvidenceChange, OpenRun, PartBlock, PartIds};
 use crate::direct::placement::{Candidate, evaluate_endpoint};
+use crate::direct::remaining_work::EVENTS_LEFT_MIN;
 use crate::direct::request::{RequestSpec, RunId};
 use crate::time::Timestamp;
 
@@ -34,10 +35,19 @@
         if events == 0 {
             return;
         }
-        run.events += events;
+        run.events = run.events.saturating_add(events);
         let Some(load) = self.endpoints.get_mut(&run.endpoint) else {
             return;
         };
+        let events_left = run.events_left.saturating_sub(events).max(EVENTS_LEFT_MIN);
+        load.own.events_left = load.own.events_left.saturating_sub(run.events_left) + events_left;
+        run.events_left = events_left;
+        // An answer that gets longer than was reserved for it holds on to what it generated.
+        let held = run.prompt_tokens + run.generated_tokens(&self.answer_lengths);
+        if held > run.memory_tokens {
+            load.own.memory_tokens += held - run.memory_tokens;
+            run.memory_tokens = held;
+        }
         let is_prefilling = load.total().unread_tokens > 0;
         if let Some(before) = run.last_event_at
             && !is_prefilling
--- a/crates/daisynotch_core/src/direct/dispatcher/decision.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/decision.rs
@@ -38,6 +38,10 @@
 /// Cost of a request at a limited endpoint that accepts no other one: what it costs to prefill a
 /// long prompt on an engine that has not cached it.
 const LIMIT_COST_MAX_MS: f64 = 400.0;
+/// Largest cost by which a request that its best endpoint would begin late goes to another one. With
+/// more, long prompts are prefilled again where they delay others (emulator, experiment "uneven":
+/// goodput 0.864 without the bound, 0.883 with it).
+const IN_TIME_COST_MAX_MS: f64 = 150.0;
 /// Bounds of the retry time that a refused caller is told.
 const RETRY_AFTER_RANGE_MS: (f64, f64) = (150.0, 2_000.0);
 
@@ -302,7 +306,8 @@
     /// Finds the endpoint with the lowest cost, among those that are not suspect and among those
     /// that are due to be probed.
     ///
-    /// If that endpoint has a larger backlog than `backlog_max_ms`, a limited one with room takes
+    /// If that endpoint would begin late, another one that can be in time takes its place. If it
+    /// has a larger backlog than `backlog_max_ms`, a limited one with room takes
     /// its place, which is idle otherwise.
     pub(super) fn find_candidates(
         &self,
@@ -322,6 +327,9 @@
         let mut reserved: Option<Candidate> = None;
         let mut fallback: Option<Candidate> = None;
         let mut spare: Option<Candidate> = None;
+        let mut in_time: Option<Candidate> = None;
+        let waited_ms = now.since(spec.arrived_at).as_secs_f64() * 1e3;
+        let left_ms = self.planned_ms(spec) - waited_ms;
         let trials = self.trials();
         for id in ids {
             let Some(load) = self.endpoints.get(id) else {
@@ -361,10 +369,20 @@
                 if is_spare {
                     keep_cheaper(&mut spare, candidate);
                 }
+                let is_in_time = candidate.expected_ms <= left_ms;
+                if load.engine.is_some() && is_in_time && candidate.admission_ms <= backlog_max_ms {
+                    keep_cheaper(&mut in_time, candidate);
+                }
                 &mut best
             };
             keep_cheaper(current, candidate);
         }
+        if let (Some(late), Some(other)) = (best, in_time)
+            && late.expected_ms > left_ms
+            && other.cost_ms < late.cost_ms + IN_TIME_COST_MAX_MS
+        {
+            best = Some(other);
+        }
         if best.is_some_and(|best| best.admission_ms > backlog_max_ms) {
             best = spare.or(best);
         }
--- a/crates/daisynotch_core/src/direct/dispatcher/settlement.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/settlement.rs
@@ -1,9 +1,23 @@
 //! What the dispatcher expects of the length of an answer, and how it settles what was charged for it.
 
 use super::{Dispatcher, Run};
+use crate::direct::answer_length::AnswerLengths;
 use crate::direct::request::{RequestSpec, RunOutcome};
 use crate::time::Timestamp;
 
+impl Run {
+    /// Returns the number of tokens in the events that have arrived, by what an event holds on
+    /// average.
+    pub(super) fn generated_tokens(&self, lengths: &AnswerLengths) -> u64 {
+        let max = match self.answer_max_tokens {
+            0 => u32::MAX,
+            max => max,
+        };
+        let tokens = self.events as f64 * lengths.event_tokens(&self.service);
+        tokens.min(f64::from(max)) as u64
+    }
+}
+
 impl Dispatcher {
     /// Sets the expected length of the answer to a request.
     ///
@@ -30,15 +44,8 @@
             self.answer_lengths
                 .on_complete(&run.answer, run.events, now);
         }
-        let event_tokens = self.answer_lengths.event_tokens(&run.service);
-        let generated = (run.events as f64 * event_tokens) as u64;
-        let generated = match u64::from(run.answer_max_tokens) {
-            0 => generated,
-            max => generated.min(max),
-        };
-        let tokens = charge
-            .prompt_tokens
-            .saturating_add(generated.saturating_mul(2));
+        let generated = run.generated_tokens(&self.answer_lengths);
+        let tokens = run.prompt_tokens + 2 * generated;
         if let Some(team) = run.answer.team()
             && (is_complete || tokens > charge.tokens)
         {
--- a/crates/daisynotch_core/src/direct/dispatcher/speeds.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/speeds.rs
@@ -1,7 +1,8 @@
-//! What the dispatcher tells other routers of the speed of engines, and takes from them.
+//! What the dispatcher tells other routers of the speed and the work of engines, and takes from them.
 
 use super::Dispatcher;
-use crate::direct::speed_news::SpeedNews;
+use crate::direct::digest::{Digest, EndpointDigest};
+use crate::direct::speed_news::{SpeedNews, WorkNews};
 use crate::time::Timestamp;
 
 impl Dispatcher {
@@ -28,4 +29,26 @@
             }
         }
     }
+
+    /// Returns what follows a digest that has these endpoints.
+    pub fn work_news(&self, endpoints: &[EndpointDigest]) -> WorkNews {
+        let events_left = endpoints.iter().map(|named| {
+            let load = self.endpoints.get(&named.endpoint);
+            let events_left = load.map_or(0, |load| load.own.events_left);
+            u32::try_from(events_left).unwrap_or(u32::MAX)
+        });
+        WorkNews {
+            events_left: events_left.collect(),
+        }
+    }
+
+    /// Applies what follows another router's digest, after the digest itself.
+    pub fn on_work_news(&mut self, digest: &Digest, news: &WorkNews) {
+        let router = digest.host.id();
+        for (named, events_left) in digest.endpoints.iter().zip(&news.events_left) {
+            if let Some(load) = self.endpoints.get_mut(&named.endpoint) {
+                load.on_peer_events(router, *events_left);
+            }
+        }
+    }
 }
--- a/crates/daisynotch_core/src/direct/engine.rs
+++ b/crates/daisynotch_core/src/direct/engine.rs
@@ -10,6 +10,7 @@
 use super::health::Health;
 use super::pace::Slowdown;
 use super::part_cache::PartCache;
+use super::remaining_work::{Arriving, EVENTS_LEFT_UNKNOWN, Load};
 use super::routes::EngineLimits;
 use crate::time::Timestamp;
 
@@ -28,35 +29,6 @@
     load: Load,
 }
 
-/// Unfinished work at an endpoint.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Load {
-    /// Prompt tokens still to be prefilled: those of requests whose answer has not begun.
-    pub(crate) unread_tokens: u64,
-    /// Number of requests that have not ended.
-    pub(crate) running: u32,
-    /// Tokens that these requests may hold in the engine's memory.
-    pub(crate) memory_tokens: u64,
-}
-
-impl Load {
-    fn plus(self, other: Self) -> Self {
-        Self {
-            unread_tokens: self.unread_tokens + other.unread_tokens,
-            running: self.running + other.running,
-            memory_tokens: self.memory_tokens + other.memory_tokens,
-        }
-    }
-
-    fn minus(self, other: Self) -> Self {
-        Self {
-            unread_tokens: self.unread_tokens.saturating_sub(other.unread_tokens),
-            running: self.running.saturating_sub(other.running),
-            memory_tokens: self.memory_tokens.saturating_sub(other.memory_tokens),
-        }
-    }
-}
-
 fn cache_tokens(engine: Option<EngineLimits>) -> u64 {
     let memory_tokens = engine.map_or(0, |engine| engine.memory_tokens);
     (memory_tokens as f64 * CACHE_FRACTION) as u64
@@ -79,6 +51,8 @@
     peers: HashMap<RouterId, PeerLoad>,
     /// The sum over `peers`, cached because each decision looks at every endpoint.
     peers_sum: Load,
+    /// What other routers' requests brought lately.
+    pub(crate) arriving: Arriving,
     /// When the latest suspicion reported by another router expires.
     suspected_until: Timestamp,
 }
@@ -96,6 +70,7 @@
             seen_since: None,
             peers: HashMap::new(),
             peers_sum: Load::default(),
+            arriving: Arriving::default(),
             suspected_until: Timestamp::default(),
         }
     }
@@ -119,6 +94,7 @@
             unread_tokens: u64::from(digest.unread_tokens),
             running: u32::from(digest.running),
             memory_tokens: u64::from(digest.memory_tokens),
+            events_left: u64::from(digest.running) * EVENTS_LEFT_UNKNOWN,
         };
         if digest.is_suspect {
             self.suspected_until = now + PEER_SUSPICION_MAX_AGE;
@@ -127,6 +103,17 @@
         let before = self.peers.insert(router, PeerLoad { heard_at, load });
         let before = before.map(|before| before.load).unwrap_or_default();
         self.peers_sum = self.peers_sum.minus(before).plus(load);
+        let arrived = load.memory_tokens.saturating_sub(before.memory_tokens);
+        self.arriving.add(arrived, now);
+    }
+
+    /// Records how many events the answers to another router's requests lack.
+    pub(crate) fn on_peer_events(&mut self, router: RouterId, events_left: u32) {
+        if let Some(peer) = self.peers.get_mut(&router) {
+            let before = peer.load;
+            peer.load.events_left = u64::from(events_left);
+            self.peers_sum = self.peers_sum.minus(before).plus(peer.load);
+        }
     }
 
     /// Removes the load of another router whose digest no longer lists this endpoint.
--- a/crates/daisynotch_core/src/direct/pace.rs
+++ b/crates/daisynotch_core/src/direct/pace.rs
@@ -24,15 +24,17 @@
 const USUAL_STEP_MAX: f64 = 1.6;
 /// Weight of an answer in the slowdown of the moment.
 const MOMENT_SMOOTHING: f64 = 0.5;
-/// Deviation from the usual slowdown below which an engine counts as at its usual speed: waits of
-/// other causes reach it.
-const MOMENT_MIN: f64 = 1.5;
+/// Deviation from the usual slowdown below which an engine counts as at its usual speed. Waits of
+/// other causes reach 1.5, with which an engine that was merely busy was avoided.
+const MOMENT_MIN: f64 = 2.0;
 /// Time after its last sample at which a slow moment is taken to be over: such moments last 0.6 s.
 const MOMENT_MAX_AGE: Duration = Duration::from_millis(600);
 /// Time constants of the averages of the pauses between the events of an engine's streams: of the
 /// moment and of its usual ones.
 const PAUSE_MOMENT: Duration = Duration::from_millis(60);
 const PAUSE_USUAL: Duration = Duration::from_secs(3);
+/// Time between two events of a stream of an engine from which no stream was seen.
+const EVENT_INITIAL_MS: f64 = 25.0;
 /// Age of the latest pause up to which the pauses decide whether an engine has a slow moment. They
 /// tell its end, which the next answer tells later.
 const PAUSE_MAX_AGE: Duration = Duration::from_millis(150);
@@ -145,6 +147,8 @@
     moment: f64,
     moment_at: Timestamp,
     pauses: Option<Pauses>,
+    /// The root of the usual slowdown.
+    weighted: f64,
 }
 
 /// Averages of the pauses between the events of an engine's streams.
@@ -164,6 +168,7 @@
             moment: 1.0,
             moment_at: Timestamp::default(),
             pauses: None,
+            weighted: 1.0,
         }
     }
 }
@@ -171,12 +176,33 @@
 impl Slowdown {
     /// Returns the slowdown at `now`.
     pub(crate) fn factor(&self, now: Timestamp) -> f64 {
+        self.usual * self.moment_factor(now)
+    }
+
+    /// Returns the slowdown that placement decides by: half of the logarithm of the usual one.
+    ///
+    /// What was learned from answers includes waits for what others had sent meanwhile. With all of
+    /// it, engines that were merely busy were avoided: in the emulator's rush, goodput was 0.937 in
+    /// place of 0.949.
+    pub(crate) fn placement_factor(&self, now: Timestamp) -> f64 {
+        self.weighted * self.moment_factor(now)
+    }
+
+    fn moment_factor(&self, now: Timestamp) -> f64 {
         if self.moment < MOMENT_MIN {
-            return self.usual;
+            return 1.0;
         }
         let age = now.since(self.moment_at);
         let left = 1.0 - age.as_secs_f64() / MOMENT_MAX_AGE.as_secs_f64();
-        self.usual * (1.0 + (self.moment - 1.0) * left.max(0.0))
+        1.0 + (self.moment - 1.0) * left.max(0.0)
+    }
+
+    /// Returns the time between two events of a stream.
+    pub(crate) fn event_ms(&self, now: Timestamp) -> f64 {
+        match self.pauses {
+            Some(pauses) => pauses.usual_ms * self.moment_factor(now),
+            None => EVENT_INITIAL_MS * self.factor(now),
+        }
     }
 
     /// Returns the slowdown apart from slow moments, and when this router last observed it; `None`
@@ -189,6 +215,7 @@
     pub(crate) fn on_peer(&mut self, factor: f64) {
         if self.answers == 0 {
             self.usual = factor.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
+            self.weighted = self.usual.sqrt();
         }
     }
 
@@ -213,6 +240,7 @@
             deviation.clamp(1.0 / USUAL_STEP_MAX, USUAL_STEP_MAX)
         };
         self.usual *= step.powf(weight.max(USUAL_SMOOTHING_MIN));
+        self.weighted = self.usual.sqrt();
         self.answers = self.answers.saturating_add(1);
         self.observed_at = now;
         let has_pauses = self
--- a/crates/daisynotch_core/src/direct/placement.rs
+++ b/crates/daisynotch_core/src/direct/placement.rs
@@ -28,8 +28,12 @@
 const CROSS_ZONE_MS_PER_KB: f64 = 0.15;
 /// Cost added for an endpoint with a failure rate of 1.
 const FAILURE_COST_MS: f64 = 400.0;
-/// Fraction of an engine's memory that running requests may fill.
-const RUNNING_MEMORY_FRACTION: f64 = 0.85;
+/// Weight of the time that an engine still generates, which a request shares with those that run
+/// there.
+const DECODE_WEIGHT: f64 = 0.3;
+/// Upper bound of what that adds to the cost: what it costs to prefill a prompt of medium length
+/// again.
+const DECODE_COST_MAX_MS: f64 = 150.0;
 /// Response time assumed for a plain service before its first answer.
 const PLAIN_INITIAL_MS: f64 = 30.0;
 
@@ -118,10 +122,8 @@
             rounds: 1.0 + busy.floor(),
         });
     };
-    let memory =
-        total.memory_tokens + u64::from(spec.prompt_tokens) + u64::from(spec.answer_tokens);
-    let is_full = total.running >= engine.slots
-        || memory as f64 > engine.memory_tokens as f64 * RUNNING_MEMORY_FRACTION;
+    let memory = total.memory_tokens.saturating_add(spec.memory_tokens());
+    let is_full = total.running >= engine.slots || !load.arriving.leaves_room(engine, memory, now);
     // An idle engine takes any request, even one that exceeds the memory limit.
     if is_full && total.running > 0 {
         return None;
@@ -131,9 +133,12 @@
     let average_backlog_ms = latency.first_token.prefill_ms(total.unread_tokens as f64);
     let average_own_ms = latency.first_token.prefill_ms(unread);
     let average_ms = average_backlog_ms + average_own_ms + latency.first_token.base_ms();
-    let backlog_ms = average_backlog_ms * slowdown;
-    let own_ms = average_own_ms * slowdown;
-    let base_ms = latency.first_token.base_ms() * slowdown;
+    let placement_slowdown = load.slowdown.placement_factor(now);
+    let backlog_ms = average_backlog_ms * placement_slowdown;
+    let own_ms = average_own_ms * placement_slowdown;
+    let base_ms = latency.first_token.base_ms() * placement_slowdown;
+    let decode_ms = total.decode_ms(engine, load.slowdown.event_ms(now));
+    let decode_cost_ms = (DECODE_WEIGHT * decode_ms).min(DECODE_COST_MAX_MS);
     let weight = if has_limit {
         1.0
     } else {
@@ -141,11 +146,11 @@
     };
     Some(Candidate {
         endpoint: id,
-        cost_ms: backlog_ms + weight * own_ms + base_ms + failure_ms,
+        cost_ms: backlog_ms + weight * own_ms + base_ms + decode_cost_ms + failure_ms,
         backlog_ms,
         admission_ms: backlog_ms,
         prefill_cost_ms: PREFILL_WEIGHT * own_ms,
-        expected_ms: backlog_ms + own_ms + base_ms,
+        expected_ms: average_ms * slowdown,
         average_ms,
         cached_tokens,
         tokens_ahead: total.unread_tokens,
--- a/crates/daisynotch_core/src/direct/request.rs
+++ b/crates/daisynotch_core/src/direct/request.rs
@@ -65,6 +65,11 @@
         u64::from(self.prompt_tokens) + 2 * u64::from(self.answer_tokens)
     }
 
+    /// Returns the tokens that the request may hold in an engine's memory.
+    pub(crate) fn memory_tokens(&self) -> u64 {
+        u64::from(self.prompt_tokens) + u64::from(self.answer_upper_tokens)
+    }
+
     /// Returns whether the request was sent to an endpoint before, so that its team's share has
     /// been charged for it.
     pub fn is_repeat(&self) -> bool {
--- a/crates/daisynotch_core/src/direct/shares.rs
+++ b/crates/daisynotch_core/src/direct/shares.rs
@@ -44,9 +44,7 @@
 /// What was charged to a team's share for a request.
 #[derive(Debug, Clone, Copy)]
 pub struct Charge {
-    /// Tokens of the prompt, which are part of `tokens`.
-    pub prompt_tokens: u64,
-    /// All tokens.
+    /// The tokens.
     pub tokens: u64,
     /// When they were added to the team's demand.
     pub asked_at: Timestamp,
@@ -55,13 +53,13 @@
 }
 
 /// A map keyed by the hash of a team's name, which needs no strong second hash.
-type TeamMap<V> = HashMap<u32, V, BuildHasherDefault<TeamHasher>>;
+type TeamMap<V> = HashMap<u32, V, BuildHasherDefault<IdHasher>>;
 
-/// Spreads a team's 32-bit hash over the bits that the hash map uses.
+/// Spreads an identifier that is a 32-bit hash over the bits that the hash map uses.
 #[derive(Debug, Default, Clone, Copy)]
-struct TeamHasher(u64);
+pub(crate) struct IdHasher(u64);
 
-impl Hasher for TeamHasher {
+impl Hasher for IdHasher {
     fn write(&mut self, bytes: &[u8]) {
         for byte in bytes {
             self.write_u32(u32::from(*byte));
--- a/crates/daisynotch_core/src/direct/shares/tests.rs
+++ b/crates/daisynotch_core/src/direct/shares/tests.rs
@@ -142,7 +142,6 @@
 
 fn charge(tokens: u64, at: Timestamp) -> Charge {
     Charge {
-        prompt_tokens: 100,
         tokens,
         asked_at: at,
         begun_at: at,
--- a/crates/daisynotch_core/src/direct/speed_news.rs
+++ b/crates/daisynotch_core/src/direct/speed_news.rs
@@ -39,6 +39,15 @@
     pub speeds: Vec<EndpointSpeed>,
 }
 
+/// What a router's requests still need, for other routers, beside what its digest says.
+#[daisynotch_macros::message]
+#[derive(Default)]
+pub struct WorkNews {
+    /// For each endpoint in the digest, in the same order, the number of events that the answers
+    /// are expected to lack.
+    pub events_left: Vec<u32>,
+}
+
 impl EndpointSpeed {
     fn new(endpoint: EndpointId, slowdown: f64, age: Duration) -> Self {
         Self {
--- a/crates/daisynotch_emulator/src/emulation.rs
+++ b/crates/daisynotch_emulator/src/emulation.rs
@@ -9,7 +9,7 @@
 use daisynotch_core::Timestamp;
 use daisynotch_core::direct::{
     CrashNews, Digest, Dispatcher, EndpointEntry, QueueId, RefuseReason, RequestSpec, RunId,
-    RunOutcome, SpeedNews, Verdict,
+    RunOutcome, SpeedNews, Verdict, WorkNews,
 };
 use daisynotch_objects::EndpointId;
 use rand::rngs::StdRng;
@@ -89,7 +89,7 @@
     },
     ReceiveDigest {
         router: usize,
-        digest: Rc<(Digest, CrashNews, SpeedNews)>,
+        digest: Rc<(Digest, CrashNews, SpeedNews, WorkNews)>,
     },
     /// The engine crashes because it begins to answer a fatal request.
     Crash {
@@ -323,6 +323,7 @@
                     dispatcher.on_digest(&digest.0, now);
                     dispatcher.on_crash_news(&digest.1, now);
                     dispatcher.on_speed_news(&digest.2, now);
+                    dispatcher.on_work_news(&digest.0, &digest.3);
                 }
             }
             Event::Crash {
--- a/crates/daisynotch_emulator/src/emulation/digest.rs
+++ b/crates/daisynotch_emulator/src/emulation/digest.rs
@@ -27,6 +27,7 @@
         dispatcher.take_evidence_changes();
         let speeds = dispatcher.speed_news(SPEEDS_MAX, now);
         let (endpoints, teams, placed) = dispatcher.to_digest(now);
+        let work = dispatcher.work_news(&endpoints);
         let digest = Digest {
             host: host_introduction(router),
             seq,
@@ -44,7 +45,7 @@
             heartbeats: Vec::new(),
             introduced: Vec::new(),
         };
-        let digest = Rc::new((digest, news, speeds));
+        let digest = Rc::new((digest, news, speeds, work));
         let routers = self.routers.len();
         let fanout = FANOUT_MAX.min(routers - 1);
         for _ in 0..fanout {
--- a/crates/daisynotch_emulator/src/emulation/tests.rs
+++ b/crates/daisynotch_emulator/src/emulation/tests.rs
@@ -65,6 +65,37 @@
     }
 }
 
+/// Returns the figures of the direct policy.
+fn direct(mut experiment: Experiment) -> Figures {
+    experiment.policies = vec![PolicyName::Direct];
+    run(&experiment).runs.remove(0)
+}
+
+/// Engines of one service differ in speed, and a seventh of them is slow at any moment. Placement
+/// that looked at prefill alone gave the slow ones as many answers to generate as the fast ones.
+///
+/// The goal of 1.3 is met where engines are busy; with few requests they are nearly idle.
+#[test]
+fn the_busiest_engine_has_little_more_than_its_part() {
+    for (per_s, busiest_max) in [(150.0, 1.3), (60.0, 1.6)] {
+        let mut experiment = experiment("decode");
+        experiment.demand[0].per_s = per_s;
+        experiment.seeds = vec![1, 2, 3];
+        experiment.policies = vec![PolicyName::Direct];
+        let busiest = run(&experiment).mean(PolicyName::Direct, |run| run.busiest);
+        assert!(busiest < busiest_max, "{per_s}: {busiest}");
+    }
+}
+
+/// An engine crashes if the requests that it holds exceed its memory. Six routers fill it at once
+/// with answers that are often several times as long as their hints.
+#[test]
+fn requests_that_many_routers_send_at_once_fit_into_the_memory_of_engines() {
+    let figures = direct(experiment("memory"));
+    assert!(figures.memory_peak <= 1.0, "{}", figures.memory_peak);
+    assert_eq!(figures.preemptions, 0);
+}
+
 /// A request that is refused early leaves its caller time for a successful retry.
 #[test]
 fn requests_refused_in_a_short_burst_succeed_on_retry() {
--- a/crates/daisynotch_router/src/direct/news.rs
+++ b/crates/daisynotch_router/src/direct/news.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
-use daisynotch_core::direct::{CrashNews, EvacuationNews, LimitNews, SpeedNews};
+use daisynotch_core::direct::{
+    CrashNews, Digest, EndpointDigest, EvacuationNews, LimitNews, SpeedNews, WorkNews,
+};
 use daisynotch_objects::RouterId;
 use serde_json::json;
 
@@ -100,15 +102,22 @@
 pub(super) struct FleetNews {
     evacuations: EvacuationNews,
     speeds: SpeedNews,
+    work: WorkNews,
 }
 
-/// Encodes the fleet news, with at most `speeds_max` speeds of engines.
-pub(super) fn encode_fleet(router: &Router, speeds_max: usize) -> Vec<u8> {
+/// Encodes the fleet news, with at most `speeds_max` speeds of engines and with what the endpoints
+/// of the digest before it still have to do.
+pub(super) fn encode_fleet(
+    router: &Router,
+    speeds_max: usize,
+    endpoints: &[EndpointDigest],
+) -> Vec<u8> {
     let evacuations = router.evacuations.borrow().to_news();
     let mut dispatcher = router.dispatcher.borrow_mut();
     let speeds = dispatcher.speed_news(speeds_max, router.now());
+    let work = dispatcher.work_news(endpoints);
     drop(dispatcher);
-    postcard::to_stdvec(&(evacuations, speeds)).unwrap_or_else(|error| {
+    postcard::to_stdvec(&(evacuations, speeds, work)).unwrap_or_else(|error| {
         let fields = json!({"error": error.to_string()});
         router
             .log
@@ -126,16 +135,22 @@
             (news.evacuations, rest) = postcard::take_from_bytes(rest)?;
         }
         if !rest.is_empty() {
-            (news.speeds, _) = postcard::take_from_bytes(rest)?;
+            (news.speeds, rest) = postcard::take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            (news.work, _) = postcard::take_from_bytes(rest)?;
         }
         Ok(news)
     }
 
-    /// Applies the news.
-    pub(super) fn apply(self, router: &Router, source: &str) {
+    /// Applies the news; `digest` is the one that they follow, if any.
+    pub(super) fn apply(self, router: &Router, digest: Option<&Digest>, source: &str) {
         router.on_evacuation_news(self.evacuations, source);
         let mut dispatcher = router.dispatcher.borrow_mut();
         dispatcher.on_speed_news(&self.speeds, router.now());
+        if let Some(digest) = digest {
+            dispatcher.on_work_news(digest, &self.work);
+        }
     }
 }
 
--- a/crates/daisynotch_router/src/direct/news/tests.rs
+++ b/crates/daisynotch_router/src/direct/news/tests.rs
@@ -63,8 +63,15 @@
     let mut encoded = postcard::to_stdvec(&(&evacuations, &speeds)).unwrap();
     let (known, _) = postcard::take_from_bytes::<EvacuationNews>(&encoded).unwrap();
     assert_eq!(known, evacuations);
-    encoded.push(7);
     assert_eq!(FleetNews::decode(&encoded).unwrap().speeds, speeds);
+    let work = WorkNews {
+        events_left: vec![0, 7, u32::MAX],
+    };
+    encoded.extend(postcard::to_stdvec(&work).unwrap());
+    // What a later version adds is ignored.
+    encoded.push(7);
+    let news = FleetNews::decode(&encoded).unwrap();
+    assert_eq!((news.speeds, news.work), (speeds, work));
 }
 
 /// Digests are most of the traffic between zones.
--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -178,7 +178,7 @@
     } else {
         news::SPEEDS_MAX
     };
-    let fleet_news = news::encode_fleet(router, speeds_max);
+    let fleet_news = news::encode_fleet(router, speeds_max, &datagram.digest.endpoints);
     let encoded = postcard::to_stdvec(datagram).map(|mut bytes| {
         bytes.extend_from_slice(news);
         bytes
@@ -360,7 +360,7 @@
         }
         router.dispatcher.borrow_mut().on_digest(&digest, now);
         news.apply(&router, Some(digest.host.id()), transit, "digest");
-        fleet_news.apply(&router, "digest");
+        fleet_news.apply(&router, Some(&digest), "digest");
         router.on_configuration_age(&digest, transit, now);
         for endpoint in &digest.leaving {
             router.on_endpoint_leaving(*endpoint, "digest");
@@ -518,7 +518,7 @@
         Ok((news, fleet_news)) => {
             let transit = router.now().since(asked_at);
             news.apply(router, None, Some(transit), "router");
-            fleet_news.apply(router, "router");
+            fleet_news.apply(router, None, "router");
         }
         Err(error) => news::log_unreadable(router, &error, "router"),
     }
@@ -572,7 +572,7 @@
     match postcard::to_stdvec(&message) {
         Ok(mut body) => {
             body.extend_from_slice(&news::encode_all(router));
-            body.extend_from_slice(&news::encode_fleet(router, news::VIEW_SPEEDS_MAX));
+            body.extend_from_slice(&news::encode_fleet(router, news::VIEW_SPEEDS_MAX, &[]));
             Response::new(ResponseBody::Full(Some(Bytes::from(body))))
         }
         Err(error) => {
