--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -28,6 +28,7 @@
 mod placement;
 mod pressure;
 mod pushback;
+mod remaining_work;
 mod request;
 mod retry_budget;
 mod round_trips;
@@ -80,5 +81,5 @@
 };
 pub use shares::{Charge, ShareSettings, TeamShares};
 pub use slow_readers::{UnreadStream, UnreadTime, stream_to_close};
-pub use speed_news::{EndpointSpeed, SpeedNews};
+pub use speed_news::{EndpointSpeed, SpeedNews, WorkNews};
 pub use store_order::{ConfigurationStamp, StoreOrderError, StorePosition};
--- a/crates/daisynotch_core/tests/cold_histories/play.rs
+++ b/crates/daisynotch_core/tests/cold_histories/play.rs
@@ -17,7 +17,6 @@
 use daisynotch_objects::RouterId;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use smallvec::SmallVec;
 
 const TICK_MS: u64 = 25;
 const ROUND_MS: u64 = 75;
@@ -576,10 +575,11 @@
         parts: Parts::new(),
         prompt_tokens: 10,
         answer_tokens: 10,
+        answer_upper_tokens: 10,
         body_bytes: 100,
         arrived_at: now,
         objective: Duration::from_millis(500),
         give_up_at: now + Duration::from_secs(5),
-        tried: SmallVec::new(),
+        ..RequestSpec::default()
     }
 }
--- a/crates/daisynotch_router/src/direct/news.rs
+++ b/crates/daisynotch_router/src/direct/news.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
-use daisynotch_core::direct::{ColdNews, CrashNews, EvacuationNews, LimitNews, SpeedNews};
+use daisynotch_core::direct::{
+    ColdNews, CrashNews, Digest, EndpointDigest, EvacuationNews, LimitNews, SpeedNews, WorkNews,
+};
 use daisynotch_objects::RouterId;
 use serde_json::json;
 
@@ -101,26 +103,38 @@
     evacuations: EvacuationNews,
     cold: ColdNews,
     speeds: SpeedNews,
+    work: WorkNews,
 }
 
-/// Encodes the fleet news for a digest, with at most `speeds_max` speeds of engines.
-pub(super) fn encode_fleet(router: &Router, speeds_max: usize) -> Vec<u8> {
-    encode_fleet_with(router, false, speeds_max)
+/// Encodes the fleet news for a digest, with at most `speeds_max` speeds of engines and with what the
+/// endpoints of the digest still have to do.
+pub(super) fn encode_fleet(
+    router: &Router,
+    speeds_max: usize,
+    endpoints: &[EndpointDigest],
+) -> Vec<u8> {
+    encode_fleet_with(router, false, speeds_max, endpoints)
 }
 
 /// Encodes the fleet news for a router that starts.
 pub(super) fn encode_fleet_for_start(router: &Router) -> Vec<u8> {
-    encode_fleet_with(router, true, VIEW_SPEEDS_MAX)
+    encode_fleet_with(router, true, VIEW_SPEEDS_MAX, &[])
 }
 
-fn encode_fleet_with(router: &Router, includes_heard: bool, speeds_max: usize) -> Vec<u8> {
+fn encode_fleet_with(
+    router: &Router,
+    includes_heard: bool,
+    speeds_max: usize,
+    endpoints: &[EndpointDigest],
+) -> Vec<u8> {
     let evacuations = router.evacuations.borrow().to_news();
     let now = router.now();
     let mut dispatcher = router.dispatcher.borrow_mut();
     let cold = dispatcher.cold_news(includes_heard, now);
     let speeds = dispatcher.speed_news(speeds_max, now);
+    let work = dispatcher.work_news(endpoints);
     drop(dispatcher);
-    postcard::to_stdvec(&(evacuations, cold, speeds)).unwrap_or_else(|error| {
+    postcard::to_stdvec(&(evacuations, cold, speeds, work)).unwrap_or_else(|error| {
         let fields = json!({"error": error.to_string()});
         router
             .log
@@ -141,17 +155,30 @@
             (news.cold, rest) = postcard::take_from_bytes(rest)?;
         }
         if !rest.is_empty() {
-            (news.speeds, _) = postcard::take_from_bytes(rest)?;
+            (news.speeds, rest) = postcard::take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            (news.work, _) = postcard::take_from_bytes(rest)?;
         }
         Ok(news)
     }
 
-    /// Applies the news. `transit` is an upper bound on the time that they were on their way.
-    pub(super) fn apply(self, router: &Router, transit: Option<Duration>, source: &str) {
+    /// Applies the news; `digest` is the one that they follow, if any. `transit` is an upper bound on
+    /// the time that they were on their way.
+    pub(super) fn apply(
+        self,
+        router: &Router,
+        digest: Option<&Digest>,
+        transit: Option<Duration>,
+        source: &str,
+    ) {
         router.on_cold_news(&self.cold, transit, source);
         router.on_evacuation_news(self.evacuations, source);
         let mut dispatcher = router.dispatcher.borrow_mut();
         dispatcher.on_speed_news(&self.speeds, router.now());
+        if let Some(digest) = digest {
+            dispatcher.on_work_news(digest, &self.work);
+        }
     }
 }
 
