--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -5,6 +5,7 @@
 //! may be lost, late or duplicated; the next one replaces it.
 //! See `docs/design/direct-dispatch.md`.
 
+mod answer_length;
 mod body_memory;
 mod cold_starts;
 mod configuration_check;
@@ -27,6 +28,7 @@
 mod placement;
 mod pressure;
 mod pushback;
+mod remaining_work;
 mod request;
 mod retry_budget;
 mod round_trips;
@@ -34,6 +36,7 @@
 mod shared_limits;
 mod shares;
 mod slow_readers;
+mod speed_news;
 mod store_order;
 mod waiting;
 
@@ -66,7 +69,8 @@
 pub use part_cache::{Part, Parts};
 pub use pressure::Pressure;
 pub use request::{
-    DispatcherSettings, Grant, QueueId, RefuseReason, RequestSpec, RunId, RunOutcome, Verdict,
+    CostModel, DispatcherSettings, Grant, QueueId, RefuseReason, RequestSpec, RunId, RunOutcome,
+    Verdict,
 };
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 pub use round_trips::{Echo, MessageTiming, RoundTrips};
@@ -76,6 +80,7 @@
 pub use shared_limits::{
     DemandLevel, LimitChange, LimitNews, RequestRate, ServiceDemand, StatedLimit,
 };
-pub use shares::{ShareSettings, TeamShares};
+pub use shares::{Charge, ShareSettings, TeamShares};
 pub use slow_readers::{UnreadStream, UnreadTime, stream_to_close};
+pub use speed_news::{EndpointSpeed, SpeedNews, WorkNews};
 pub use store_order::{ConfigurationStamp, StoreOrderError, StorePosition};
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -6,14 +6,18 @@
 mod evacuations;
 mod limits;
 mod moves;
+mod settlement;
+mod speeds;
 
 use std::collections::HashMap;
+use std::hash::BuildHasherDefault;
 use std::sync::Arc;
 use std::time::Duration;
 
 use daisynotch_objects::{EndpointId, RouterId};
 use smallvec::SmallVec;
 
+use super::answer_length::{AnswerKeys, AnswerLengths};
 use super::cold_starts::{ColdSettings, ColdStarts};
 use super::crash_evidence::{CrashEvidence, PartIds, shared_part_ids};
 use super::digest::{Digest, EndpointDigest, PlacedParts, TeamDigest};
@@ -21,11 +25,15 @@
 use super::engine::EndpointLoad;
 use super::placement::{Candidate, ServiceLatency};
 use super::pushback::Pushbacks;
-use super::request::{DispatcherSettings, Grant, QueueId, RequestSpec, RunId, RunOutcome, Verdict};
+use super::remaining_work::{EVENTS_LEFT_MIN, Load};
+use super::request::{
+    CostModel, DispatcherSettings, Grant, QueueId, RequestSpec, RunId, RunOutcome, Verdict,
+};
 use super::retry_budget::RetryBudget;
 use super::routes::{EngineLimits, RouteTable};
 use super::shared_limits::SharedLimits;
-use super::shares::TeamShares;
+use super::shares::{Charge, IdHasher, TeamShares};
+use super::speed_news::SpeedExchange;
 use super::waiting::{Rank, Waiting};
 use crate::time::Timestamp;
 
@@ -41,10 +49,15 @@
     service: Arc<str>,
     unread_tokens: u64,
     memory_tokens: u64,
+    prompt_tokens: u64,
+    /// The number of events that the answer is expected to lack.
+    events_left: u64,
     /// Prompt tokens to prefill until the first token, at the time of sending: those queued at
     /// the engine and this request's own.
     tokens_to_read: f64,
     expected_ms: f64,
+    /// The time until the answer begins that is expected of an engine of average speed.
+    average_ms: f64,
     rounds: f64,
     sent_at: Timestamp,
     due_at: Timestamp,
@@ -53,6 +66,14 @@
     shared_parts: PartIds,
     /// Whether an event of the answer, or all of it, has arrived.
     has_event: bool,
+    /// When the latest event of a stream arrived, unless the engine prefilled prompts then.
+    last_event_at: Option<Timestamp>,
+    /// The number of events of a stream that arrived.
+    events: u64,
+    answer: AnswerKeys,
+    answer_max_tokens: u32,
+    /// What was charged to the team's share; `None` for requests that were sent before.
+    charge: Option<Charge>,
     /// Whether the run is a trial of a part that may crash endpoints.
     is_trial: bool,
 }
@@ -68,8 +89,9 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     own_zone: Arc<str>,
+    cost_model: CostModel,
     engine_limits: HashMap<Arc<str>, Option<EngineLimits>>,
-    endpoints: HashMap<EndpointId, EndpointLoad>,
+    endpoints: HashMap<EndpointId, EndpointLoad, BuildHasherDefault<IdHasher>>,
     /// The endpoints to which requests may be sent: those outside evacuated zones.
     endpoints_by_service: HashMap<Arc<str>, Vec<EndpointId>>,
     evacuated_zones: SmallVec<[Arc<str>; 2]>,
@@ -86,6 +108,8 @@
     cold_settings: ColdSettings,
     /// This router, once it is known.
     own_id: Option<RouterId>,
+    speeds: SpeedExchange,
+    answer_lengths: AnswerLengths,
     crash_evidence: CrashEvidence,
     /// The endpoints listed in the latest digest of each other router.
     endpoints_by_peer: HashMap<RouterId, Vec<EndpointId>>,
@@ -98,8 +122,9 @@
     pub fn new(own_zone: Arc<str>, settings: DispatcherSettings) -> Self {
         Self {
             own_zone,
+            cost_model: settings.cost_model,
             engine_limits: HashMap::new(),
-            endpoints: HashMap::new(),
+            endpoints: HashMap::default(),
             endpoints_by_service: HashMap::new(),
             evacuated_zones: SmallVec::new(),
             latencies: HashMap::new(),
@@ -113,6 +138,8 @@
             cold_starts: ColdStarts::default(),
             cold_settings: settings.cold,
             own_id: None,
+            speeds: SpeedExchange::default(),
+            answer_lengths: AnswerLengths::default(),
             crash_evidence: CrashEvidence::default(),
             endpoints_by_peer: HashMap::new(),
             next_id: 0,
@@ -259,14 +286,15 @@
         let taken_ms = taken.as_secs_f64() * 1e3;
         let latency = self.latencies.entry(Arc::clone(&run.service)).or_default();
         if load.engine.is_some() {
-            load.slowdown.observe(taken_ms, run.expected_ms);
+            load.slowdown.observe_answer(taken_ms, run.average_ms, now);
+            load.slowdown.observe_stated(taken_ms, run.expected_ms);
             latency.first_token.observe(run.tokens_to_read, taken);
         } else {
             // Compare with the service's average: the expectation from before the service's
             // first answer is a guess, so a deviation from it says nothing about this endpoint.
             let round_ms = taken_ms / run.rounds;
             let usual_ms = latency.plain_unqueued_ms.get_or_insert(round_ms);
-            load.slowdown.observe(round_ms, *usual_ms);
+            load.slowdown.observe_plain(round_ms, *usual_ms);
             *usual_ms += PLAIN_SMOOTHING * (round_ms - *usual_ms);
         }
         let endpoint = run.endpoint;
@@ -281,9 +309,12 @@
         let mut may_have_restarted = matches!(ended, RunOutcome::Unreachable | RunOutcome::Broken);
         if let Some(load) = self.endpoints.get_mut(&run.endpoint) {
             may_have_restarted |= ended == RunOutcome::Cancelled && load.health.is_lost(now);
-            load.own.running = load.own.running.saturating_sub(1);
-            load.own.unread_tokens = load.own.unread_tokens.saturating_sub(run.unread_tokens);
-            load.own.memory_tokens = load.own.memory_tokens.saturating_sub(run.memory_tokens);
+            load.own = load.own.minus(Load {
+                unread_tokens: run.unread_tokens,
+                running: 1,
+                memory_tokens: run.memory_tokens,
+                events_left: run.events_left,
+            });
             match ended {
                 RunOutcome::Done => load.health.on_success(),
                 RunOutcome::ErrorAnswer | RunOutcome::Refused => load.health.on_error_answer(now),
@@ -292,6 +323,7 @@
                 RunOutcome::Cancelled | RunOutcome::PushedBack => {}
             }
         }
+        self.settle(&run, ended, now);
         self.refresh_due(run.endpoint);
         if may_have_restarted {
             self.note_failure(run.endpoint, now);
@@ -359,6 +391,7 @@
         let endpoints = &self.endpoints;
         let is_listed = |endpoint| endpoints.contains_key(&endpoint);
         self.cold_starts.expire(is_listed, now);
+        self.speeds.expire(now);
         self.crash_evidence.expire(now);
     }
 
@@ -397,7 +430,11 @@
         if !self.evacuated_zones.contains(&entry.zone) {
             of_service.push(id);
         }
-        self.endpoints.insert(id, EndpointLoad::new(entry, engine));
+        let mut load = EndpointLoad::new(entry, engine);
+        if let Some(slowdown) = self.speeds.heard(id).filter(|_| engine.is_some()) {
+            load.slowdown.on_peer(slowdown);
+        }
+        self.endpoints.insert(id, load);
         self.crash_evidence.set_engines(self.endpoints.len());
     }
 
@@ -434,24 +471,38 @@
             .get_mut(&choice.endpoint)
             .expect("a chosen endpoint is in `endpoints`");
         let unread_tokens = u64::from(spec.prompt_tokens.saturating_sub(choice.cached_tokens));
-        let memory_tokens = u64::from(spec.prompt_tokens) + u64::from(spec.answer_tokens);
+        let memory_tokens = spec.memory_tokens();
+        let events_left = u64::from(spec.answer_events).max(EVENTS_LEFT_MIN);
         load.own.running += 1;
         load.own.unread_tokens += unread_tokens;
         load.own.memory_tokens += memory_tokens;
+        load.own.events_left += events_left;
         let expected = Duration::from_secs_f64(choice.expected_ms / 1e3);
         let run = Run {
             endpoint: choice.endpoint,
             service: Arc::clone(&spec.service),
             unread_tokens,
             memory_tokens,
+            prompt_tokens: spec.prompt_tokens.into(),
+            events_left,
             tokens_to_read: (choice.tokens_ahead + unread_tokens) as f64,
             expected_ms: choice.expected_ms,
+            average_ms: choice.average_ms,
             rounds: choice.rounds,
             sent_at: now,
             due_at: now + expected.mul_f64(1.5),
             has_answer_begun: false,
             shared_parts: shared_part_ids(&spec.parts),
             has_event: false,
+            last_event_at: None,
+            events: 0,
+            answer: AnswerKeys::new(spec),
+            answer_max_tokens: spec.answer_max_tokens,
+            charge: (!spec.is_repeat()).then(|| Charge {
+                tokens: spec.weighted_tokens(),
+                asked_at: spec.arrived_at,
+                begun_at: now,
+            }),
             is_trial,
         };
         if !spec.parts.is_empty() {
@@ -509,4 +560,10 @@
 #[cfg(test)]
 mod overload_tests;
 #[cfg(test)]
+mod settlement_tests;
+#[cfg(test)]
+mod speed_tests;
+#[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod work_tests;
--- a/crates/daisynotch_core/src/direct/dispatcher/crashes.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/crashes.rs
@@ -9,7 +9,8 @@
 use super::Dispatcher;
 use crate::direct::crash_evidence::{CrashNews, EvidenceChange, OpenRun, PartBlock, PartIds};
 use crate::direct::placement::{Candidate, evaluate_endpoint};
-use crate::direct::request::{RequestSpec, RunId};
+use crate::direct::remaining_work::EVENTS_LEFT_MIN;
+use crate::direct::request::{CostModel, RequestSpec, RunId};
 use crate::time::Timestamp;
 
 /// How long an endpoint must have been in use before trials prefer it: one that goes down and up
@@ -21,13 +22,43 @@
 impl Dispatcher {
     /// Records that an event of a streamed answer, or a whole answer, arrived. It proves that the
     /// parts of the prompt crash no endpoint.
-    pub fn on_event(&mut self, run: RunId, now: Timestamp) {
-        if let Some(run) = self.runs.get_mut(&run)
-            && !run.has_event
-        {
+    ///
+    /// `events` is the number of events of a stream that arrived; 0 for a whole answer.
+    pub fn on_event(&mut self, run: RunId, events: u64, now: Timestamp) {
+        let Some(run) = self.runs.get_mut(&run) else {
+            return;
+        };
+        if !run.has_event {
             run.has_event = true;
             self.crash_evidence.on_proof(&run.shared_parts, now);
         }
+        if events == 0 {
+            return;
+        }
+        if self.cost_model == CostModel::Stated {
+            return;
+        }
+        run.events = run.events.saturating_add(events);
+        let Some(load) = self.endpoints.get_mut(&run.endpoint) else {
+            return;
+        };
+        let events_left = run.events_left.saturating_sub(events).max(EVENTS_LEFT_MIN);
+        load.own.events_left = load.own.events_left.saturating_sub(run.events_left) + events_left;
+        run.events_left = events_left;
+        // An answer that gets longer than was reserved for it holds on to what it generated.
+        let held = run.prompt_tokens + run.generated_tokens(&self.answer_lengths);
+        if held > run.memory_tokens {
+            load.own.memory_tokens += held - run.memory_tokens;
+            run.memory_tokens = held;
+        }
+        let is_prefilling = load.total().unread_tokens > 0;
+        if let Some(before) = run.last_event_at
+            && !is_prefilling
+        {
+            let events = u32::try_from(events).unwrap_or(u32::MAX);
+            load.slowdown.observe_pause(now.since(before) / events, now);
+        }
+        run.last_event_at = (!is_prefilling).then_some(now);
     }
 
     /// Returns what is needed to report a crash of a run's endpoint; `None` if its prompt has no
@@ -150,6 +181,14 @@
         });
         let (_, _, id) = candidates.max()?;
         let has_limit = self.shared_limits.is_limited(id);
-        evaluate_endpoint(id, self.endpoints.get(&id)?, has_limit, spec, latency)
+        evaluate_endpoint(
+            id,
+            self.endpoints.get(&id)?,
+            has_limit,
+            spec,
+            latency,
+            self.cost_model,
+            now,
+        )
     }
 }
--- a/crates/daisynotch_core/src/direct/dispatcher/tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/tests.rs
@@ -1,12 +1,10 @@
 //! Each test applies the load that motivates the decision under test.
 
-use smallvec::SmallVec;
-
 use super::decision::UNPLACED_MAX;
 use super::*;
 use crate::direct::{
-    CallerLimits, ConfigurationStamp, EndpointState, HostIntroduction, HostPhase, Part, Parts,
-    RefuseReason, RetryBudgetSettings, ServiceView, ShareSettings, StorePosition,
+    CallerLimits, ConfigurationStamp, CostModel, EndpointState, HostIntroduction, HostPhase, Part,
+    Parts, RefuseReason, RetryBudgetSettings, ServiceView, ShareSettings, StorePosition,
 };
 use crate::message::Incarnation;
 
@@ -54,6 +52,7 @@
 
 pub(super) fn dispatcher(tokens_per_s: u64) -> Dispatcher {
     let settings = DispatcherSettings {
+        cost_model: CostModel::Learned,
         shares: ShareSettings {
             tokens_per_s: None,
             window: Duration::from_secs(4),
@@ -89,11 +88,12 @@
         parts: Parts::from_slice(&parts),
         prompt_tokens,
         answer_tokens: 50,
+        answer_upper_tokens: 50,
         body_bytes: 1_000,
         arrived_at: now,
         objective: Duration::from_millis(500),
         give_up_at: now + Duration::from_secs(5),
-        tried: SmallVec::new(),
+        ..RequestSpec::default()
     }
 }
 
@@ -104,6 +104,7 @@
         parts: Parts::new(),
         prompt_tokens: 0,
         answer_tokens: 0,
+        answer_upper_tokens: 0,
         ..spec(0, 0, 0, now)
     }
 }
--- a/crates/daisynotch_core/src/direct/placement.rs
+++ b/crates/daisynotch_core/src/direct/placement.rs
@@ -10,7 +10,7 @@
 
 use super::engine::EndpointLoad;
 use super::pace::FirstTokenModel;
-use super::request::RequestSpec;
+use super::request::{CostModel, RequestSpec};
 use crate::time::Timestamp;
 
 /// Weight of a request's own prefill time relative to its queueing delay: prefill also delays
@@ -28,8 +28,14 @@
 const CROSS_ZONE_MS_PER_KB: f64 = 0.15;
 /// Cost added for an endpoint with a failure rate of 1.
 const FAILURE_COST_MS: f64 = 400.0;
-/// Fraction of an engine's memory that running requests may fill.
-const RUNNING_MEMORY_FRACTION: f64 = 0.85;
+/// Fraction of an engine's memory that running requests may fill by the stated cost model.
+const STATED_MEMORY_FRACTION: f64 = 0.85;
+/// Weight of the time that an engine still generates, which a request shares with those that run
+/// there.
+const DECODE_WEIGHT: f64 = 0.3;
+/// Upper bound of what that adds to the cost: what it costs to prefill a prompt of medium length
+/// again.
+const DECODE_COST_MAX_MS: f64 = 150.0;
 /// Response time assumed for a plain service before its first answer.
 const PLAIN_INITIAL_MS: f64 = 30.0;
 
@@ -54,6 +60,8 @@
     /// What the prefill of the request costs at an endpoint that is shared with many others.
     pub(crate) prefill_cost_ms: f64,
     pub(crate) expected_ms: f64,
+    /// What would be expected of an engine of average speed; 0 for plain services.
+    pub(crate) average_ms: f64,
     pub(crate) cached_tokens: u32,
     pub(crate) tokens_ahead: u64,
     /// Queueing rounds until a plain request's answer begins, its own included; 1 for engines.
@@ -93,9 +101,11 @@
     has_limit: bool,
     spec: &RequestSpec,
     latency: &ServiceLatency,
+    cost_model: CostModel,
+    now: Timestamp,
 ) -> Option<Candidate> {
     let total = load.total();
-    let slowdown = load.slowdown.0;
+    let slowdown = load.slowdown.factor(now);
     let failure_ms = FAILURE_COST_MS * load.health.failure_rate();
     let Some(engine) = load.engine else {
         let usual_ms = latency.plain_unqueued_ms.unwrap_or(PLAIN_INITIAL_MS) * slowdown;
@@ -109,24 +119,44 @@
             admission_ms: backlog_ms,
             prefill_cost_ms: 0.0,
             expected_ms: usual_ms * (1.0 + busy.floor()),
+            average_ms: 0.0,
             cached_tokens: 0,
             tokens_ahead: 0,
             rounds: 1.0 + busy.floor(),
         });
     };
-    let memory =
-        total.memory_tokens + u64::from(spec.prompt_tokens) + u64::from(spec.answer_tokens);
-    let is_full = total.running >= engine.slots
-        || memory as f64 > engine.memory_tokens as f64 * RUNNING_MEMORY_FRACTION;
+    let is_learned = cost_model == CostModel::Learned;
+    let memory = total.memory_tokens.saturating_add(spec.memory_tokens());
+    let has_memory = if is_learned {
+        load.arriving.leaves_room(engine, memory, now)
+    } else {
+        memory as f64 <= engine.memory_tokens as f64 * STATED_MEMORY_FRACTION
+    };
+    let is_full = total.running >= engine.slots || !has_memory;
     // An idle engine takes any request, even one that exceeds the memory limit.
     if is_full && total.running > 0 {
         return None;
     }
     let cached_tokens = load.cache.cached_tokens(&spec.parts);
     let unread = f64::from(spec.prompt_tokens.saturating_sub(cached_tokens));
-    let backlog_ms = latency.first_token.prefill_ms(total.unread_tokens as f64) * slowdown;
-    let own_ms = latency.first_token.prefill_ms(unread) * slowdown;
-    let base_ms = latency.first_token.base_ms();
+    let average_backlog_ms = latency.first_token.prefill_ms(total.unread_tokens as f64);
+    let average_own_ms = latency.first_token.prefill_ms(unread);
+    let average_ms = average_backlog_ms + average_own_ms + latency.first_token.base_ms();
+    let (placement_slowdown, decode_cost_ms) = if is_learned {
+        let decode_ms = total.decode_ms(engine, load.slowdown.event_ms(now));
+        let decode_cost_ms = (DECODE_WEIGHT * decode_ms).min(DECODE_COST_MAX_MS);
+        (load.slowdown.placement_factor(now), decode_cost_ms)
+    } else {
+        (load.slowdown.stated_factor(), 0.0)
+    };
+    let backlog_ms = average_backlog_ms * placement_slowdown;
+    let own_ms = average_own_ms * placement_slowdown;
+    let base_ms = latency.first_token.base_ms() * placement_slowdown;
+    let expected_ms = if is_learned {
+        average_ms * slowdown
+    } else {
+        backlog_ms + own_ms + latency.first_token.base_ms()
+    };
     let weight = if has_limit {
         1.0
     } else {
@@ -134,11 +164,12 @@
     };
     Some(Candidate {
         endpoint: id,
-        cost_ms: backlog_ms + weight * own_ms + base_ms * slowdown + failure_ms,
+        cost_ms: backlog_ms + weight * own_ms + base_ms + decode_cost_ms + failure_ms,
         backlog_ms,
         admission_ms: backlog_ms,
         prefill_cost_ms: PREFILL_WEIGHT * own_ms,
-        expected_ms: backlog_ms + own_ms + base_ms,
+        expected_ms,
+        average_ms,
         cached_tokens,
         tokens_ahead: total.unread_tokens,
         rounds: 1.0,
--- a/crates/daisynotch_core/src/direct/request.rs
+++ b/crates/daisynotch_core/src/direct/request.rs
@@ -13,6 +13,9 @@
 use super::shares::ShareSettings;
 use crate::time::Timestamp;
 
+/// Expected length of an answer as a fraction of its maximum, for callers that give no hint.
+const STATED_MAX_FRACTION: f64 = 0.5;
+
 /// Identifies a request queued at this router.
 #[daisynotch_macros::number]
 pub struct QueueId(pub u64);
@@ -22,10 +25,12 @@
 pub struct RunId(pub u64);
 
 /// The properties of a request that decisions depend on.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct RequestSpec {
     /// The service whose endpoints may run the request.
     pub service: Arc<str>,
+    /// The name of the route that the request came by.
+    pub route: Arc<str>,
     /// The hash of the team's name; `None` on anonymous routes.
     pub team: Option<u32>,
     /// The priority; 0 is the most urgent.
@@ -34,8 +39,17 @@
     pub parts: Parts,
     /// The prompt's length in tokens.
     pub prompt_tokens: u32,
-    /// The expected length of the answer in tokens.
+    /// The caller's hint of the length of the answer in tokens.
+    pub answer_hint_tokens: Option<u32>,
+    /// The largest length of the answer in tokens; 0 if it is not stated.
+    pub answer_max_tokens: u32,
+    /// The expected length of the answer in tokens; see
+    /// [`Dispatcher::estimate_answer`](super::Dispatcher::estimate_answer).
     pub answer_tokens: u32,
+    /// The length in tokens that few answers like this one exceed.
+    pub answer_upper_tokens: u32,
+    /// The expected number of events of a streamed answer.
+    pub answer_events: u32,
     /// The size of the body in bytes.
     pub body_bytes: usize,
     /// When the request arrived at this router.
@@ -55,6 +69,19 @@
         u64::from(self.prompt_tokens) + 2 * u64::from(self.answer_tokens)
     }
 
+    /// Returns the tokens that the request may hold in an engine's memory.
+    pub(crate) fn memory_tokens(&self) -> u64 {
+        u64::from(self.prompt_tokens) + u64::from(self.answer_upper_tokens)
+    }
+
+    /// Returns the length of the answer that the caller states: its hint, or half of the maximum.
+    pub(crate) fn stated_answer_tokens(&self) -> u32 {
+        self.answer_hint_tokens.map_or_else(
+            || (f64::from(self.answer_max_tokens) * STATED_MAX_FRACTION) as u32,
+            |hint| hint.min(self.answer_max_tokens),
+        )
+    }
+
     /// Returns whether the request was sent to an endpoint before, so that its team's share has
     /// been charged for it.
     pub fn is_repeat(&self) -> bool {
@@ -165,9 +192,23 @@
     Cancelled,
 }
 
+/// How the work of requests, and what endpoints still have to do, are estimated.
+#[daisynotch_macros::value]
+#[derive(Copy, Default, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CostModel {
+    /// From the lengths that callers state and the prompts that endpoints have to read.
+    #[default]
+    Stated,
+    /// Also from the answers that were seen. See `docs/design/request-cost.md`.
+    Learned,
+}
+
 /// The settings of a [`Dispatcher`](super::Dispatcher).
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct DispatcherSettings {
+    /// How the work of requests is estimated.
+    pub cost_model: CostModel,
     /// How capacity is shared between teams.
     pub shares: ShareSettings,
     /// How many requests may be retried.
--- a/crates/daisynotch_core/tests/cold_histories/play.rs
+++ b/crates/daisynotch_core/tests/cold_histories/play.rs
@@ -9,7 +9,7 @@
 
 use daisynotch_core::Timestamp;
 use daisynotch_core::direct::{
-    CallerLimits, ColdNews, ColdSettings, ColdStart, Dispatcher, DispatcherSettings,
+    CallerLimits, ColdNews, ColdSettings, ColdStart, CostModel, Dispatcher, DispatcherSettings,
     EndpointChange, EndpointEntry, EndpointState, EngineLimits, LimitNews, Parts, RequestRate,
     RequestSpec, RetryBudgetSettings, RouteTable, RunId, RunOutcome, ServiceView, ShareSettings,
     Verdict,
@@ -17,7 +17,6 @@
 use daisynotch_objects::RouterId;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use smallvec::SmallVec;
 
 const TICK_MS: u64 = 25;
 const ROUND_MS: u64 = 75;
@@ -291,6 +290,7 @@
 
     fn new_dispatcher(&self) -> Dispatcher {
         let settings = DispatcherSettings {
+            cost_model: CostModel::Stated,
             shares: ShareSettings {
                 tokens_per_s: None,
                 window: Duration::from_secs(4),
@@ -576,10 +576,11 @@
         parts: Parts::new(),
         prompt_tokens: 10,
         answer_tokens: 10,
+        answer_upper_tokens: 10,
         body_bytes: 100,
         arrived_at: now,
         objective: Duration::from_millis(500),
         give_up_at: now + Duration::from_secs(5),
-        tried: SmallVec::new(),
+        ..RequestSpec::default()
     }
 }
--- a/crates/daisynotch_core/tests/crash_histories.rs
+++ b/crates/daisynotch_core/tests/crash_histories.rs
@@ -9,15 +9,14 @@
 
 use daisynotch_core::Timestamp;
 use daisynotch_core::direct::{
-    CallerLimits, CrashNews, Dispatcher, DispatcherSettings, EndpointChange, EndpointEntry,
-    EndpointState, EngineLimits, Part, Parts, QueueId, RefuseReason, RequestSpec,
+    CallerLimits, CostModel, CrashNews, Dispatcher, DispatcherSettings, EndpointChange,
+    EndpointEntry, EndpointState, EngineLimits, Part, Parts, QueueId, RefuseReason, RequestSpec,
     RetryBudgetSettings, RouteTable, RunId, RunOutcome, ServiceView, ShareSettings, Verdict,
 };
 use daisynotch_core::seeded_fault::{SeededFault, seed};
 use daisynotch_objects::EndpointId;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use smallvec::SmallVec;
 
 const HISTORIES: u64 = 1_000;
 const TICK_MS: u64 = 10;
@@ -104,6 +103,7 @@
             cold_start: None,
         });
         let settings = DispatcherSettings {
+            cost_model: CostModel::Stated,
             shares: ShareSettings {
                 tokens_per_s: None,
                 window: Duration::from_secs(4),
@@ -250,7 +250,7 @@
                     if run.is_fatal {
                         crashing.push(index);
                     } else {
-                        router.on_event(run.id, now);
+                        router.on_event(run.id, 1, now);
                     }
                 }
                 if self.now_ms >= run.ends_at_ms {
@@ -291,11 +291,12 @@
             prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
             parts,
             answer_tokens: 50,
+            answer_upper_tokens: 50,
             body_bytes: 1_000,
             arrived_at: now,
             objective: Duration::from_millis(500),
             give_up_at: now + Duration::from_secs(5),
-            tried: SmallVec::new(),
+            ..RequestSpec::default()
         };
         let router = self.rng.random_range(0..self.routers.len());
         self.routers[router].on_request(&spec, now);
--- a/crates/daisynotch_core/tests/limit_histories.rs
+++ b/crates/daisynotch_core/tests/limit_histories.rs
@@ -11,15 +11,14 @@
 
 use daisynotch_core::Timestamp;
 use daisynotch_core::direct::{
-    CallerLimits, Dispatcher, DispatcherSettings, EndpointChange, EndpointEntry, EndpointState,
-    EngineLimits, LimitNews, Parts, RequestRate, RequestSpec, RetryBudgetSettings, RouteTable,
-    RunId, RunOutcome, ServiceView, ShareSettings, Verdict,
+    CallerLimits, CostModel, Dispatcher, DispatcherSettings, EndpointChange, EndpointEntry,
+    EndpointState, EngineLimits, LimitNews, Parts, RequestRate, RequestSpec, RetryBudgetSettings,
+    RouteTable, RunId, RunOutcome, ServiceView, ShareSettings, Verdict,
 };
 use daisynotch_core::seeded_fault::{SeededFault, seed};
 use daisynotch_objects::{EndpointId, RouterId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use smallvec::SmallVec;
 
 const HISTORIES: u64 = 1_000;
 /// Threads that play histories.
@@ -195,6 +194,7 @@
 
     fn start_dispatcher(&self) -> Dispatcher {
         let settings = DispatcherSettings {
+            cost_model: CostModel::Stated,
             shares: ShareSettings {
                 tokens_per_s: None,
                 window: Duration::from_secs(4),
@@ -401,11 +401,12 @@
         parts: Parts::new(),
         prompt_tokens: 10,
         answer_tokens: 10,
+        answer_upper_tokens: 10,
         body_bytes: 100,
         arrived_at: now,
         objective: Duration::from_millis(500),
         give_up_at: now + Duration::from_secs(5),
-        tried: SmallVec::new(),
+        ..RequestSpec::default()
     }
 }
 
--- a/crates/daisynotch_emulator/src/emulation/tests.rs
+++ b/crates/daisynotch_emulator/src/emulation/tests.rs
@@ -65,6 +65,48 @@
     }
 }
 
+/// Goal for the work of the busiest engine in proportion to its speed, over that of all engines.
+const BUSIEST_MAX: f64 = 1.3;
+
+/// Returns the figures of the direct policy.
+fn direct(mut experiment: Experiment) -> Figures {
+    experiment.policies = vec![PolicyName::Direct];
+    run(&experiment).runs.remove(0)
+}
+
+/// Engines of one service differ in speed, and a seventh of them is slow at any moment. Placement
+/// that looked at prefill alone gave the slow ones as many answers to generate as the fast ones.
+fn assert_balanced(per_s: f64) {
+    let mut experiment = experiment("decode");
+    experiment.demand[0].per_s = per_s;
+    experiment.seeds = vec![1, 2, 3];
+    experiment.policies = vec![PolicyName::Direct];
+    let busiest = run(&experiment).mean(PolicyName::Direct, |run| run.busiest);
+    assert!(busiest < BUSIEST_MAX, "{per_s}: {busiest}");
+}
+
+#[test]
+fn the_busiest_engine_has_little_more_than_its_part() {
+    assert_balanced(150.0);
+}
+
+/// The same with fewer requests.
+#[test]
+fn the_busiest_engine_has_little_more_than_its_part_at_lower_loads() {
+    for per_s in [120.0, 100.0, 60.0] {
+        assert_balanced(per_s);
+    }
+}
+
+/// An engine crashes if the requests that it holds exceed its memory. Six routers fill it at once
+/// with answers that are often several times as long as their hints.
+#[test]
+fn requests_that_many_routers_send_at_once_fit_into_the_memory_of_engines() {
+    let figures = direct(experiment("memory"));
+    assert!(figures.memory_peak <= 1.0, "{}", figures.memory_peak);
+    assert_eq!(figures.preemptions, 0);
+}
+
 /// A request that is refused early leaves its caller time for a successful retry.
 #[test]
 fn requests_refused_in_a_short_burst_succeed_on_retry() {
--- a/crates/daisynotch_router/src/direct/news/tests.rs
+++ b/crates/daisynotch_router/src/direct/news/tests.rs
@@ -1,5 +1,7 @@
 use daisynotch_core::Timestamp;
-use daisynotch_core::direct::{CrashedEndpoint, FailedEndpoint, MessageTiming};
+use daisynotch_core::direct::{
+    CrashedEndpoint, EndpointSpeed, FailedEndpoint, MessageTiming, StorePosition,
+};
 use daisynotch_objects::EndpointId;
 
 use super::*;
@@ -38,6 +40,57 @@
     assert_eq!(postcard::from_bytes::<MessageTiming>(rest), Ok(timing));
 }
 
+/// Routers of an earlier version send no speeds, or no fleet news at all, and ignore what follows the
+/// parts that they know.
+#[test]
+fn fleet_news_of_an_earlier_version_are_decoded() {
+    assert_eq!(FleetNews::decode(&[]).unwrap().speeds, SpeedNews::default());
+    let evacuations = EvacuationNews {
+        at: StorePosition::default(),
+        orders: Vec::new(),
+    };
+    let encoded = postcard::to_stdvec(&evacuations).unwrap();
+    let earlier = FleetNews::decode(&encoded).unwrap();
+    assert_eq!(
+        (earlier.evacuations, earlier.speeds),
+        (evacuations.clone(), SpeedNews::default())
+    );
+    let speeds = SpeedNews {
+        speeds: vec![EndpointSpeed {
+            endpoint: EndpointId(u32::MAX),
+            slowdown_log2_16: -12,
+            age_ds: 3,
+        }],
+    };
+    let mut encoded = postcard::to_stdvec(&(&evacuations, ColdNews::default(), &speeds)).unwrap();
+    let (known, _) = postcard::take_from_bytes::<EvacuationNews>(&encoded).unwrap();
+    assert_eq!(known, evacuations);
+    assert_eq!(FleetNews::decode(&encoded).unwrap().speeds, speeds);
+    let work = WorkNews {
+        events_left: vec![0, 7, u32::MAX],
+    };
+    encoded.extend(postcard::to_stdvec(&work).unwrap());
+    // What a later version adds is ignored.
+    encoded.push(7);
+    let news = FleetNews::decode(&encoded).unwrap();
+    assert_eq!((news.speeds, news.work), (speeds, work));
+}
+
+/// Digests are most of the traffic between zones.
+#[test]
+fn speeds_take_few_bytes_of_a_digest() {
+    let speed = EndpointSpeed {
+        endpoint: EndpointId(u32::MAX),
+        slowdown_log2_16: i8::MIN,
+        age_ds: u8::MAX,
+    };
+    let news = SpeedNews {
+        speeds: vec![speed; SPEEDS_MAX],
+    };
+    let encoded = postcard::to_stdvec(&news).unwrap();
+    assert!(encoded.len() <= 40, "{}", encoded.len());
+}
+
 /// Routers of an earlier version end the fleet news with the evacuations.
 #[test]
 fn signs_of_cold_endpoints_follow_the_evacuations() {
--- a/crates/daisynotch_router/src/direct/peers.rs
+++ b/crates/daisynotch_router/src/direct/peers.rs
@@ -174,7 +174,12 @@
     addresses: &[SocketAddr],
     written_at: Timestamp,
 ) {
-    let fleet_news = news::encode_fleet(router);
+    let speeds_max = if datagram.digest.is_brief {
+        0
+    } else {
+        news::SPEEDS_MAX
+    };
+    let fleet_news = news::encode_fleet(router, speeds_max, &datagram.digest.endpoints);
     let encoded = postcard::to_stdvec(datagram).map(|mut bytes| {
         bytes.extend_from_slice(news);
         bytes
@@ -356,7 +361,7 @@
         }
         router.dispatcher.borrow_mut().on_digest(&digest, now);
         news.apply(&router, Some(digest.host.id()), transit, "digest");
-        fleet_news.apply(&router, transit, "digest");
+        fleet_news.apply(&router, Some(&digest), transit, "digest");
         router.on_configuration_age(&digest, transit, now);
         for endpoint in &digest.leaving {
             router.on_endpoint_leaving(*endpoint, "digest");
@@ -514,7 +519,7 @@
         Ok((news, fleet_news)) => {
             let transit = router.now().since(asked_at);
             news.apply(router, None, Some(transit), "router");
-            fleet_news.apply(router, Some(transit), "router");
+            fleet_news.apply(router, None, Some(transit), "router");
         }
         Err(error) => news::log_unreadable(router, &error, "router"),
     }
