--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.."
 CASE_DIR="$PWD/review/6"
 ROUTER="$PWD/target/release/daisynotch-router"
-PROGRAM="$PWD/target/review-standins-2/release/silent_store"
+PROGRAM="$PWD/target/review-standins-2/release/slow_readers"
 export CASE_DIR ROUTER
 if [ ! -x "$ROUTER" ] || [ ! -x "$PROGRAM" ]; then
     echo "build the router and the stand-ins first"
