--- a/review/standins-2/src/bin/cut_watches.rs
+++ b/review/standins-2/src/bin/cut_watches.rs
@@ -23,9 +23,9 @@
 const LONGER: Duration = Duration::from_millis(400);
 const ROUTERS: usize = 9;
 const CLIENTS_PER_ROUTER: usize = 3;
-/// Replicas that leave, two at a time, and those that stay.
-const LEAVING: usize = 12;
-const STAYING: usize = 8;
+/// Rounds in which two of the replicas leave; two others join after each.
+const ROUNDS: usize = 9;
+const REPLICAS: usize = 10;
 
 const CONFIGURATION: &str = r#"{"version":3,"routes":[
 {"name":"book","host":"h.example","prefix":"/book/","type":"unsafe","timeoutMs":1200,"sloMs":150,"priority":1,
@@ -42,7 +42,7 @@
         after: Duration::from_millis(10),
         bytes: 400,
     };
-    let replicas: Vec<Replica> = (0..LEAVING + STAYING)
+    let mut replicas: Vec<Replica> = (0..REPLICAS)
         .map(|index| Replica::start(&format!("i-desk-{index}"), work))
         .collect();
     for replica in &replicas {
@@ -93,9 +93,10 @@
         })
         .collect();
     let mut removed = Vec::new();
-    for leaving in replicas[..LEAVING].chunks(2) {
+    for round in 0..ROUNDS {
         // Nothing disturbs the routers and the store for longer than `contactMs`.
-        sleep_ms(CONTACT_MS + 1_000);
+        sleep_ms(CONTACT_MS + 300);
+        let leaving: Vec<Replica> = replicas.drain(..2).collect();
         let keys: Vec<String> = leaving
             .iter()
             .map(|replica| format!("servers/{}", replica.id))
@@ -106,12 +107,21 @@
         } else {
             ""
         };
-        for replica in leaving {
+        for replica in &leaving {
             record.say(format!("{} leaves, its entry is removed{how}", replica.id));
             removed.push((replica.clone(), acknowledged_at));
         }
         sleep_until(acknowledged_at + Duration::from_millis(DRAIN_MS) + LONGER);
         leaving.iter().for_each(Replica::exit);
+        for index in 0..2 {
+            let number = REPLICAS + 2 * round + index;
+            let joining = Replica::start(&format!("i-desk-{number}"), work);
+            store.write(
+                &format!("servers/{}", joining.id),
+                &joining.entry("desk", "z0", 16),
+            );
+            replicas.push(joining);
+        }
     }
     is_over.store(true, Ordering::SeqCst);
     clients
