--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases. Each returns 1 if its rule was broken, 0 if it held and 2 if it could not run.
 
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Barrier};
 use std::time::{Duration, Instant};
 
 use crate::client::call;
@@ -16,6 +17,7 @@
         "deadly-first-event" => deadly_part(record, has_trouble, 1, false),
         "deadly-bursts" => deadly_part(record, has_trouble, 0, true),
         "limit-after-quiet" => limit_after_quiet(record, has_trouble),
+        "cold-return" => cold_return(record, has_trouble),
         "lone-machine" => lone_machine(record, has_trouble),
         _ => 2,
     }
@@ -36,13 +38,14 @@
     const CONTACT_S: f64 = 3.0;
     const FIRST_BURST: u32 = 12;
     const SECOND_BURST: u32 = 20;
-    let config = config(7, &[("hule930", KEY)], false);
+    let config = config(7, &[("hule930", KEY)], None);
     let plan = Plan {
         routers: 3,
         replicas: 12,
         deadly: ("dead0001", events),
         limit: "",
         config: &config,
+        cold: None,
         drain_ms: 2_000,
         retry_allowance: 58,
     };
@@ -58,20 +61,23 @@
     let rounds = if in_bursts { 90 } else { 100 };
     std::thread::scope(|scope| {
         let (fleet, sound_served) = (&fleet, &sound_served);
-        let deadly = |id: u32| {
-            let parts = format!(
-                "5a5a{:04x}:200,dead0001:180,{:08x}:20",
-                family(id),
-                0x2000_0000 + id
-            );
-            scope.spawn(move || {
-                fleet.ask(
-                    id as usize % fleet.routers.len(),
-                    &format!("deadly-{id}"),
-                    KEY,
-                    &parts,
-                )
-            });
+        // The requests of a burst are sent at the same moment.
+        let deadly = |ids: std::ops::Range<u32>| {
+            let start = Arc::new(Barrier::new(ids.len()));
+            for id in ids {
+                let (family, own) = (family(id), 0x2000_0000 + id);
+                let parts = format!("5a5a{family:04x}:200,dead0001:180,{own:08x}:20");
+                let start = Arc::clone(&start);
+                scope.spawn(move || {
+                    start.wait();
+                    fleet.ask(
+                        id as usize % fleet.routers.len(),
+                        &format!("deadly-{id}"),
+                        KEY,
+                        &parts,
+                    )
+                });
+            }
         };
         for round in 0..rounds {
             // Sound requests share the caller and the other parts.
@@ -87,9 +93,9 @@
             });
             if has_trouble {
                 match (in_bursts, round) {
-                    (false, _) if round % 2 == 0 => deadly(round),
-                    (true, 10) => (0..FIRST_BURST).for_each(&deadly),
-                    (true, 50) => (100..100 + SECOND_BURST).for_each(&deadly),
+                    (false, _) if round % 2 == 0 => deadly(round..round + 1),
+                    (true, 10) => deadly(0..FIRST_BURST),
+                    (true, 50) => deadly(100..100 + SECOND_BURST),
                     _ => {}
                 }
             }
@@ -100,12 +106,12 @@
     let lines = fleet.lines.lock().unwrap().clone();
     let crashes: Vec<f64> = lines
         .iter()
-        .filter(|(_, line)| line.starts_with("crashes"))
+        .filter(|(_, line)| line.contains(" crashes "))
         .map(|(at, _)| *at)
         .collect();
     let late = crashes.get(4).map_or(0, |fifth| {
         let runs = lines.iter().filter(|(at, _)| *at > fifth + CONTACT_S);
-        runs.filter(|(_, line)| line.starts_with("runs") && line.ends_with("deadly true"))
+        runs.filter(|(_, line)| line.contains(" runs ") && line.ends_with("deadly true"))
             .count()
     });
     let served = sound_served.load(Ordering::Relaxed);
@@ -124,7 +130,7 @@
     const CONTACT_S: f64 = 3.0;
     const QUIET_S: u64 = 64;
     const BURST: usize = 40;
-    let config = config(7, &[("hule930", KEY)], false);
+    let config = config(7, &[("hule930", KEY)], None);
     let limit = if has_trouble {
         LIMIT_PER_S.to_string()
     } else {
@@ -136,6 +142,7 @@
         deadly: ("", 0),
         limit: &limit,
         config: &config,
+        cold: None,
         drain_ms: 2_000,
         retry_allowance: 58,
     };
@@ -172,7 +179,7 @@
     let lines = fleet.lines.lock().unwrap().clone();
     let runs: Vec<f64> = lines
         .iter()
-        .filter(|(_, line)| line.starts_with("runs"))
+        .filter(|(_, line)| line.contains(" runs "))
         .map(|(at, _)| *at)
         .collect();
     // The first answer comes at most half a second after its request.
@@ -205,13 +212,14 @@
 /// killed over `contactMs` + 3 s before and has not started since.
 fn lone_machine(record: Record, has_trouble: bool) -> i32 {
     const CONTACT_S: u64 = 4;
-    let config = config(7, &[("hule930", "asnmgkcuyj8pjbvk9m68")], false);
+    let config = config(7, &[("hule930", "asnmgkcuyj8pjbvk9m68")], None);
     let plan = Plan {
         routers: 3,
         replicas: 3,
         deadly: ("", 0),
         limit: "",
         config: &config,
+        cold: None,
         drain_ms: 3_000,
         retry_allowance: 156,
     };
@@ -271,3 +279,105 @@
     fleet.end();
     verdict(late > 3, answers > 0)
 }
+
+/// FAILBACK: a cold replica gets in no second more than `coldPerS` x `coldOverrun` + `coldTolerance`
+/// requests, from all machines together.
+///
+/// An evacuation ends, the zone's replica is cold, and all routers are killed at that moment.
+fn cold_return(record: Record, has_trouble: bool) -> i32 {
+    const COLD: (f64, f64) = (9.8, 3.0);
+    const BOUND: f64 = COLD.0 * 1.5 + 5.0;
+    const RETURNED: usize = 1;
+    /// Requests in a second, well above what a cold replica tolerates, at which it crashes.
+    const CRASH_RATE: usize = 25;
+    let config = config(7, &[("hule930", KEY)], Some(COLD));
+    let plan = Plan {
+        routers: 3,
+        replicas: 2,
+        deadly: ("", 0),
+        limit: "",
+        config: &config,
+        cold: Some(COLD),
+        drain_ms: 3_000,
+        retry_allowance: 156,
+    };
+    let mut fleet = Fleet::start(record, &plan);
+    if !fleet.until_ready() {
+        fleet.end();
+        return 2;
+    }
+    pause(2_000);
+    let order = format!("op/evacuate/{}", crate::fleet::ZONES[RETURNED]);
+    let mut next = 0;
+    send_for(&fleet, 3_000, &mut next);
+    fleet.store.write(&order, "{}");
+    fleet.record.line(&format!("{order} is acknowledged"));
+    send_for(&fleet, 6_000, &mut next);
+    fleet.until_beat(RETURNED);
+    let id = fleet.make_cold(RETURNED, Duration::from_secs_f64(COLD.1), CRASH_RATE);
+    fleet.store.remove(&order);
+    let cold_from = fleet.record.now();
+    fleet.record.line(&format!(
+        "{order} is taken back; replica {id} is cold for {} s",
+        COLD.1
+    ));
+    if has_trouble {
+        for router in &mut fleet.routers {
+            router.kill();
+        }
+        fleet.record.line("all routers are killed");
+        pause(300);
+        let folder = fleet.folder.clone();
+        for router in &mut fleet.routers {
+            let log = folder.join(format!("{}-2.log", router.name));
+            router.start(&log.to_string_lossy());
+        }
+        fleet.record.line("all routers start again");
+    }
+    send_for(&fleet, 3_000, &mut next);
+    pause(500);
+    let lines = fleet.lines.lock().unwrap().clone();
+    let prefix = format!("{id} runs");
+    let runs = lines.iter().filter(|(at, line)| {
+        line.starts_with(&prefix) && *at >= cold_from && *at < cold_from + COLD.1
+    });
+    let runs: Vec<f64> = runs.map(|(at, _)| *at).collect();
+    let in_1_s = |from: &f64| {
+        runs.iter()
+            .filter(|at| **at >= *from && **at < *from + 1.0)
+            .count()
+    };
+    let most = runs.iter().map(in_1_s).max().unwrap_or(0);
+    let crashes = fleet.crashes.load(Ordering::Relaxed);
+    fleet.record.line(&format!(
+        "the cold replica got {} requests while it was cold, at most {most} in a second ({BOUND:.1} are allowed); {crashes} replicas crashed",
+        runs.len()
+    ));
+    let all = lines
+        .iter()
+        .filter(|(_, line)| line.contains(" runs "))
+        .count();
+    fleet.end();
+    verdict(most as f64 > BOUND, all > 100)
+}
+
+/// Sends requests at 150 a second to all routers in turn.
+fn send_for(fleet: &Fleet, ms: u64, next: &mut u32) {
+    let until = Instant::now() + Duration::from_millis(ms);
+    std::thread::scope(|scope| {
+        while Instant::now() < until {
+            let id = *next;
+            *next += 1;
+            let parts = format!("5a5a{:04x}:200,{:08x}:20", 1 + id % 40, 0x1000_0000 + id);
+            scope.spawn(move || {
+                fleet.ask(
+                    id as usize % fleet.routers.len(),
+                    &format!("plan-{id}"),
+                    KEY,
+                    &parts,
+                )
+            });
+            std::thread::sleep(Duration::from_micros(6_600));
+        }
+    });
+}
--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::fs::File;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -18,6 +18,7 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Time after which a replica that crashed is back.
 const BACK_AFTER: Duration = Duration::from_millis(2_000);
+pub const ZONES: [&str; 2] = ["kaolack-nord", "fatick"];
 pub const SERVICE: &str = "conseil";
 pub const HOST: &str = "advice.example";
 
@@ -72,6 +73,10 @@
 /// A replica and the process that runs it, if any.
 struct Seat {
     id: String,
+    zone: &'static str,
+    cold_until: Option<Instant>,
+    /// When the latest entry was written.
+    beat_at: Option<Instant>,
     address: SocketAddr,
     child: Option<Child>,
     born: u64,
@@ -103,6 +108,8 @@
     /// What each replica names as its `Server-Limit`, if anything.
     pub limit: &'a str,
     pub config: &'a str,
+    /// Requests a second that a cold replica tolerates, and how long it is cold, in seconds.
+    pub cold: Option<(f64, f64)>,
     /// Bounds of the site's sheet.
     pub drain_ms: u32,
     pub retry_allowance: u32,
@@ -127,6 +134,9 @@
         for index in 0..plan.replicas {
             let address = SocketAddr::from(([127, 0, 0, 1], free_port("127.0.0.1")));
             replicas.push(Seat {
+                zone: ZONES[index % ZONES.len()],
+                cold_until: None,
+                beat_at: None,
                 id: format!("i-{:08x}", 0x5a00_0000 + index * 7_919),
                 address,
                 child: None,
@@ -190,6 +200,7 @@
                     let entry = format!("servers/{}", seat.id);
                     if seat.child.is_some() && is_due {
                         beats.insert(index, Instant::now());
+                        seat.beat_at = Some(Instant::now());
                         seat.seq += 1;
                         store.write(&entry, &entry_json(seat));
                     } else if seat.child.is_none()
@@ -261,6 +272,12 @@
                 ("{{bounds.revokeMs}}", "5000".to_owned()),
             ];
             let mut text = without_sections(&template);
+            if plan.cold.is_some() {
+                text = text.replace(
+                    "share_window_s",
+                    "cold.overrun = 1.5\ncold.tolerance = 5\nshare_window_s",
+                );
+            }
             for (placeholder, value) in values {
                 text = text.replace(placeholder, &value);
             }
@@ -322,6 +339,30 @@
         }
     }
 
+    /// Waits until a replica has just written its entry.
+    pub fn until_beat(&self, index: usize) {
+        let before = self.replicas.lock().unwrap()[index].beat_at;
+        while self.replicas.lock().unwrap()[index].beat_at == before {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Makes a replica cold, which its next entry says.
+    ///
+    /// It crashes if it gets more than `crash_rate` requests in a second while it is cold.
+    pub fn make_cold(&self, index: usize, lasts: Duration, crash_rate: usize) -> String {
+        let mut seats = self.replicas.lock().unwrap();
+        let input = seats[index]
+            .child
+            .as_mut()
+            .and_then(|child| child.stdin.as_mut());
+        if let Some(input) = input {
+            let _ = writeln!(input, "cold {} {crash_rate}", lasts.as_millis());
+        }
+        seats[index].cold_until = Some(Instant::now() + lasts);
+        seats[index].id.clone()
+    }
+
     /// Ends all processes.
     pub fn end(self) {
         drop(self);
@@ -368,7 +409,7 @@
             &seat.born.to_string(),
         ])
         .args(behaviour)
-        .stdin(Stdio::null())
+        .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .spawn();
     let mut child = child.expect("the replica starts");
@@ -383,16 +424,23 @@
     std::thread::spawn(move || {
         for line in output.lines().map_while(Result::ok) {
             record.line(&format!("replica {id} {line}"));
-            lines.lock().unwrap().push((record.now(), line));
+            lines
+                .lock()
+                .unwrap()
+                .push((record.now(), format!("{id} {line}")));
         }
     });
     child
 }
 
 fn entry_json(seat: &Seat) -> String {
+    let now = Instant::now();
+    let cold = seat
+        .cold_until
+        .map_or(0, |until| until.saturating_duration_since(now).as_millis());
     format!(
-        r#"{{"service":"{SERVICE}","address":"{}","zone":"kaolack-nord","version":"v1","slots":64,"state":"ready","coldRemainingMs":0,"phase":"combined","models":[{{"name":"m","version":1,"adapters":[]}}],"seqNo":{},"born":{}}}"#,
-        seat.address, seat.seq, seat.born
+        r#"{{"service":"{SERVICE}","address":"{}","zone":"{}","version":"v1","slots":64,"state":"ready","coldRemainingMs":{},"phase":"combined","models":[{{"name":"m","version":1,"adapters":[]}}],"seqNo":{},"born":{}}}"#,
+        seat.address, seat.zone, cold, seat.seq, seat.born
     )
 }
 
@@ -413,15 +461,18 @@
     text
 }
 
-/// A configuration with one streaming route and these tenants, given as (name, key).
-pub fn config(version: u64, tenants: &[(&str, &str)], resumable: bool) -> String {
+/// A configuration with one streaming route and these tenants, given as (name, key), and with what cold replicas
+/// tolerate, if they are ever cold.
+pub fn config(version: u64, tenants: &[(&str, &str)], cold: Option<(f64, f64)>) -> String {
     let tenants = tenants
         .iter()
         .map(|(name, key)| format!(r#"{{"name":"{name}","apiKeys":["{key}"],"priority":1}}"#));
     let tenants: Vec<String> = tenants.collect();
-    let attempts = if resumable { 2 } else { 1 };
+    let cold = cold.map_or(String::new(), |(per_s, lasts_s)| {
+        format!(r#""coldPerS":{per_s},"coldStartS":{lasts_s},"#)
+    });
     format!(
-        r#"{{"version":{version},"routes":[{{"name":"r-plan","host":"{HOST}","prefix":"/plan/","type":"streaming","timeoutMs":5000,"sloMs":500,"priority":1,"service":"{SERVICE}","maxAttempts":{attempts},"anonymous":false,"sticky":true,"resumable":{resumable},"gapTargetMs":300}}],"services":[{{"name":"{SERVICE}","healthPath":"/healthz","maxConns":370,"protocol":"h1","tls":false,"engine":{{"slots":64,"kvCapacityTokens":387743,"kvBytes":35136,"linkMbps":1100000.0,"moves":true,"backups":true,"stride":4,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleTtlS":5.0,"models":[{{"name":"m"}}]}}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"tokensPerS":550000}},"tenants":[{}]}}"#,
+        r#"{{"version":{version},"routes":[{{"name":"r-plan","host":"{HOST}","prefix":"/plan/","type":"streaming","timeoutMs":5000,"sloMs":500,"priority":1,"service":"{SERVICE}","maxAttempts":1,"anonymous":false,"sticky":true,"resumable":false,"gapTargetMs":300}}],"services":[{{"name":"{SERVICE}","healthPath":"/healthz",{cold}"maxConns":370,"protocol":"h1","tls":false,"engine":{{"slots":64,"kvCapacityTokens":387743,"kvBytes":35136,"linkMbps":1100000.0,"moves":true,"backups":true,"stride":4,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleTtlS":5.0,"models":[{{"name":"m"}}]}}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"tokensPerS":550000}},"tenants":[{}]}}"#,
         tenants.join(",")
     )
 }
--- a/review/standins-3/src/replica.rs
+++ b/review/standins-3/src/replica.rs
@@ -1,10 +1,11 @@
 //! A stand-in of a model replica. It writes a line for each request that it runs to its output.
 
+use std::collections::VecDeque;
 use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use crate::http::{read_body, read_head, respond, Head};
 
@@ -18,6 +19,9 @@
     /// What the replica names as its `Server-Limit`, if anything.
     limit: String,
     running: AtomicU64,
+    /// Until when the replica is cold, and the requests a second at which it then crashes.
+    cold: Mutex<Option<(Instant, usize)>>,
+    arrivals: Mutex<VecDeque<Instant>>,
 }
 
 /// Events of a sound answer, and the time from one to the next.
@@ -40,7 +44,11 @@
         deadly_events: deadly_events.parse().unwrap_or(0),
         limit: (*limit).to_owned(),
         running: AtomicU64::new(0),
+        cold: Mutex::default(),
+        arrivals: Mutex::default(),
     });
+    let told = Arc::clone(&replica);
+    std::thread::spawn(move || told.follow_input());
     say("listens");
     for stream in listener.incoming().flatten() {
         let replica = Arc::clone(&replica);
@@ -56,6 +64,41 @@
 }
 
 impl Replica {
+    /// Reads "cold MILLISECONDS CRASH_RATE" lines.
+    fn follow_input(&self) {
+        for line in std::io::stdin().lines().map_while(Result::ok) {
+            let words: Vec<u64> = line
+                .split(' ')
+                .filter_map(|word| word.parse().ok())
+                .collect();
+            if let [ms, rate] = words[..] {
+                *self.cold.lock().unwrap() =
+                    Some((Instant::now() + Duration::from_millis(ms), rate as usize));
+            }
+        }
+    }
+
+    /// Counts a request. A cold replica crashes if it gets too many in a second.
+    fn count_arrival(&self) {
+        let now = Instant::now();
+        let mut arrivals = self.arrivals.lock().unwrap();
+        arrivals.push_back(now);
+        while arrivals
+            .front()
+            .is_some_and(|at| now - *at > Duration::from_secs(1))
+        {
+            arrivals.pop_front();
+        }
+        let cold = self.cold.lock().unwrap().filter(|(until, _)| now < *until);
+        if cold.is_some_and(|(_, rate)| arrivals.len() > rate) {
+            let running = self.running.load(Ordering::Relaxed);
+            say(&format!(
+                "crashes since it is cold, with {running} requests at work"
+            ));
+            std::process::exit(134);
+        }
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut to) = stream.try_clone() else {
@@ -107,6 +150,7 @@
             "runs {attempt} tenant {tenant} deadly {is_deadly}"
         ));
         self.running.fetch_add(1, Ordering::Relaxed);
+        self.count_arrival();
         std::thread::sleep(FIRST_TIME);
         let signature = "X-Replica-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n";
         let head = format!(
