--- a/crates/daisynotch_core/src/direct.rs
+++ b/crates/daisynotch_core/src/direct.rs
@@ -54,8 +54,9 @@
 pub use configuration_entries::ConfigurationEntries;
 pub use confirmation::{Confirmation, ConfirmationSource};
 pub use crash_evidence::{
-    Assessment, CrashEvidence, CrashNews, CrashReport, CrashedEndpoint, CrashedEndpoints,
-    EvidenceChange, OpenRun, PartBlock, PartIds, PartProof, shared_part_ids,
+    AnswerStage, Assessment, CrashEvidence, CrashNews, CrashReport, CrashedEndpoint,
+    CrashedEndpoints, EvidenceChange, LateCrashNews, OpenRun, PartBlock, PartIds, PartProof,
+    shared_part_ids,
 };
 pub use digest::{
     Digest, EndpointDigest, Heartbeat, HostIntroduction, HostPhase, IntroducedHost, PlacedParts,
--- a/crates/daisynotch_core/src/direct/crash_evidence.rs
+++ b/crates/daisynotch_core/src/direct/crash_evidence.rs
@@ -2,16 +2,19 @@
 //!
 //! Such a part crashes engine after engine, through all routers, until requests with it are
 //! refused. Engines also crash for other reasons, and then sound parts, the popular ones first,
-//! are among those of the open requests. One answer that gets past the point at which an engine
-//! would have crashed proves all parts of its prompt. Parts without a later proof are suspects of
-//! a crash; requests with a suspect go to one engine that is kept free of others, and a part is
-//! blocked only after such trials have failed.
+//! are among those of the open requests. One answer that its engine outlives for a while proves all
+//! parts of its prompt. Parts without a later proof are suspects of a crash; requests with a suspect
+//! go to one engine that is kept free of others, and a part is blocked only after such trials have
+//! failed.
 //!
 //! Routers exchange reports, proofs and blocks, as each of them sees only its own requests. See
 //! `docs/design/crashing-parts.md`.
 
+mod begun;
 mod blame;
+mod blocks;
 mod news;
+mod open_run;
 mod proofs;
 
 use std::collections::HashMap;
@@ -20,12 +23,17 @@
 use daisynotch_objects::EndpointId;
 use smallvec::SmallVec;
 
-pub use news::{CrashNews, CrashReport, CrashedEndpoint, PartBlock, PartProof};
+pub use news::{CrashNews, CrashReport, CrashedEndpoint, LateCrashNews, PartBlock, PartProof};
+use open_run::CrashPoint;
+pub use open_run::{AnswerStage, OpenRun};
 
 use super::part_cache::Part;
 use crate::seeded_fault::{SeededFault, is_seeded};
 use crate::time::Timestamp;
-use proofs::ProofCache;
+pub(super) use begun::PROOF_DELAY;
+use begun::{BegunAnswer, BegunAnswers, LoneHeads};
+use blocks::Block;
+use proofs::PartProofs;
 
 /// Time over which the rate of ordinary crashes is measured.
 const CRASH_RATE_WINDOW: Duration = Duration::from_secs(10);
@@ -36,16 +44,8 @@
 const REPORT_TTL: Duration = Duration::from_secs(60);
 /// Maximum number of reports that are kept.
 const REPORTS_MAX: usize = 128;
-/// How long a part is first blocked. One trial follows; each that fails doubles the time.
-const BLOCK_INITIAL: Duration = Duration::from_secs(60);
-/// Upper bound of that time.
-const BLOCK_MAX: Duration = Duration::from_secs(3_600);
-/// Maximum number of blocks that are kept.
-const BLOCKS_MAX: usize = 256;
 /// How long after a crash bytes that were on their way may still be read.
 const LATE_BYTES_MAX: Duration = Duration::from_millis(500);
-/// Maximum number of crashed engine starts that a block names.
-const BLOCK_ENDPOINTS_MAX: usize = 8;
 
 /// Engine starts that crashed under the parts of a block.
 pub type CrashedEndpoints = SmallVec<[EndpointId; 4]>;
@@ -59,20 +59,6 @@
     shared.iter().map(|part| part.id).collect()
 }
 
-/// A request that was at an engine when its connection broke.
-#[daisynotch_macros::value]
-pub struct OpenRun {
-    /// The engine start that had the request.
-    pub endpoint: EndpointId,
-    /// The shared parts of the prompt; none if the answer got past the point at which a part
-    /// crashes an engine.
-    pub parts: PartIds,
-    /// Whether the head of the response had arrived.
-    pub has_head: bool,
-    /// Whether the request was a trial of a suspect part.
-    pub is_trial: bool,
-}
-
 /// What is known of the parts of a prompt.
 #[daisynotch_macros::value]
 #[derive(Copy)]
@@ -119,42 +105,17 @@
 struct Report {
     endpoint: EndpointId,
     at: Timestamp,
-    has_head: bool,
+    stage: AnswerStage,
     is_trial: bool,
     parts: PartIds,
 }
 
-/// Parts that requests must not have together.
-#[derive(Debug, Clone)]
-struct Block {
-    parts: PartIds,
-    /// When the latest engine crashed under these parts.
-    since: Timestamp,
-    /// The time from then until the next trial.
-    pause: Duration,
-    /// Number of failed trials since the block began.
-    renewals: u32,
-    /// Engine starts that crashed.
-    endpoints: CrashedEndpoints,
-}
-
-impl Block {
-    fn trial_due_at(&self) -> Timestamp {
-        self.since + self.pause
-    }
-
-    /// Returns whether nobody has sent the parts for long after a trial was due.
-    fn is_obsolete(&self, now: Timestamp) -> bool {
-        now >= self.trial_due_at() + self.pause * 2
-    }
-}
-
 /// An engine start that crashed.
 #[derive(Debug, Clone, Copy)]
 struct Crash {
     at: Timestamp,
-    /// Whether the head of a response had arrived for one of the open requests. Its engine had
-    /// begun to answer, so the requests without a head are no suspects.
+    /// Whether the head of a response without an event had arrived for one of the open requests. Its
+    /// engine had begun to answer, so the requests without a head are no suspects.
     has_head: bool,
     /// Whether a block accounts for the crash, so that it is no evidence against other parts.
     is_explained: bool,
@@ -163,12 +124,15 @@
 /// Evidence on the parts of prompts, from this router and the others.
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
-    proofs: ProofCache,
+    proofs: PartProofs,
+    /// Answers of this router that their engines have not outlived yet.
+    begun: BegunAnswers,
+    lone_heads: LoneHeads,
     crashes: HashMap<EndpointId, Crash>,
     reports: Vec<Report>,
     blocks: Vec<Block>,
     /// When each part was last named by evidence that a proof contradicts.
-    contradicted: HashMap<u32, Timestamp>,
+    contradicted: HashMap<(CrashPoint, u32), Timestamp>,
     /// Engines on which other routers run trials, with the time until which this counts.
     peer_trials: HashMap<EndpointId, Timestamp>,
     changes: Vec<EvidenceChange>,
@@ -202,12 +166,11 @@
         if let Some(part) = trial_of {
             return Assessment::Suspect(part);
         }
-        let suspects = ids.iter().filter(|part| self.is_suspect(**part));
-        let worst = suspects.max_by_key(|part| {
-            let is_unproven = self.proofs.get(**part).is_none();
-            (is_unproven, self.crashes_of(**part), **part)
-        });
-        worst.map_or(Assessment::Clear, |part| Assessment::Suspect(*part))
+        let suspicions = ids
+            .iter()
+            .filter_map(|part| Some((self.suspicion(*part)?, *part)));
+        let worst = suspicions.max();
+        worst.map_or(Assessment::Clear, |(_, part)| Assessment::Suspect(part))
     }
 
     /// Returns whether a request that may have crashed an engine can be sent to another one.
@@ -215,20 +178,60 @@
         self.assess(parts, now) == Assessment::Clear
     }
 
-    /// Records that an answer got past the point at which a fatal part crashes an engine.
+    /// Records that the first event of an answer arrived, or all of a plain one.
+    ///
+    /// It proves that the parts crash no engine before it. Whether they do so after it is known once the
+    /// engine has outlived it for a while. `head_gap` is the time since the head of the response.
+    pub fn on_answer_begun(
+        &mut self,
+        endpoint: EndpointId,
+        parts: &PartIds,
+        is_trial: bool,
+        head_gap: Duration,
+        now: Timestamp,
+    ) {
+        if parts.is_empty() || is_seeded(SeededFault::IgnorePartProofs) {
+            return;
+        }
+        if is_seeded(SeededFault::ProveByFirstEvent) {
+            self.on_proof(parts, now);
+            return;
+        }
+        self.lone_heads.observe(head_gap);
+        for part in parts {
+            self.prove(CrashPoint::BeforeFirstEvent, *part, now, now);
+        }
+        let answer = BegunAnswer {
+            at: now,
+            parts: parts.clone(),
+            is_trial,
+        };
+        // Events that were on their way when the engine crashed may be read after its crash.
+        match self.crashes.get(&endpoint).copied() {
+            Some(crash) if !crash.is_explained => {
+                self.report_begun(endpoint, answer, crash.at, now);
+            }
+            Some(_) => {}
+            None => self.begun.insert(endpoint, answer),
+        }
+    }
+
+    /// Records that an engine outlived an answer, which proves the parts of its prompt.
     pub fn on_proof(&mut self, parts: &[u32], now: Timestamp) {
         if is_seeded(SeededFault::IgnorePartProofs) {
             return;
         }
         for part in parts {
-            self.prove(*part, now, now);
+            self.prove_sound(*part, now, now);
         }
     }
 
     /// Discards all evidence against a part, on an operator's request.
     pub fn lift(&mut self, part: u32, now: Timestamp) {
-        self.contradicted.insert(part, now);
-        self.prove(part, now, now);
+        for point in CrashPoint::ALL {
+            self.contradicted.insert((point, part), now);
+        }
+        self.prove_sound(part, now, now);
     }
 
     /// Sets the number of engines.
@@ -243,7 +246,7 @@
             Report {
                 endpoint: run.endpoint,
                 at: now,
-                has_head: run.has_head,
+                stage: run.stage,
                 is_trial: run.is_trial,
                 parts: run.parts.clone(),
             },
@@ -252,16 +255,30 @@
         self.decide_blocks(now);
     }
 
-    /// Records that bytes arrived from an engine, which disproves an earlier crash.
-    pub fn on_alive(&mut self, endpoint: EndpointId, now: Timestamp) {
-        let is_disproven = self
-            .crashes
-            .get(&endpoint)
-            .is_some_and(|crash| now.since(crash.at) > LATE_BYTES_MAX);
-        if is_disproven {
+    /// Records that an engine was heard at `heard_at`. This disproves an earlier crash, and proves the
+    /// parts of the answers that the engine has outlived.
+    pub fn on_alive(&mut self, endpoint: EndpointId, heard_at: Timestamp) {
+        if let Some(crash) = self.crashes.get(&endpoint) {
+            if heard_at.since(crash.at) <= LATE_BYTES_MAX {
+                return;
+            }
             self.crashes.remove(&endpoint);
             self.reports.retain(|report| report.endpoint != endpoint);
         }
+        for answer in self.begun.take_outlived(endpoint, heard_at) {
+            self.on_proof(&answer.parts, heard_at);
+        }
+    }
+
+    /// Returns whether an engine has begun an answer that it has not outlived yet.
+    pub fn has_begun_answer(&self, endpoint: EndpointId) -> bool {
+        self.begun.has_any(endpoint)
+    }
+
+    /// Returns the engines on which this router's trials have begun to answer, and which have not
+    /// outlived them yet.
+    pub fn begun_trials(&self, now: Timestamp) -> impl Iterator<Item = EndpointId> {
+        self.begun.trials(now)
     }
 
     /// Returns whether there is no evidence against any part.
@@ -292,6 +309,11 @@
 
     /// Discards old evidence.
     pub fn expire(&mut self, now: Timestamp) {
+        for answer in self.begun.take_expired(now) {
+            for part in &answer.parts {
+                self.prove_sound(*part, answer.at + PROOF_DELAY, now);
+            }
+        }
         self.reports
             .retain(|report| now.since(report.at) < REPORT_TTL);
         self.crashes
@@ -306,21 +328,39 @@
         }
     }
 
-    /// Records a proof of `proven_at` that became known at `now`.
-    fn prove(&mut self, part: u32, proven_at: Timestamp, now: Timestamp) {
-        self.proofs.insert(part, proven_at);
-        if self.reports.is_empty() && self.blocks.is_empty() {
+    /// Records that a part crashes no engine at any point, as shown at `proven_at`.
+    fn prove_sound(&mut self, part: u32, proven_at: Timestamp, now: Timestamp) {
+        for point in CrashPoint::ALL {
+            self.prove(point, part, proven_at, now);
+        }
+        self.lift_blocks(part, proven_at, now);
+    }
+
+    /// Records a proof of `proven_at` that a part crashes no engine at a point, which became known at
+    /// `now`.
+    fn prove(&mut self, point: CrashPoint, part: u32, proven_at: Timestamp, now: Timestamp) {
+        self.proofs.insert(point, part, proven_at);
+        if self.reports.is_empty() {
             return;
         }
         self.has_new_evidence = true;
         let mut has_contradicted = false;
         for report in &mut self.reports {
-            if report.at < proven_at && report.parts.contains(&part) {
+            let is_contradicted = report.stage.crash_point() == point && report.at < proven_at;
+            if is_contradicted && report.parts.contains(&part) {
                 report.parts.retain(|id| *id != part);
                 has_contradicted = true;
             }
         }
         self.reports.retain(|report| !report.parts.is_empty());
+        if has_contradicted {
+            self.contradicted.insert((point, part), now);
+        }
+    }
+
+    /// Removes a proven part from blocks.
+    fn lift_blocks(&mut self, part: u32, proven_at: Timestamp, now: Timestamp) {
+        let mut has_contradicted = false;
         for block in &mut self.blocks {
             if block.since < proven_at && block.parts.contains(&part) {
                 block.parts.retain(|id| *id != part);
@@ -336,51 +376,99 @@
             !block.parts.is_empty()
         });
         if has_contradicted {
-            self.contradicted.insert(part, now);
+            for point in CrashPoint::ALL {
+                self.contradicted.insert((point, part), now);
+            }
         }
     }
 
     /// Adds a report, unless it says nothing new.
     fn add_report(&mut self, mut report: Report, now: Timestamp) {
-        let is_new_crash = !self.crashes.contains_key(&report.endpoint);
-        let crash = self.crashes.entry(report.endpoint).or_insert(Crash {
+        let endpoint = report.endpoint;
+        let is_new_crash = !self.crashes.contains_key(&endpoint);
+        let crash = self.crashes.entry(endpoint).or_insert(Crash {
             at: report.at,
-            has_head: report.has_head,
+            has_head: false,
             is_explained: false,
         });
         crash.at = crash.at.min(report.at);
-        if report.has_head && !crash.has_head {
+        // If heads come alone, a request with one is no likelier cause than one that has begun.
+        let lone_heads_are_usual = self.lone_heads.are_usual();
+        let yields_to_head = |stage: AnswerStage| match stage {
+            AnswerStage::Waiting => true,
+            AnswerStage::Head => false,
+            AnswerStage::Begun => !lone_heads_are_usual,
+        };
+        if report.stage == AnswerStage::Head && !crash.has_head {
             crash.has_head = true;
-            let endpoint = report.endpoint;
             self.reports
-                .retain(|other| other.endpoint != endpoint || other.has_head);
+                .retain(|other| other.endpoint != endpoint || !yields_to_head(other.stage));
         }
-        let is_overruled = crash.is_explained || (!report.has_head && crash.has_head);
+        let is_overruled = crash.is_explained || (crash.has_head && yields_to_head(report.stage));
+        let point = report.stage.crash_point();
         for part in &report.parts {
-            if self.proofs.get(*part).is_some() {
-                self.contradicted.insert(*part, now);
+            if self.proofs.get(point, *part).is_some() {
+                self.contradicted.insert((point, *part), now);
             }
         }
         let is_proven_since = |part: &u32| {
-            let proven_at = self.proofs.get(*part);
+            let proven_at = self.proofs.get(point, *part);
             proven_at.is_some_and(|proven_at| proven_at > report.at)
         };
         report.parts.retain(|part| !is_proven_since(part));
         if !is_overruled && !report.parts.is_empty() && !self.renew_block(&report) {
-            self.insert_report(report.clone());
+            self.insert_report(report);
         }
         if is_new_crash {
-            let named = report
-                .parts
-                .iter()
-                .map(|part| (*part, self.crashes_of(*part)));
-            let suspects = named.filter(|(part, _)| self.is_suspect(*part)).collect();
-            let endpoint = report.endpoint;
+            self.report_begun_answers(endpoint, now);
+            let suspects = self.suspects_at(endpoint);
             self.changes
                 .push(EvidenceChange::Crashed { endpoint, suspects });
         }
     }
 
+    /// Reports the answers that an engine had begun and not outlived when it crashed.
+    fn report_begun_answers(&mut self, endpoint: EndpointId, now: Timestamp) {
+        let Some(crash) = self.crashes.get(&endpoint).copied() else {
+            return;
+        };
+        for answer in self.begun.take_suspects(endpoint, crash.at) {
+            if !crash.is_explained {
+                self.report_begun(endpoint, answer, crash.at, now);
+            }
+        }
+    }
+
+    fn report_begun(
+        &mut self,
+        endpoint: EndpointId,
+        answer: BegunAnswer,
+        crashed_at: Timestamp,
+        now: Timestamp,
+    ) {
+        let report = Report {
+            endpoint,
+            at: crashed_at,
+            stage: AnswerStage::Begun,
+            is_trial: answer.is_trial,
+            parts: answer.parts,
+        };
+        self.add_report(report, now);
+    }
+
+    /// Returns the suspects among the parts that were open at a crashed engine, each with the number
+    /// of crashes that it has met.
+    fn suspects_at(&self, endpoint: EndpointId) -> Vec<(u32, usize)> {
+        let reports = self.reports.iter();
+        let of_crash = reports.filter(|report| report.endpoint == endpoint);
+        let mut parts: Vec<u32> = of_crash.flat_map(|report| report.parts.clone()).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        parts.retain(|part| self.suspicion(*part).is_some());
+        let counted = parts.into_iter().map(|part| (part, self.crashes_of(part)));
+        counted.collect()
+    }
+
     fn insert_report(&mut self, report: Report) {
         let same = self.reports.iter_mut().find(|other| {
             other.endpoint == report.endpoint
@@ -395,96 +483,36 @@
         }
         // A flood of unknown parts must not displace the parts that met several crashes.
         if self.reports.len() >= REPORTS_MAX {
+            let crashes = self.crashes_by_part();
             let weight = |report: &Report| {
-                let crashes = report.parts.iter().map(|part| self.crashes_of(*part));
-                (crashes.max().unwrap_or(0), report.at)
+                let crashes = report.parts.iter().filter_map(|part| crashes.get(part));
+                (crashes.copied().max().unwrap_or(0), report.at)
             };
             let weakest = (0..self.reports.len()).min_by_key(|index| weight(&self.reports[*index]));
-            if let Some(weakest) = weakest {
-                self.reports.swap_remove(weakest);
+            let Some(weakest) = weakest else { return };
+            // Other routers send what was dropped here again and again.
+            if weight(&report) < weight(&self.reports[weakest]) {
+                return;
             }
+            self.reports.swap_remove(weakest);
         }
         self.has_new_evidence = true;
         self.reports.push(report);
     }
 
-    /// Extends the block whose trial has failed. Returns whether a block accounts for the report.
-    fn renew_block(&mut self, report: &Report) -> bool {
-        let mut blocks = self.blocks.iter_mut();
-        let Some(block) = blocks.find(|block| contains_all(&report.parts, &block.parts)) else {
-            return false;
-        };
-        if report.is_trial && report.at >= block.trial_due_at() {
-            block.renewals = block.renewals.saturating_add(1);
-            block.since = report.at;
-            block.pause = block_pause(block.renewals);
-        }
-        if block.endpoints.len() < BLOCK_ENDPOINTS_MAX
-            && !block.endpoints.contains(&report.endpoint)
-        {
-            block.endpoints.push(report.endpoint);
+    /// Returns the number of crashed engine starts that had an open request with each part.
+    fn crashes_by_part(&self) -> HashMap<u32, usize> {
+        let reports = self.reports.iter();
+        let mut named: Vec<(u32, EndpointId)> = reports
+            .flat_map(|report| report.parts.iter().map(|part| (*part, report.endpoint)))
+            .collect();
+        named.sort_unstable();
+        named.dedup();
+        let mut crashes = HashMap::new();
+        for (part, _) in named {
+            *crashes.entry(part).or_default() += 1;
         }
-        self.explain(&[report.endpoint]);
-        true
-    }
-
-    /// Drops the reports on crashes that a block accounts for.
-    fn explain(&mut self, endpoints: &[EndpointId]) {
-        for endpoint in endpoints {
-            if let Some(crash) = self.crashes.get_mut(endpoint) {
-                crash.is_explained = true;
-            }
-        }
-        self.reports
-            .retain(|report| !endpoints.contains(&report.endpoint));
-    }
-
-    /// Blocks the parts that the reports leave no doubt about.
-    fn decide_blocks(&mut self, now: Timestamp) {
-        if !std::mem::take(&mut self.has_new_evidence) {
-            return;
-        }
-        while let Some((parts, at)) = self.find_fatal_parts(now) {
-            let reports = self.reports.iter();
-            let explained = reports.filter(|report| contains_all(&report.parts, &parts));
-            let mut endpoints: CrashedEndpoints = explained.map(|report| report.endpoint).collect();
-            endpoints.sort_unstable();
-            endpoints.dedup();
-            self.explain(&endpoints);
-            endpoints.truncate(BLOCK_ENDPOINTS_MAX);
-            let pause = block_pause(0);
-            self.changes.push(EvidenceChange::Blocked {
-                parts: parts.clone(),
-                endpoints: endpoints.clone(),
-                pause,
-            });
-            self.insert_block(Block {
-                parts,
-                since: at,
-                pause,
-                renewals: 0,
-                endpoints,
-            });
-        }
-    }
-
-    fn insert_block(&mut self, block: Block) {
-        if self.blocks.len() >= BLOCKS_MAX {
-            let oldest = (0..self.blocks.len()).min_by_key(|index| self.blocks[*index].since);
-            if let Some(oldest) = oldest {
-                self.blocks.swap_remove(oldest);
-            }
-        }
-        self.blocks.push(block);
-    }
-
-    /// Returns whether a part met crashes and has no later proof.
-    fn is_suspect(&self, part: u32) -> bool {
-        let needed = match self.proofs.get(part) {
-            Some(_) => CRASHES_TO_DOUBT_PROOF,
-            None => 1,
-        };
-        self.crashes_of(part) >= needed
+        crashes
     }
 
     /// Returns the number of crashed engine starts that had an open request with a part.
@@ -508,11 +536,5 @@
     subset.iter().all(|id| ids.contains(id))
 }
 
-fn block_pause(renewals: u32) -> Duration {
-    BLOCK_INITIAL
-        .saturating_mul(2_u32.saturating_pow(renewals))
-        .min(BLOCK_MAX)
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/daisynotch_core/src/direct/crash_evidence/news.rs
+++ b/crates/daisynotch_core/src/direct/crash_evidence/news.rs
@@ -4,13 +4,16 @@
 //! do not hear each other. A message holds whole reports instead of changes, so that a lost one
 //! has no lasting effect.
 
+use std::cmp::Reverse;
+use std::collections::hash_map::Entry;
 use std::time::Duration;
 
 use daisynotch_objects::EndpointId;
 
+use super::blocks::BLOCK_MAX;
 use super::{
-    BLOCK_MAX, Block, CRASH_RATE_WINDOW, Crash, CrashEvidence, CrashedEndpoints, EvidenceChange,
-    PartIds, Report, contains_all,
+    AnswerStage, Block, CRASH_RATE_WINDOW, Crash, CrashEvidence, CrashPoint, CrashedEndpoints,
+    EvidenceChange, PartIds, Report, contains_all,
 };
 use crate::time::{Timestamp, age_to_ms};
 
@@ -79,9 +82,9 @@
 #[daisynotch_macros::message]
 #[derive(Default)]
 pub struct CrashNews {
-    /// Open requests at engines that crashed, the latest crashes first.
+    /// Open requests without an event at engines that crashed, the latest crashes first.
     pub reports: Vec<CrashReport>,
-    /// Proofs that contradict what other routers sent.
+    /// Answers that got past their first event, which contradict what other routers sent.
     pub proofs: Vec<PartProof>,
     /// Blocks in force.
     pub blocks: Vec<PartBlock>,
@@ -89,6 +92,20 @@
     pub trials: Vec<EndpointId>,
     /// The latest crashes, for the rate of ordinary ones.
     pub crashes: Vec<CrashedEndpoint>,
+    /// The evidence on crashes after the first event. Routers of an earlier version would take it for
+    /// evidence on those before, so it follows a message where such routers read no further.
+    #[serde(skip)]
+    pub after_first_event: LateCrashNews,
+}
+
+/// What one router knows of crashes shortly after the first event of an answer.
+#[daisynotch_macros::message]
+#[derive(Default)]
+pub struct LateCrashNews {
+    /// Requests whose answers had begun, the latest crashes first.
+    pub reports: Vec<CrashReport>,
+    /// Answers that their engines outlived, which contradict what other routers sent.
+    pub proofs: Vec<PartProof>,
 }
 
 impl CrashNews {
@@ -96,11 +113,13 @@
     /// crash that came after it. Without an upper bound on that time, proofs are dropped. Crashes
     /// keep their ages: one that looks too old would be disproven by an earlier proof.
     pub fn add_transit(&mut self, transit: Option<Duration>) {
+        let late = &mut self.after_first_event;
         let Some(transit) = transit else {
             self.proofs.clear();
+            late.proofs.clear();
             return;
         };
-        for proof in &mut self.proofs {
+        for proof in self.proofs.iter_mut().chain(&mut late.proofs) {
             proof.age_ms = proof.age_ms.saturating_add(age_to_ms(transit));
         }
     }
@@ -126,19 +145,6 @@
 
     /// Returns the evidence for other routers, with at most `reports_max` reports.
     pub fn to_news(&self, reports_max: usize, now: Timestamp) -> CrashNews {
-        let mut reports: Vec<&Report> = self.reports.iter().collect();
-        reports.sort_by_key(|report| std::cmp::Reverse(report.at));
-        let reports = reports.into_iter().take(reports_max);
-        let mut contradicted: Vec<(Timestamp, u32)> = self
-            .contradicted
-            .iter()
-            .map(|(part, at)| (*at, *part))
-            .collect();
-        contradicted.sort_unstable_by(|left, right| right.cmp(left));
-        let proofs = contradicted.into_iter().filter_map(|(_, part)| {
-            let age_ms = age_to_ms(now.since(self.proofs.get(part)?));
-            Some(PartProof { part, age_ms })
-        });
         let mut crashes: Vec<CrashedEndpoint> = self
             .crashes
             .iter()
@@ -154,49 +160,95 @@
         blocks.sort_by_key(|block| block.age_ms);
         blocks.truncate(SENT_BLOCKS_MAX);
         CrashNews {
-            reports: reports
-                .map(|report| CrashReport {
-                    endpoint: report.endpoint,
-                    age_ms: to_ms(now.since(report.at)),
-                    has_head: report.has_head,
-                    is_trial: report.is_trial,
-                    parts: report.parts.clone(),
-                })
-                .collect(),
-            proofs: proofs.take(PROOFS_MAX).collect(),
+            reports: self.report_news(CrashPoint::BeforeFirstEvent, reports_max, now),
+            proofs: self.proof_news(CrashPoint::BeforeFirstEvent, now),
             blocks,
             trials: Vec::new(),
             crashes,
+            after_first_event: self.late_news(reports_max, now),
         }
     }
 
+    /// Returns the evidence on crashes after the first event, with at most `reports_max` reports.
+    pub fn late_news(&self, reports_max: usize, now: Timestamp) -> LateCrashNews {
+        let point = CrashPoint::AfterFirstEvent;
+        LateCrashNews {
+            reports: self.report_news(point, reports_max, now),
+            proofs: self.proof_news(point, now),
+        }
+    }
+
+    fn proof_news(&self, point: CrashPoint, now: Timestamp) -> Vec<PartProof> {
+        let contradicted = self.contradicted.iter();
+        let mut contradicted: Vec<(Timestamp, u32)> = contradicted
+            .filter(|((at_point, _), _)| *at_point == point)
+            .map(|((_, part), at)| (*at, *part))
+            .collect();
+        contradicted.sort_unstable_by(|left, right| right.cmp(left));
+        let proofs = contradicted.into_iter().filter_map(|(_, part)| {
+            let age_ms = age_to_ms(now.since(self.proofs.get(point, part)?));
+            Some(PartProof { part, age_ms })
+        });
+        proofs.take(PROOFS_MAX).collect()
+    }
+
+    /// Returns up to `max` reports on crashes at one point. Those with an unproven part come first: the
+    /// sound requests of one crash must not displace the fatal one.
+    fn report_news(&self, point: CrashPoint, max: usize, now: Timestamp) -> Vec<CrashReport> {
+        let mut reports: Vec<&Report> = self.reports_at(point).collect();
+        reports.sort_by_cached_key(|report| {
+            let mut parts = report.parts.iter();
+            let has_unproven = parts.any(|part| self.is_unproven(point, *part));
+            Reverse((has_unproven, report.at))
+        });
+        let reports = reports.into_iter().take(max);
+        let reports = reports.map(|report| CrashReport {
+            endpoint: report.endpoint,
+            age_ms: to_ms(now.since(report.at)),
+            has_head: report.stage != AnswerStage::Waiting,
+            is_trial: report.is_trial,
+            parts: report.parts.clone(),
+        });
+        reports.collect()
+    }
+
     /// Applies another router's evidence.
     pub fn on_news(&mut self, news: &CrashNews, now: Timestamp) {
+        let late = &news.after_first_event;
+        let proven_at = |proof: &PartProof| {
+            now - (Duration::from_millis(u64::from(proof.age_ms)) + PROOF_AGE_MARGIN)
+        };
         for proof in &news.proofs {
-            let age = Duration::from_millis(u64::from(proof.age_ms)) + PROOF_AGE_MARGIN;
-            self.prove(proof.part, now - age, now);
+            let point = CrashPoint::BeforeFirstEvent;
+            self.prove(point, proof.part, proven_at(proof), now);
+        }
+        for proof in &late.proofs {
+            self.prove_sound(proof.part, proven_at(proof), now);
         }
         for block in &news.blocks {
             self.on_block(block, now);
         }
         for report in &news.reports {
-            let at = now - Duration::from_millis(u64::from(report.age_ms));
-            let report = Report {
-                endpoint: report.endpoint,
-                at,
-                has_head: report.has_head,
-                is_trial: report.is_trial,
-                parts: report.parts.clone(),
+            let stage = if report.has_head {
+                AnswerStage::Head
+            } else {
+                AnswerStage::Waiting
             };
-            self.add_report(report, now);
+            self.on_report(report, stage, now);
+        }
+        for report in &late.reports {
+            self.on_report(report, AnswerStage::Begun, now);
         }
         for crash in &news.crashes {
             let at = now - Duration::from_millis(u64::from(crash.age_ms));
-            self.crashes.entry(crash.endpoint).or_insert(Crash {
-                at,
-                has_head: false,
-                is_explained: false,
-            });
+            if let Entry::Vacant(unknown) = self.crashes.entry(crash.endpoint) {
+                unknown.insert(Crash {
+                    at,
+                    has_head: false,
+                    is_explained: false,
+                });
+                self.report_begun_answers(crash.endpoint, now);
+            }
         }
         for endpoint in &news.trials {
             self.peer_trials.insert(*endpoint, now + PEER_TRIAL_TTL);
@@ -204,6 +256,18 @@
         self.decide_blocks(now);
     }
 
+    /// Applies another router's report.
+    fn on_report(&mut self, report: &CrashReport, stage: AnswerStage, now: Timestamp) {
+        let report = Report {
+            endpoint: report.endpoint,
+            at: now - Duration::from_millis(u64::from(report.age_ms)),
+            stage,
+            is_trial: report.is_trial,
+            parts: report.parts.clone(),
+        };
+        self.add_report(report, now);
+    }
+
     /// Applies another router's block, less the parts that were proven since.
     fn on_block(&mut self, block: &PartBlock, now: Timestamp) {
         let since = now - Duration::from_millis(u64::from(block.age_ms));
@@ -211,10 +275,11 @@
         for part in &block.parts {
             if self
                 .proofs
-                .get(*part)
+                .get(CrashPoint::AfterFirstEvent, *part)
                 .is_some_and(|proven_at| proven_at > since)
             {
-                self.contradicted.insert(*part, now);
+                let point = CrashPoint::AfterFirstEvent;
+                self.contradicted.insert((point, *part), now);
                 parts.retain(|id| id != part);
             }
         }
--- a/crates/daisynotch_core/src/direct/crash_evidence/tests.rs
+++ b/crates/daisynotch_core/src/direct/crash_evidence/tests.rs
@@ -1,5 +1,6 @@
 //! Each test brings about crashes under which sound parts must not be blamed, or fatal ones must.
 
+use super::blocks::{BLOCK_INITIAL, BLOCK_MAX};
 use super::*;
 
 const SHARED: u32 = 1;
@@ -15,7 +16,7 @@
     OpenRun {
         endpoint: EndpointId(endpoint),
         parts: PartIds::from_slice(parts),
-        has_head: true,
+        stage: AnswerStage::Head,
         is_trial: false,
     }
 }
@@ -99,7 +100,7 @@
 #[test]
 fn queued_requests_are_no_suspects_once_a_started_one_is_known() {
     let queued = OpenRun {
-        has_head: false,
+        stage: AnswerStage::Waiting,
         ..open_run(1, &[SESSION])
     };
     for is_queued_first in [true, false] {
@@ -269,7 +270,7 @@
     evidence.on_crash(&trial(2, &[SHARED, FATAL]), at(200));
     for flood in 0..2_000_u32 {
         let run = OpenRun {
-            has_head: false,
+            stage: AnswerStage::Waiting,
             ..open_run(1_000 + flood % 2, &[10_000 + flood, 50_000 + flood])
         };
         evidence.on_crash(&run, at(300));
@@ -342,3 +343,175 @@
     };
     assert!(left <= BLOCK_MAX, "{left:?}");
 }
+
+fn begin(evidence: &mut CrashEvidence, endpoint: u32, parts: &[u32], at_ms: u64) {
+    let parts = PartIds::from_slice(parts);
+    let together = Duration::ZERO;
+    evidence.on_answer_begun(EndpointId(endpoint), &parts, false, together, at(at_ms));
+}
+
+/// A crash that neither a request nor a part is known of.
+fn unattended(endpoint: u32) -> OpenRun {
+    OpenRun {
+        stage: AnswerStage::Waiting,
+        ..open_run(endpoint, &[])
+    }
+}
+
+/// The first event was taken for a proof, though the engine crashed milliseconds later.
+#[test]
+fn an_answer_proves_nothing_until_its_engine_has_outlived_it() {
+    let begun = OpenRun {
+        stage: AnswerStage::Begun,
+        ..open_run(1, &[SESSION])
+    };
+    let mut evidence = new_evidence();
+    evidence.on_crash(&begun, at(0));
+    begin(&mut evidence, 2, &[SESSION], 100);
+    let suspect = Assessment::Suspect(SESSION);
+    evidence.on_alive(EndpointId(2), at(399));
+    assert_eq!(evidence.assess_ids(&[SESSION], at(399)), suspect);
+    evidence.on_alive(EndpointId(2), at(400));
+    let assessment = evidence.assess_ids(&[SESSION], at(400));
+    assert_eq!(assessment, Assessment::Clear);
+}
+
+/// Only later events can show whether a part crashes engines after the first one.
+#[test]
+fn a_first_event_clears_suspects_of_crashes_before_it() {
+    let mut evidence = new_evidence();
+    evidence.on_crash(&open_run(1, &[SESSION]), at(0));
+    begin(&mut evidence, 2, &[SESSION], 100);
+    let assessment = evidence.assess_ids(&[SESSION], at(101));
+    assert_eq!(assessment, Assessment::Clear);
+}
+
+/// Events that arrived before a crash may be read after it, and none of them proves anything.
+#[test]
+fn an_answer_that_is_read_after_the_crash_is_a_suspect() {
+    let mut evidence = new_evidence();
+    evidence.on_crash(&unattended(1), at(100));
+    begin(&mut evidence, 1, &[FATAL], 150);
+    evidence.on_alive(EndpointId(1), at(1_200));
+    assert!(
+        evidence.is_unproven(CrashPoint::AfterFirstEvent, FATAL),
+        "bytes that disprove the crash prove nothing else"
+    );
+    let mut evidence = new_evidence();
+    evidence.on_crash(&unattended(1), at(100));
+    begin(&mut evidence, 1, &[FATAL], 150);
+    let assessment = evidence.assess_ids(&[FATAL], at(151));
+    assert_eq!(assessment, Assessment::Suspect(FATAL));
+}
+
+/// Another router's request broke with the engine. The answer that was whole by then may be the one
+/// that crashed it.
+#[test]
+fn whole_answers_are_suspects_of_a_crash_that_another_router_saw() {
+    let mut routers = [new_evidence(), new_evidence(), new_evidence()];
+    begin(&mut routers[0], 1, &[FATAL], 0);
+    routers[1].on_crash(&unattended(1), at(100));
+    for _ in 0..2 {
+        let news = routers.each_ref().map(|router| router.to_news(16, at(150)));
+        for router in &mut routers {
+            news.iter().for_each(|news| router.on_news(news, at(160)));
+        }
+    }
+    for router in &routers {
+        let suspect = Assessment::Suspect(FATAL);
+        assert_eq!(router.assess_ids(&[FATAL], at(200)), suspect);
+    }
+}
+
+/// Returns which of three requests at a crashed engine are suspects: one whose answer has begun, one
+/// with a head and one without, in all orders.
+fn suspects_by_order(head_gap: Duration) -> Vec<[bool; 3]> {
+    let begun = OpenRun {
+        stage: AnswerStage::Begun,
+        ..open_run(1, &[FATAL])
+    };
+    let queued = OpenRun {
+        stage: AnswerStage::Waiting,
+        ..open_run(1, &[SHARED])
+    };
+    let runs = [begun, open_run(1, &[SESSION]), queued];
+    let orders = [
+        [0, 1, 2],
+        [0, 2, 1],
+        [1, 0, 2],
+        [1, 2, 0],
+        [2, 0, 1],
+        [2, 1, 0],
+    ];
+    let suspects = orders.map(|order| {
+        let mut evidence = new_evidence();
+        let sound = PartIds::from_slice(&[9]);
+        evidence.on_answer_begun(EndpointId(2), &sound, false, head_gap, at(0));
+        for index in order {
+            evidence.on_crash(&runs[index], at(100));
+        }
+        [FATAL, SESSION, SHARED]
+            .map(|part| evidence.assess_ids(&[part], at(101)) == Assessment::Suspect(part))
+    });
+    suspects.to_vec()
+}
+
+/// Where heads come before the first event, sound requests with a head are at each crash. A fatal
+/// answer that had begun must not be left out for them.
+#[test]
+fn begun_answers_are_suspects_beside_usual_heads() {
+    for suspects in suspects_by_order(Duration::from_millis(60)) {
+        assert_eq!(suspects, [true, true, false]);
+    }
+}
+
+/// Where engines send the head with the first event, a head alone tells which request crashed the
+/// engine.
+#[test]
+fn begun_answers_are_no_suspects_beside_an_unusual_head() {
+    for suspects in suspects_by_order(Duration::from_millis(1)) {
+        assert_eq!(suspects, [false, true, false]);
+    }
+}
+
+/// An answer of long ago had proven nothing, since its engine was idle, and is not blamed for a
+/// crash.
+#[test]
+fn an_old_answer_of_an_idle_engine_is_no_suspect() {
+    let mut evidence = new_evidence();
+    begin(&mut evidence, 1, &[SESSION], 0);
+    evidence.on_crash(&unattended(1), at(3_500));
+    let assessment = evidence.assess_ids(&[SESSION], at(3_501));
+    assert_eq!(assessment, Assessment::Clear);
+    assert!(!evidence.has_begun_answer(EndpointId(1)));
+}
+
+/// Sound answers with proven parts begin at each engine that crashes. Their reports fill a message,
+/// and the one with the fatal part must be in it.
+#[test]
+fn reports_with_an_unproven_part_are_sent_first() {
+    let mut evidence = new_evidence();
+    for session in 100..140 {
+        evidence.on_proof(&[session], at(0));
+        begin(&mut evidence, 1, &[session], 50);
+    }
+    begin(&mut evidence, 1, &[FATAL], 60);
+    evidence.on_crash(&unattended(1), at(100));
+    let news = evidence.to_news(16, at(110));
+    let mut begun = news.after_first_event.reports.iter();
+    assert!(begun.any(|report| report.parts.contains(&FATAL)));
+}
+
+/// Memory must not grow while an engine that was sent many requests is silent.
+#[test]
+fn begun_answers_are_bounded() {
+    let mut evidence = new_evidence();
+    for request in 0..10_000 {
+        begin(&mut evidence, 1, &[request], 0);
+    }
+    let suspects = evidence.begun.take_suspects(EndpointId(1), at(1));
+    assert_eq!(suspects.len(), 256);
+    begin(&mut evidence, 1, &[SESSION], 0);
+    evidence.expire(at(11_000));
+    assert!(!evidence.has_begun_answer(EndpointId(1)));
+}
--- a/crates/daisynotch_core/src/direct/dispatcher.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher.rs
@@ -61,11 +61,14 @@
     rounds: f64,
     sent_at: Timestamp,
     due_at: Timestamp,
-    has_answer_begun: bool,
+    /// When the first bytes of the response, its head, arrived.
+    head_at: Option<Timestamp>,
     /// The parts of the prompt that other prompts may share.
     shared_parts: PartIds,
-    /// Whether an event of the answer, or all of it, has arrived.
-    has_event: bool,
+    /// When the first event of the answer, or all of a plain one, arrived.
+    begun_at: Option<Timestamp>,
+    /// Whether a later event showed that the endpoint outlived the beginning of the answer.
+    is_beginning_outlived: bool,
     /// When the latest event of a stream arrived, unless the engine prefilled prompts then.
     last_event_at: Option<Timestamp>,
     /// The number of events of a stream that arrived.
@@ -276,10 +279,10 @@
         load.health.on_byte(now);
         self.cold_starts.on_byte(run.endpoint, run.sent_at, now);
         self.crash_evidence.on_alive(run.endpoint, now);
-        if run.has_answer_begun {
+        if run.head_at.is_some() {
             return;
         }
-        run.has_answer_begun = true;
+        run.head_at = Some(now);
         load.own.unread_tokens = load.own.unread_tokens.saturating_sub(run.unread_tokens);
         run.unread_tokens = 0;
         let taken = now.since(run.sent_at);
@@ -491,9 +494,10 @@
             rounds: choice.rounds,
             sent_at: now,
             due_at: now + expected.mul_f64(1.5),
-            has_answer_begun: false,
+            head_at: None,
             shared_parts: shared_part_ids(&spec.parts),
-            has_event: false,
+            begun_at: None,
+            is_beginning_outlived: false,
             last_event_at: None,
             events: 0,
             answer: AnswerKeys::new(spec),
@@ -535,7 +539,7 @@
     /// Updates the time by which an endpoint's next answer should begin.
     fn refresh_due(&mut self, endpoint: EndpointId) {
         let runs = self.runs.values();
-        let waiting = runs.filter(|run| run.endpoint == endpoint && !run.has_answer_begun);
+        let waiting = runs.filter(|run| run.endpoint == endpoint && run.head_at.is_none());
         let due_at = waiting.map(|run| run.due_at).min();
         if let Some(load) = self.endpoints.get_mut(&endpoint) {
             load.health.expect_answer(due_at);
--- a/crates/daisynotch_core/src/direct/dispatcher/crashes.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/crashes.rs
@@ -7,7 +7,9 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Dispatcher;
-use crate::direct::crash_evidence::{CrashNews, EvidenceChange, OpenRun, PartBlock, PartIds};
+use crate::direct::crash_evidence::{
+    AnswerStage, CrashNews, EvidenceChange, LateCrashNews, OpenRun, PROOF_DELAY, PartBlock, PartIds,
+};
 use crate::direct::placement::{Candidate, evaluate_endpoint};
 use crate::direct::remaining_work::EVENTS_LEFT_MIN;
 use crate::direct::request::{CostModel, RequestSpec, RunId};
@@ -20,17 +22,26 @@
 const SETTLED_AGE_FRACTION: f64 = 0.5;
 
 impl Dispatcher {
-    /// Records that an event of a streamed answer, or a whole answer, arrived. It proves that the
-    /// parts of the prompt crash no endpoint.
+    /// Records that an event of a streamed answer, or a whole answer, arrived. If the endpoint
+    /// outlives the first one for a while, the parts of the prompt crash no endpoint.
     ///
     /// `events` is the number of events of a stream that arrived; 0 for a whole answer.
     pub fn on_event(&mut self, run: RunId, events: u64, now: Timestamp) {
         let Some(run) = self.runs.get_mut(&run) else {
             return;
         };
-        if !run.has_event {
-            run.has_event = true;
-            self.crash_evidence.on_proof(&run.shared_parts, now);
+        if let Some(begun_at) = run.begun_at {
+            run.is_beginning_outlived |= now.since(begun_at) >= PROOF_DELAY;
+        } else {
+            run.begun_at = Some(now);
+            let head_gap = run.head_at.map_or(Duration::ZERO, |at| now.since(at));
+            self.crash_evidence.on_answer_begun(
+                run.endpoint,
+                &run.shared_parts,
+                run.is_trial,
+                head_gap,
+                now,
+            );
         }
         if events == 0 {
             return;
@@ -64,29 +75,60 @@
     /// Returns what is needed to report a crash of a run's endpoint; `None` if its prompt has no
     /// shared parts.
     ///
-    /// The parts are left out if the answer got past the point at which a part crashes an
-    /// endpoint.
+    /// The parts are left out if the endpoint has outlived the beginning of the answer.
     pub fn open_run(&self, run: RunId) -> Option<OpenRun> {
         let run = self.runs.get(&run)?;
-        let is_open = !run.has_event;
-        let parts = if is_open {
-            run.shared_parts.clone()
-        } else {
+        let stage = match run.begun_at {
+            Some(_) => AnswerStage::Begun,
+            None if run.head_at.is_some() => AnswerStage::Head,
+            None => AnswerStage::Waiting,
+        };
+        let parts = if run.is_beginning_outlived {
             PartIds::new()
+        } else {
+            run.shared_parts.clone()
         };
-        (!run.shared_parts.is_empty()).then(|| OpenRun {
+        (!run.shared_parts.is_empty()).then_some(OpenRun {
             endpoint: run.endpoint,
             parts,
-            has_head: is_open && run.has_answer_begun,
-            is_trial: is_open && run.is_trial,
+            stage,
+            is_trial: run.is_trial,
         })
     }
 
+    /// Returns when the endpoint of a trial will have outlived the beginning of the answer; `None`
+    /// if the run is no trial or has not begun.
+    pub fn trial_outlived_at(&self, run: RunId) -> Option<Timestamp> {
+        let run = self.runs.get(&run).filter(|run| run.is_trial)?;
+        run.begun_at.map(|at| at + PROOF_DELAY)
+    }
+
+    /// Returns whether an endpoint has begun an answer that it is not known to have outlived.
+    pub fn has_begun_answer(&self, endpoint: EndpointId) -> bool {
+        self.crash_evidence.has_begun_answer(endpoint)
+    }
+
+    /// Records that an endpoint was heard outside the answers to its requests.
+    pub fn on_endpoint_alive(&mut self, endpoint: EndpointId, heard_at: Timestamp) {
+        self.crash_evidence.on_alive(endpoint, heard_at);
+    }
+
     /// Records that the endpoint of an open run crashed.
     pub fn on_crash(&mut self, run: &OpenRun, now: Timestamp) {
         self.crash_evidence.on_crash(run, now);
     }
 
+    /// Records that an endpoint crashed while it had no request of this router.
+    pub fn on_unattended_crash(&mut self, endpoint: EndpointId, now: Timestamp) {
+        let run = OpenRun {
+            endpoint,
+            parts: PartIds::new(),
+            stage: AnswerStage::Waiting,
+            is_trial: false,
+        };
+        self.crash_evidence.on_crash(&run, now);
+    }
+
     /// Returns whether an endpoint start is known to have crashed.
     pub fn has_crashed(&self, endpoint: EndpointId) -> bool {
         self.crash_evidence.has_crashed(endpoint)
@@ -101,11 +143,16 @@
     /// Returns the evidence on prompt parts for other routers, with at most `reports_max` reports.
     pub fn crash_news(&self, reports_max: usize, now: Timestamp) -> CrashNews {
         CrashNews {
-            trials: self.trials().into_vec(),
+            trials: self.trials(now).into_vec(),
             ..self.crash_evidence.to_news(reports_max, now)
         }
     }
 
+    /// Returns the evidence on crashes after the first event alone, with at most `reports_max` reports.
+    pub fn late_crash_news(&self, reports_max: usize, now: Timestamp) -> LateCrashNews {
+        self.crash_evidence.late_news(reports_max, now)
+    }
+
     /// Applies another router's evidence on prompt parts.
     pub fn on_crash_news(&mut self, news: &CrashNews, now: Timestamp) {
         self.crash_evidence.on_news(news, now);
@@ -132,13 +179,15 @@
     }
 
     /// Returns the endpoints on which this router tries suspect parts.
-    pub(super) fn trials(&self) -> SmallVec<[EndpointId; 4]> {
+    pub(super) fn trials(&self, now: Timestamp) -> SmallVec<[EndpointId; 4]> {
         if self.crash_evidence.is_idle() {
             return SmallVec::new();
         }
-        let trials = self.runs.values();
-        let trials = trials.filter(|run| run.is_trial && !run.has_event);
-        let mut endpoints: SmallVec<[EndpointId; 4]> = trials.map(|run| run.endpoint).collect();
+        let waiting = self.runs.values();
+        let waiting = waiting.filter(|run| run.is_trial && run.begun_at.is_none());
+        let waiting = waiting.map(|run| run.endpoint);
+        let begun = self.crash_evidence.begun_trials(now);
+        let mut endpoints: SmallVec<[EndpointId; 4]> = waiting.chain(begun).collect();
         endpoints.sort_unstable();
         endpoints.dedup();
         endpoints
--- a/crates/daisynotch_core/src/direct/dispatcher/decision.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/decision.rs
@@ -330,7 +330,7 @@
         let mut in_time: Option<Candidate> = None;
         let waited_ms = now.since(spec.arrived_at).as_secs_f64() * 1e3;
         let left_ms = self.planned_ms(spec) - waited_ms;
-        let trials = self.trials();
+        let trials = self.trials(now);
         for id in ids {
             let Some(load) = self.endpoints.get(id) else {
                 continue;
--- a/crates/daisynotch_core/src/direct/dispatcher/extreme_tests.rs
+++ b/crates/daisynotch_core/src/direct/dispatcher/extreme_tests.rs
@@ -9,8 +9,8 @@
 use super::tests::{at, digest, dispatcher, entry, plain_spec, spec, table};
 use super::*;
 use crate::direct::{
-    CrashNews, CrashReport, CrashedEndpoint, EndpointList, OpenRun, Part, PartBlock, PartProof,
-    ServiceView,
+    CrashNews, CrashReport, CrashedEndpoint, EndpointList, LateCrashNews, OpenRun, Part, PartBlock,
+    PartProof, ServiceView,
 };
 
 const SEEDS: u64 = 40;
@@ -58,12 +58,23 @@
         part: values.below(4) as u32,
         age_ms: values.number(),
     };
+    let begun = CrashReport {
+        endpoint,
+        age_ms: values.number(),
+        has_head: true,
+        is_trial: true,
+        parts: [1, 2].into_iter().collect(),
+    };
     CrashNews {
         reports: Vec::<CrashReport>::new(),
         proofs: vec![proof],
         blocks: vec![block],
         trials: vec![endpoint],
         crashes: vec![crashed],
+        after_first_event: LateCrashNews {
+            reports: vec![begun],
+            proofs: vec![proof],
+        },
     }
 }
 
--- a/crates/daisynotch_core/src/direct/event_framer.rs
+++ b/crates/daisynotch_core/src/direct/event_framer.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-use super::event_order::{EventError, EventOrder};
+use super::event_order::{EventError, EventOrder, is_comment};
 
 /// Maximum size of the unused part of a buffer that events keep in memory.
 const UNUSED_MAX_BYTES: usize = 8 * 1024;
@@ -92,7 +92,7 @@
         self.order.last_id()
     }
 
-    /// Returns the number of complete events.
+    /// Returns the number of complete events, without those that only hold a comment.
     pub fn events(&self) -> u64 {
         self.events
     }
@@ -108,11 +108,12 @@
                 continue;
             }
             if std::mem::take(&mut has_content) {
-                if let Err(error) = self.order.accept(&complete[accepted..position]) {
+                let event = &complete[accepted..position];
+                if let Err(error) = self.order.accept(event) {
                     self.error = Some(error);
                     return accepted;
                 }
-                self.events += 1;
+                self.events += u64::from(!is_comment(event));
             }
             accepted = position;
         }
--- a/crates/daisynotch_core/src/direct/event_order.rs
+++ b/crates/daisynotch_core/src/direct/event_order.rs
@@ -61,7 +61,7 @@
 
     /// Checks an event, which ends with a blank line, and records its identifier.
     pub(super) fn accept(&mut self, event: &[u8]) -> Result<(), EventError> {
-        if lines(event).all(|line| line.starts_with(b":")) {
+        if is_comment(event) {
             return Ok(());
         }
         let id = event_id(event);
@@ -107,6 +107,11 @@
     }
 }
 
+/// Returns whether an event has no line that is not a comment.
+pub(super) fn is_comment(event: &[u8]) -> bool {
+    lines(event).all(|line| line.starts_with(b":"))
+}
+
 /// Returns the lines of an event without their line breaks.
 fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
     event
--- a/crates/daisynotch_core/src/seeded_fault.rs
+++ b/crates/daisynotch_core/src/seeded_fault.rs
@@ -36,6 +36,8 @@
     CountOpenRequests,
     /// Answers prove nothing about the parts of their prompts.
     IgnorePartProofs,
+    /// The first event of an answer proves the parts of its prompt at once.
+    ProveByFirstEvent,
     /// Parts are blocked without a trial.
     BlockWithoutTrial,
     /// Whatever listens at a sender's address is taken for the sender.
--- a/crates/daisynotch_core/tests/crash_histories.rs
+++ b/crates/daisynotch_core/tests/crash_histories.rs
@@ -26,26 +26,47 @@
 const SINGLE_CRASHES_MAX: f64 = 6.0;
 /// The probability that a flapping engine crashes in a tick: about once in 1.3 s.
 const FLAPS_PER_TICK: f64 = 0.0075;
+/// The smallest fleet of engines in the histories of crashes after the first event.
+const LATE_CRASH_ENGINES_MIN: usize = 7;
 const SERVICE: &str = "models";
 const FATAL: u32 = 0xdead;
 /// Ids of parts of single requests start here.
 const OWN_PARTS_FROM: u32 = 1 << 20;
 
+/// When an engine crashes whose answer has a fatal part.
+#[derive(Clone, Copy)]
+enum FatalPoint {
+    /// After the head of the response.
+    Head,
+    /// This long after the first event, whether the answer goes on or is whole by then.
+    AfterFirstEvent { crash_after_ms: u64 },
+}
+
 /// A request at an engine.
 struct Run {
     router: usize,
     id: RunId,
+    endpoint: EndpointId,
     begins_at_ms: u64,
     ends_at_ms: u64,
     has_begun: bool,
     is_fatal: bool,
 }
 
+/// A question to an engine whether it has outlived the beginning of the answer to a trial.
+struct TrialCheck {
+    due: Timestamp,
+    router: usize,
+    endpoint: EndpointId,
+}
+
 struct Engine {
     starts: u64,
     is_up: bool,
     returns_at_ms: u64,
     runs: Vec<Run>,
+    /// When the engine crashes by an answer with a fatal part.
+    crashes_at_ms: Option<u64>,
 }
 
 /// How engines crash in one history: a few alone, up to half of them at once, and some by turns.
@@ -79,6 +100,10 @@
     rare_parts: u32,
     requests_per_tick: f64,
     fatal_fraction: f64,
+    fatal_point: FatalPoint,
+    /// From when on the fatal part is in requests.
+    fatal_from_ms: u64,
+    trial_checks: Vec<TrialCheck>,
     next_own_part: u32,
     /// Queued requests with the fatal part.
     queued_fatal: HashSet<(usize, QueueId)>,
@@ -88,7 +113,7 @@
 }
 
 impl History {
-    fn new(seed: u64, fatal_fraction: f64) -> Self {
+    fn new(seed: u64, fatal_fraction: f64, fatal_point: FatalPoint) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let engines = rng.random_range(2..=12_usize);
         let mut table = RouteTable::new(1, CallerLimits::default());
@@ -135,6 +160,9 @@
             rare_parts: rng.random_range(1..60),
             requests_per_tick: rng.random_range(0.2..1.5),
             fatal_fraction,
+            fatal_point,
+            fatal_from_ms: 0,
+            trial_checks: Vec::new(),
             next_own_part: OWN_PARTS_FROM,
             queued_fatal: HashSet::new(),
             now_ms: 0,
@@ -148,6 +176,7 @@
                 is_up: false,
                 returns_at_ms: 0,
                 runs: Vec::new(),
+                crashes_at_ms: None,
             });
             history.start_engine(index);
         }
@@ -191,6 +220,7 @@
             return;
         }
         engine.is_up = false;
+        engine.crashes_at_ms = None;
         engine.returns_at_ms = self.now_ms + down_ms;
         for run in engine.runs.drain(..) {
             let router = &mut self.routers[run.router];
@@ -207,6 +237,7 @@
             self.now_ms += TICK_MS;
             self.crash_and_return();
             self.advance_runs();
+            self.check_trials();
             let requests = self.requests_per_tick + self.rng.random::<f64>();
             for _ in 0..requests as u32 {
                 self.send_request();
@@ -244,34 +275,81 @@
         for (index, engine) in self.engines.iter_mut().enumerate() {
             for run in &mut engine.runs {
                 let router = &mut self.routers[run.router];
-                if !run.has_begun && self.now_ms >= run.begins_at_ms {
-                    run.has_begun = true;
-                    router.on_bytes(run.id, now);
-                    if run.is_fatal {
-                        crashing.push(index);
-                    } else {
-                        router.on_event(run.id, 1, now);
+                if self.now_ms < run.begins_at_ms {
+                    continue;
+                }
+                router.on_bytes(run.id, now);
+                match self.fatal_point {
+                    FatalPoint::Head if run.is_fatal => {
+                        engine.crashes_at_ms.get_or_insert(self.now_ms);
+                        continue;
+                    }
+                    FatalPoint::AfterFirstEvent { crash_after_ms }
+                        if run.is_fatal && !run.has_begun =>
+                    {
+                        let crashes_at_ms = self.now_ms + crash_after_ms;
+                        engine.crashes_at_ms.get_or_insert(crashes_at_ms);
                     }
+                    _ => {}
                 }
-                if self.now_ms >= run.ends_at_ms {
-                    router.on_ended(run.id, RunOutcome::Done, now);
+                run.has_begun = true;
+                router.on_event(run.id, 1, now);
+                if self.now_ms < run.ends_at_ms {
+                    continue;
                 }
+                if let Some(due) = router.trial_outlived_at(run.id) {
+                    self.trial_checks.push(TrialCheck {
+                        due,
+                        router: run.router,
+                        endpoint: run.endpoint,
+                    });
+                }
+                router.on_ended(run.id, RunOutcome::Done, now);
             }
             engine.runs.retain(|run| self.now_ms < run.ends_at_ms);
+            if engine
+                .crashes_at_ms
+                .is_some_and(|at_ms| self.now_ms >= at_ms)
+            {
+                crashing.push(index);
+            }
         }
-        crashing.dedup();
         for index in crashing {
             self.outcome.fatal_crashes += 1;
             self.crash_engine(index, 1_500);
         }
     }
 
+    /// Asks engines whether they outlived trials, at which one that is down or has started again
+    /// counts as crashed.
+    fn check_trials(&mut self) {
+        let now = self.now();
+        let due: Vec<TrialCheck> = self
+            .trial_checks
+            .extract_if(.., |check| now >= check.due)
+            .collect();
+        for check in due {
+            let index = self.engine_of[&check.endpoint];
+            let is_alive = self.engines[index].is_up && self.entry(index).id() == check.endpoint;
+            let router = &mut self.routers[check.router];
+            if !router.has_begun_answer(check.endpoint) {
+                continue;
+            }
+            if is_alive {
+                router.on_endpoint_alive(check.endpoint, now);
+            } else {
+                router.on_unattended_crash(check.endpoint, now);
+            }
+        }
+    }
+
     fn send_request(&mut self) {
         let popular = self.rng.random_range(1..=3);
         let rare = 100 + self.rng.random_range(0..self.rare_parts);
         let is_hot = self.now_ms >= self.pattern.hot_from_ms && self.rng.random::<f64>() < 0.5;
         let mut ids: Vec<u32> = vec![popular, if is_hot { 50 } else { rare }];
-        if self.rng.random::<f64>() < self.fatal_fraction {
+        let is_fatal = self.rng.random::<f64>() < self.fatal_fraction;
+        if is_fatal && self.now_ms >= self.fatal_from_ms {
             ids.push(FATAL);
         }
         self.next_own_part += 1;
@@ -337,6 +415,7 @@
         engine.runs.push(Run {
             router,
             id: grant.run,
+            endpoint: grant.endpoint,
             begins_at_ms,
             ends_at_ms: begins_at_ms + self.rng.random_range(50..500),
             has_begun: false,
@@ -366,29 +445,75 @@
 fn no_sound_part_is_blocked_in_generated_crash_histories() {
     let mut crashes = 0;
     for seed in 0..HISTORIES {
-        let outcome = History::new(seed, 0.0).play();
+        let outcome = History::new(seed, 0.0, FatalPoint::Head).play();
         assert_eq!(outcome.refused_sound, 0, "seed {seed}");
         crashes += outcome.ordinary_crashes;
     }
     assert!(u64::from(crashes) > HISTORIES, "{crashes} crashes");
 }
 
-#[test]
-fn no_sound_part_is_blocked_beside_a_fatal_one() {
+/// Plays histories with a fatal part. Returns the number of crashes that it caused and of its requests
+/// that were refused, and the seeds of histories in which sound requests were refused.
+fn play_with_fatal_part(histories: impl Iterator<Item = (u64, History)>) -> ([u32; 2], Vec<u64>) {
     let (mut crashes, mut refused) = (0, 0);
-    for seed in 0..HISTORIES / 10 {
-        let outcome = History::new(seed, 0.1).play();
-        assert_eq!(outcome.refused_sound, 0, "seed {seed}");
+    let mut refused_sound = Vec::new();
+    for (seed, history) in histories {
+        let outcome = history.play();
+        if outcome.refused_sound > 0 {
+            refused_sound.push(seed);
+        }
         crashes += outcome.fatal_crashes;
         refused += outcome.refused_fatal;
     }
+    ([crashes, refused], refused_sound)
+}
+
+#[test]
+fn no_sound_part_is_blocked_beside_a_fatal_one() {
+    let histories = (0..HISTORIES / 10).map(|seed| {
+        let history = History::new(seed, 0.1, FatalPoint::Head);
+        (seed, history)
+    });
+    let ([crashes, refused], refused_sound) = play_with_fatal_part(histories);
+    assert!(refused_sound.is_empty(), "seeds {refused_sound:?}");
+    assert!(refused > crashes, "{crashes} crashes, {refused} refused");
+}
+
+/// Histories in which engines crash up to 0.2 s after the first event of a fatal answer, some of them
+/// after a whole one.
+///
+/// The part comes once others have been proven. A fleet of a few engines has none left for the trials
+/// of sound parts while the fatal one is on trial.
+fn late_crash_histories() -> impl Iterator<Item = (u64, History)> {
+    let histories = (0..HISTORIES / 10).map(|seed| {
+        let fatal_point = FatalPoint::AfterFirstEvent {
+            crash_after_ms: seed % 9 * 25,
+        };
+        let mut history = History::new(seed, 0.1, fatal_point);
+        history.fatal_from_ms = 1_000;
+        (seed, history)
+    });
+    histories.filter(|(_, history)| history.engines.len() >= LATE_CRASH_ENGINES_MIN)
+}
+
+/// Guards against a first event that counts as a proof, at which the part is never blocked.
+#[test]
+fn parts_that_crash_engines_after_the_first_event_are_blocked_and_no_sound_ones() {
+    let ([crashes, refused], refused_sound) = play_with_fatal_part(late_crash_histories());
+    assert!(refused_sound.is_empty(), "seeds {refused_sound:?}");
     assert!(refused > crashes, "{crashes} crashes, {refused} refused");
 }
 
 /// Returns whether the check finds a fault that is seeded into the core.
 fn is_found(fault: SeededFault) -> bool {
     seed(Some(fault));
-    let is_found = (0..HISTORIES).any(|seed| History::new(seed, 0.0).play().refused_sound > 0);
+    let mut seeds = 0..HISTORIES;
+    let is_found = seeds.any(|seed| {
+        History::new(seed, 0.0, FatalPoint::Head)
+            .play()
+            .refused_sound
+            > 0
+    });
     seed(None);
     is_found
 }
@@ -403,3 +528,12 @@
         assert!(is_found(fault), "{fault:?}");
     }
 }
+
+/// The check of crashes after the first event fails if that event proves its parts.
+#[test]
+fn a_proof_by_the_first_event_is_found() {
+    seed(Some(SeededFault::ProveByFirstEvent));
+    let ([crashes, refused], _) = play_with_fatal_part(late_crash_histories());
+    seed(None);
+    assert!(refused <= crashes, "{crashes} crashes, {refused} refused");
+}
--- a/crates/daisynotch_router/src/direct/crash_check.rs
+++ b/crates/daisynotch_router/src/direct/crash_check.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use daisynotch_core::direct::{EvidenceChange, Grant, OpenRun, ServiceView};
-use daisynotch_core::{EndpointId, SenderEvidence};
+use daisynotch_core::direct::{AnswerStage, EvidenceChange, Grant, OpenRun, ServiceView};
+use daisynotch_core::{EndpointId, SenderEvidence, Timestamp};
 use futures::FutureExt;
 use futures::future::{LocalBoxFuture, Shared};
 use serde_json::json;
@@ -20,7 +20,19 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// A check of whether an endpoint crashed, shared by all requests whose connections broke.
-pub(super) type CrashCheck = Shared<LocalBoxFuture<'static, bool>>;
+pub(super) type CrashCheck = Shared<LocalBoxFuture<'static, CheckOutcome>>;
+
+/// What a check found.
+#[daisynotch_macros::value]
+#[derive(Copy)]
+pub(super) enum CheckOutcome {
+    /// Nothing listens at the endpoint's address, or another start or another endpoint does.
+    Crashed,
+    /// The endpoint answers.
+    Alive,
+    /// Nothing tells whether the endpoint crashed.
+    Unknown,
+}
 
 impl Call {
     /// Returns whether the request may be sent to another endpoint after its connection broke.
@@ -35,10 +47,11 @@
         if Instant::now() >= self.give_up_at {
             return false;
         }
-        if !self.has_crashed(grant).await {
+        let router = &self.router;
+        let service = self.service().cloned();
+        if router.check_crash(grant, service).await != CheckOutcome::Crashed {
             return true;
         }
-        let router = &self.router;
         let now = router.now();
         router.dispatcher.borrow_mut().on_crash(&run, now);
         if run.parts.is_empty() {
@@ -46,9 +59,14 @@
             return true;
         }
         let parts: Vec<String> = run.parts.iter().map(|part| format!("{part:x}")).collect();
+        let stage = match run.stage {
+            AnswerStage::Waiting => "waiting",
+            AnswerStage::Head => "head",
+            AnswerStage::Begun => "begun",
+        };
         let fields = json!({
             "endpoint": &*grant.endpoint_name, "id": self.attempt_id.to_str().unwrap_or(""),
-            "parts": parts, "has_head": run.has_head, "is_trial": run.is_trial,
+            "parts": parts, "stage": stage, "is_trial": run.is_trial,
         });
         router
             .log
@@ -58,24 +76,69 @@
         dispatcher.may_repeat_after_crash(&self.spec, now)
     }
 
+    /// Asks an endpoint whether it has outlived the beginning of the answer to a trial, since the
+    /// endpoint is kept free of the requests whose answers would show it.
+    ///
+    /// `outlived_at` is unset if the request was no trial.
+    pub(super) fn confirm_trial(&self, grant: &Grant, outlived_at: Option<Timestamp>) {
+        if let Some(outlived_at) = outlived_at {
+            let delay = outlived_at.since(self.router.now());
+            self.check_begun_answers(grant, delay);
+        }
+    }
+
+    /// Finds out whether an endpoint that refused a connection crashed after it had begun an answer.
+    pub(super) fn check_refusing_endpoint(&self, grant: &Grant) {
+        self.check_begun_answers(grant, Duration::ZERO);
+    }
+
+    /// Checks an endpoint after a delay, unless the answers that it has begun are settled then.
+    fn check_begun_answers(&self, grant: &Grant, delay: Duration) {
+        let router = Rc::clone(&self.router);
+        let endpoint = grant.endpoint;
+        if !router.dispatcher.borrow().has_begun_answer(endpoint) {
+            return;
+        }
+        let (grant, service) = (grant.clone(), self.service().cloned());
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(delay).await;
+            if !router.dispatcher.borrow().has_begun_answer(endpoint) {
+                return;
+            }
+            let asked_at = router.now();
+            let outcome = router.check_crash(&grant, service).await;
+            let mut dispatcher = router.dispatcher.borrow_mut();
+            match outcome {
+                CheckOutcome::Crashed => dispatcher.on_unattended_crash(endpoint, router.now()),
+                CheckOutcome::Alive => dispatcher.on_endpoint_alive(endpoint, asked_at),
+                CheckOutcome::Unknown => return,
+            }
+            drop(dispatcher);
+            router.log_evidence_changes("own");
+        });
+    }
+}
+
+impl Router {
     /// Returns whether the endpoint's process is gone: nothing listens at its address, or another
     /// start or another endpoint does.
     ///
     /// A connection that breaks alone says little, since it may have been reset on the way. All
     /// requests whose connections broke wait for the same check.
-    async fn has_crashed(&self, grant: &Grant) -> bool {
-        let router = &self.router;
+    async fn check_crash(
+        self: &Rc<Self>,
+        grant: &Grant,
+        service: Option<Arc<ServiceView>>,
+    ) -> CheckOutcome {
         let endpoint = grant.endpoint;
-        if router.dispatcher.borrow().has_crashed(endpoint) {
-            return true;
+        if self.dispatcher.borrow().has_crashed(endpoint) {
+            return CheckOutcome::Crashed;
         }
-        let known = router.crash_checks.borrow().get(&endpoint).cloned();
+        let known = self.crash_checks.borrow().get(&endpoint).cloned();
         let check = known.unwrap_or_else(|| {
-            let service = self.service().cloned();
-            let check = check_endpoint(Rc::clone(router), grant.clone(), service);
+            let check = check_endpoint(Rc::clone(self), grant.clone(), service);
             let check = check.boxed_local().shared();
-            router
-                .crash_checks
+            self.crash_checks
                 .borrow_mut()
                 .insert(endpoint, check.clone());
             // The check ends even if all callers whose requests wait for it leave.
@@ -90,20 +153,24 @@
     router: Rc<Router>,
     grant: Grant,
     service: Option<Arc<ServiceView>>,
-) -> bool {
+) -> CheckOutcome {
     let asked = router.ask_on_new_connection(&grant, service.as_deref());
     let asked = tokio::time::timeout(ANSWER_TIMEOUT, asked).await;
     router.crash_checks.borrow_mut().remove(&grant.endpoint);
     let problem = match asked {
-        Ok(Ok(SenderEvidence::OtherStart) | Err(AskError::Refused(_))) => return true,
-        Ok(Ok(SenderEvidence::SameStart | SenderEvidence::SameName)) => return false,
+        Ok(Ok(SenderEvidence::OtherStart) | Err(AskError::Refused(_))) => {
+            return CheckOutcome::Crashed;
+        }
+        Ok(Ok(SenderEvidence::SameStart | SenderEvidence::SameName)) => {
+            return CheckOutcome::Alive;
+        }
         Ok(Ok(SenderEvidence::NoAnswer)) => "what answers does not name itself".to_owned(),
         Ok(Err(error)) => error.to_string(),
         Err(_) => "timed out".to_owned(),
     };
     let name = &grant.endpoint_name;
     log::debug!("can't tell whether endpoint {name} crashed: {problem}");
-    false
+    CheckOutcome::Unknown
 }
 
 impl Router {
--- a/crates/daisynotch_router/src/direct/forward.rs
+++ b/crates/daisynotch_router/src/direct/forward.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use daisynotch_core::Timestamp;
 use daisynotch_core::direct::{
-    Grant, OpenRun, RefuseReason, RequestSpec, Route, RouteKind, RouteTable, ServiceView,
-    TeamEntry, Verdict,
+    Grant, OpenRun, RefuseReason, RequestSpec, Route, RouteKind, RouteTable, RunOutcome,
+    ServiceView, TeamEntry, Verdict,
 };
 use daisynotch_platform::ports::CallerHeaders;
 use hyper::body::{Body, Incoming};
@@ -409,7 +409,10 @@
                     self.history.answer_start.get_or_insert(elapsed);
                     return Ok(started);
                 }
-                Err(SendFailure::NotRun(_, reason)) => {
+                Err(SendFailure::NotRun(ended, reason)) => {
+                    if ended == RunOutcome::Unreachable {
+                        self.check_refusing_endpoint(&grant);
+                    }
                     self.history
                         .failures
                         .push(format!("{endpoint_name}: not run: {reason}"));
--- a/crates/daisynotch_router/src/direct/full_relay.rs
+++ b/crates/daisynotch_router/src/direct/full_relay.rs
@@ -51,6 +51,7 @@
                 started.guard.on_event(0);
                 RunOutcome::Done
             };
+            call.confirm_trial(&started.grant, started.guard.trial_outlived_at());
             started.guard.end(ended);
             if started.connection.is_usable() {
                 let connections = &call.router.connections;
--- a/crates/daisynotch_router/src/direct/news.rs
+++ b/crates/daisynotch_router/src/direct/news.rs
@@ -1,5 +1,6 @@
 //! News that follows messages between routers: evidence on crashes, stated limits and, after the
-//! timing of a digest, fleet news: evacuations, signs of cold endpoints and lapsed entries.
+//! timing of a digest, fleet news: evacuations, signs of cold endpoints, lapsed entries and further
+//! evidence on crashes.
 //!
 //! Routers of an earlier version read the part that they know and ignore the rest. They take what
 //! follows the limits in a digest for its timing, so later parts come after that.
@@ -7,8 +8,8 @@
 use std::time::Duration;
 
 use daisynotch_core::direct::{
-    ColdNews, CrashNews, Digest, EndpointDigest, EvacuationNews, LapseNews, LimitNews, SpeedNews,
-    WorkNews,
+    ColdNews, CrashNews, Digest, EndpointDigest, EvacuationNews, LapseNews, LateCrashNews,
+    LimitNews, SpeedNews, WorkNews,
 };
 use daisynotch_objects::RouterId;
 use serde_json::json;
@@ -106,6 +107,8 @@
     speeds: SpeedNews,
     work: WorkNews,
     lapse: LapseNews,
+    /// The evidence on crashes after the first event of an answer.
+    late_crashes: LateCrashNews,
 }
 
 /// Encodes the fleet news for a digest, with at most `speeds_max` speeds of engines and with what the
@@ -115,18 +118,19 @@
     speeds_max: usize,
     endpoints: &[EndpointDigest],
 ) -> Vec<u8> {
-    encode_fleet_with(router, false, speeds_max, endpoints)
+    encode_fleet_with(router, false, speeds_max, CRASH_REPORTS_MAX, endpoints)
 }
 
 /// Encodes the fleet news for a router that starts.
 pub(super) fn encode_fleet_for_start(router: &Router) -> Vec<u8> {
-    encode_fleet_with(router, true, VIEW_SPEEDS_MAX, &[])
+    encode_fleet_with(router, true, VIEW_SPEEDS_MAX, usize::MAX, &[])
 }
 
 fn encode_fleet_with(
     router: &Router,
     includes_heard: bool,
     speeds_max: usize,
+    crash_reports_max: usize,
     endpoints: &[EndpointDigest],
 ) -> Vec<u8> {
     let evacuations = router.evacuations.borrow().to_news();
@@ -135,15 +139,18 @@
     let cold = dispatcher.cold_news(includes_heard, now);
     let speeds = dispatcher.speed_news(speeds_max, now);
     let work = dispatcher.work_news(endpoints);
+    let late_crashes = dispatcher.late_crash_news(crash_reports_max, now);
     drop(dispatcher);
     let lapse = router.endpoints.borrow().lapse_news(now);
-    postcard::to_stdvec(&(evacuations, cold, speeds, work, lapse)).unwrap_or_else(|error| {
-        let fields = json!({"error": error.to_string()});
-        router
-            .log
-            .write(Importance::Essential, "news_unwritable", fields);
-        Vec::new()
-    })
+    postcard::to_stdvec(&(evacuations, cold, speeds, work, lapse, late_crashes)).unwrap_or_else(
+        |error| {
+            let fields = json!({"error": error.to_string()});
+            router
+                .log
+                .write(Importance::Essential, "news_unwritable", fields);
+            Vec::new()
+        },
+    )
 }
 
 impl FleetNews {
@@ -164,7 +171,10 @@
             (news.work, rest) = postcard::take_from_bytes(rest)?;
         }
         if !rest.is_empty() {
-            (news.lapse, _) = postcard::take_from_bytes(rest)?;
+            (news.lapse, rest) = postcard::take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            (news.late_crashes, _) = postcard::take_from_bytes(rest)?;
         }
         Ok(news)
     }
@@ -181,6 +191,16 @@
         router.on_cold_news(&self.cold, transit, source);
         router.on_evacuation_news(self.evacuations, source);
         router.on_lapse_news(&self.lapse, transit, source);
+        let mut crashes = CrashNews {
+            after_first_event: self.late_crashes,
+            ..CrashNews::default()
+        };
+        crashes.add_transit(transit);
+        if !crashes.is_empty() {
+            let now = router.now();
+            router.dispatcher.borrow_mut().on_crash_news(&crashes, now);
+            router.log_evidence_changes(source);
+        }
         let mut dispatcher = router.dispatcher.borrow_mut();
         dispatcher.on_speed_news(&self.speeds, router.now());
         if let Some(digest) = digest {
--- a/crates/daisynotch_router/src/direct/state.rs
+++ b/crates/daisynotch_router/src/direct/state.rs
@@ -474,6 +474,12 @@
         self.run.and_then(|run| dispatcher.open_run(run))
     }
 
+    /// Returns when the endpoint will have outlived the beginning of the answer to a trial.
+    pub(crate) fn trial_outlived_at(&self) -> Option<Timestamp> {
+        let dispatcher = self.router.dispatcher.borrow();
+        self.run.and_then(|run| dispatcher.trial_outlived_at(run))
+    }
+
     /// Returns whether the run should be given up because its endpoint sends nothing any more.
     pub(crate) fn is_lost(&self) -> bool {
         let now = self.router.now();
--- a/crates/daisynotch_router/src/direct/stream_relay.rs
+++ b/crates/daisynotch_router/src/direct/stream_relay.rs
@@ -63,6 +63,7 @@
         let mut moved = None;
         let may_continue = match outcome {
             StreamEnd::Complete => {
+                call.confirm_trial(&started.grant, started.guard.trial_outlived_at());
                 started.guard.end(RunOutcome::Done);
                 if started.connection.is_usable() {
                     let connections = &call.router.connections;
