Bound how long the last router gives out routers that it does not hear

Cause: a router that hears none with callers may itself be partitioned, and gives out the silent ones. Beside a router that is heard it did so for 3 s; if it heard none at all, for as long as digests are sent to them, 60 s.

Change: silent routers are given out for 5.5 s at most, longer than a partition lasts and shorter than the time for which the address of a lost host may be given out. One that is heard again is given out at once.

Both core tests fail on the code before (at 5.5 s of silence all lost routers are given out).

--- a/crates/daisynotch_core/src/direct/hosts.rs
+++ b/crates/daisynotch_core/src/direct/hosts.rs
@@ -2,8 +2,9 @@
 //!
 //! Hosts are killed, paused, partitioned and replaced while callers ask for addresses, and some
 //! callers stay with the first address that they get. When the digests of a router with callers
-//! stop, its address is no longer given out within a second. A router that hears no other assumes
-//! that it is itself partitioned, and gives out all addresses that it knew.
+//! stop, its address is no longer given out within a second. A router that hears no other may itself be
+//! partitioned, and gives out the addresses that it knew for as long as a partition lasts. The others
+//! may as well be gone.
 
 mod selection;
 
@@ -27,7 +28,10 @@
 /// How long routers with callers are still given out if none of them is heard: less than the time
 /// within which every host must be reachable again.
 const CALLERS_RETENTION: Duration = Duration::from_millis(3_000);
-/// Silence after which a router is forgotten.
+/// How long routers are still given out if no router at all is heard: longer than a partition, and
+/// shorter than the time for which the address of a host that is gone may be given out.
+const PARTITION_RETENTION: Duration = Duration::from_millis(5_500);
+/// Silence after which a router is forgotten, and no digests are sent to it.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 
 /// The last known state of another router.
@@ -440,14 +444,21 @@
         let present = self.present(now).filter(|host| host.is_serving());
         let mut hosts: Vec<&HostIntroduction> = present.map(|host| &host.introduction).collect();
         if !hosts.iter().any(|host| host.has_callers) {
-            // A router that hears no router with callers may itself be partitioned.
-            let unheard = self.hosts.values().filter(|host| {
-                let is_recent = now.since(host.heard_at) < CALLERS_RETENTION;
-                (is_recent && host.introduction.has_callers) || hosts.is_empty()
+            // A router that hears no router with callers may itself be partitioned. If it hears some
+            // router, the others are more likely gone.
+            let hears_none = hosts.is_empty();
+            let retention = if hears_none {
+                PARTITION_RETENTION
+            } else {
+                CALLERS_RETENTION
+            };
+            let silent = self.hosts.values().filter(|host| {
+                let is_recent = now.since(host.heard_at) < retention;
+                is_recent && (host.introduction.has_callers || hears_none)
             });
-            let unheard = unheard.filter(|host| host.is_serving());
-            let unheard: Vec<_> = unheard.map(|host| &host.introduction).collect();
-            hosts.extend(unheard);
+            let silent = silent.filter(|host| host.is_serving());
+            let silent: Vec<_> = silent.map(|host| &host.introduction).collect();
+            hosts.extend(silent);
         }
         if own.phase == HostPhase::Serving {
             hosts.push(own);
--- a/crates/daisynotch_core/src/direct/hosts/tests.rs
+++ b/crates/daisynotch_core/src/direct/hosts/tests.rs
@@ -75,6 +75,37 @@
     assert_eq!(callers(&table, at(5_000)), ["10.0.0.97:80", "10.0.0.98:80"]);
 }
 
+/// The last router of a fleet gave out addresses at which nothing answered, for a minute after all others
+/// were lost.
+#[test]
+fn the_last_router_stops_giving_out_lost_ones_after_the_longest_partition() {
+    let own = introduction("own-a", "one", HostPhase::Serving);
+    let mut table = HostTable::default();
+    table.on_digest(&digest("r-b", "one", HostPhase::Serving, 1), at(0));
+    let mut idle = digest("r-c", "two", HostPhase::Serving, 1);
+    idle.host.has_callers = false;
+    table.on_digest(&idle, at(0));
+    assert_eq!(callers(&table, at(5_400)).len(), 3);
+    assert_eq!(callers(&table, at(5_500)), ["10.0.0.97:80"]);
+    assert!(table.is_given_out(&own, at(5_500)));
+    // One of them is back, and another one was lost later.
+    table.on_digest(&digest("r-d", "one", HostPhase::Serving, 1), at(6_000));
+    let mut restarted = digest("r-b", "one", HostPhase::Serving, 1);
+    restarted.host.incarnation = Incarnation(2);
+    table.on_digest(&restarted, at(9_000));
+    assert_eq!(callers(&table, at(9_001)), ["10.0.0.97:80", "10.0.0.98:80"]);
+}
+
+/// A router that leaves names no other one for longer, if all others are gone.
+#[test]
+fn the_last_router_that_leaves_gives_out_no_address() {
+    let own = introduction("own-a", "one", HostPhase::Leaving);
+    let mut table = HostTable::default();
+    table.on_digest(&digest("r-b", "one", HostPhase::Serving, 1), at(0));
+    assert_eq!(table.caller_addresses(&own, at(5_400), 64).len(), 1);
+    assert!(table.caller_addresses(&own, at(5_500), 64).is_empty());
+}
+
 #[test]
 fn a_late_digest_is_ignored() {
     let mut table = HostTable::default();
